--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Two commands matter: `make demo` and `make test`.
+ESTATE ?= tiszahid
+GOFILES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: build test fmt lint unit fuzz demo capacity generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+test: fmt lint build unit
+
+fmt:
+	@bad=$$(gofmt -l $(GOFILES)); if [ -n "$$bad" ]; then echo "gofmt needed:"; echo "$$bad"; exit 1; fi
+
+lint:
+	go vet ./...
+	go tool staticcheck ./...
+
+unit:
+	go test -race -timeout 8m ./...
+
+# Generated code is committed; this target is only for a changed peer.proto
+# and needs protoc.
+generate:
+	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH=$(CURDIR)/bin:$$PATH protoc -I internal/peer/peerpb --go_out=. \
+		--go_opt=module=github.com/banyandeal/banyandeal internal/peer/peerpb/peer.proto
