--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,133 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/peer"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+)
+
+type handlerFunc func(ctx context.Context, call *peerpb.Call, body io.Reader) (*peerpb.Reply, io.ReadCloser)
+
+func (f handlerFunc) ServeCall(ctx context.Context, call *peerpb.Call, body io.Reader) (*peerpb.Reply, io.ReadCloser) {
+	return f(ctx, call, body)
+}
+
+func serve(t *testing.T, h handlerFunc) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := peer.NewServer(h)
+	go s.Serve(l)
+	t.Cleanup(func() { l.Close(); s.Close() })
+	return l.Addr().String()
+}
+
+func forward(id string) *peerpb.Call {
+	return &peerpb.Call{Call: &peerpb.Call_Forward{Forward: &peerpb.Forward{RequestId: id}}}
+}
+
+// cutReader fails after its bytes, as a backend server's cut answer does.
+type cutReader struct{ r io.Reader }
+
+func (c cutReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func TestCallCarriesBodiesBothWays(t *testing.T) {
+	addr := serve(t, func(_ context.Context, call *peerpb.Call, body io.Reader) (*peerpb.Reply, io.ReadCloser) {
+		data, _ := io.ReadAll(body)
+		return &peerpb.Reply{Reply: &peerpb.Reply_Forward{Forward: &peerpb.ForwardReply{RequestId: call.GetForward().RequestId}}},
+			io.NopCloser(bytes.NewReader(append(data, data...)))
+	})
+	c := peer.NewClient()
+	defer c.Close()
+	large := bytes.Repeat([]byte("x"), 300_000)
+	for _, body := range [][]byte{nil, []byte("a"), large} {
+		reply, out, err := c.Call(context.Background(), addr, forward("r1"), bytes.NewReader(body))
+		require.NoError(t, err)
+		require.Equal(t, "r1", reply.GetForward().RequestId)
+		got, err := io.ReadAll(out)
+		require.NoError(t, err)
+		require.Len(t, got, 2*len(body))
+		require.NoError(t, out.Close())
+	}
+}
+
+func TestCutAnswerIsAnErrorNotAShortBody(t *testing.T) {
+	addr := serve(t, func(context.Context, *peerpb.Call, io.Reader) (*peerpb.Reply, io.ReadCloser) {
+		return &peerpb.Reply{}, io.NopCloser(cutReader{bytes.NewReader([]byte("half"))})
+	})
+	c := peer.NewClient()
+	defer c.Close()
+	_, out, err := c.Call(context.Background(), addr, forward("r1"), nil)
+	require.NoError(t, err)
+	defer out.Close()
+	_, err = io.ReadAll(out)
+	require.ErrorIs(t, err, peer.ErrCutBody)
+}
+
+func TestCancelReachesTheReceiver(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	addr := serve(t, func(ctx context.Context, _ *peerpb.Call, _ io.Reader) (*peerpb.Reply, io.ReadCloser) {
+		close(started)
+		<-ctx.Done()
+		close(cancelled)
+		return &peerpb.Reply{}, nil
+	})
+	c := peer.NewClient()
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-started; cancel() }()
+	_, _, err := c.Call(ctx, addr, forward("r1"), nil)
+	var cerr *peer.CallError
+	require.True(t, errors.As(err, &cerr))
+	require.Equal(t, peer.MaybeSent, cerr.Sent)
+	<-cancelled
+}
+
+func TestRefusedCallWasNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	c := peer.NewClient()
+	defer c.Close()
+	for range 2 {
+		_, _, err = c.Call(context.Background(), addr, forward("r1"), nil)
+		var cerr *peer.CallError
+		require.True(t, errors.As(err, &cerr))
+		require.Equal(t, peer.NotSent, cerr.Sent)
+		require.True(t, cerr.Refused)
+	}
+}
+
+func FuzzServerStream(f *testing.F) {
+	f.Add([]byte{0})
+	f.Add([]byte{3, 10, 1, 0, 2, 16, 1})
+	f.Add(bytes.Repeat([]byte{0xff}, 64))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		addr := serve(t, func(context.Context, *peerpb.Call, io.Reader) (*peerpb.Reply, io.ReadCloser) {
+			return &peerpb.Reply{}, nil
+		})
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		conn.Write(data)
+		conn.Close()
+		c := peer.NewClient()
+		defer c.Close()
+		_, out, err := c.Call(context.Background(), addr, forward("r1"), nil)
+		require.NoError(t, err)
+		require.NoError(t, out.Close())
+	})
+}
