--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,27 @@
+// Package telemetry holds what is seen from outside: the log, the counters and
+// the latency quantiles.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs for each
+// event, in UTC. Level is one that zerolog parses.
+func NewLogger(w io.Writer, level, instance string) zerolog.Logger {
+	lvl, err := zerolog.ParseLevel(level)
+	if err != nil {
+		lvl = zerolog.InfoLevel
+	}
+	out := zerolog.ConsoleWriter{
+		Out: w, NoColor: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00", TimeLocation: time.UTC,
+		FormatTimestamp: func(v any) string { return fmt.Sprintf("time=%v", v) },
+		FormatLevel:     func(v any) string { return fmt.Sprintf("level=%v", v) },
+		FormatMessage:   func(v any) string { return fmt.Sprintf("event=%v", v) },
+	}
+	return zerolog.New(out).Level(lvl).With().Timestamp().Str("instance", instance).Logger()
+}
