--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -7,6 +7,11 @@
 //	PUT  /objects/{digest} 204; the digest is the hex SHA-256 of the body
 //	GET  /objects/{digest} 200 body, 404
 //	GET  /instances        200 []Instance
+//
+// A 503 means that nothing was written. A row's version rises by one with
+// each write, deletions included, and never goes back: a row that is written
+// again after its deletion goes on from there. A read may be behind the newest
+// version; a transaction is not.
 package platform
 
 import "encoding/json"
--- /dev/null
+++ b/internal/platform/commit_test.go
@@ -0,0 +1,30 @@
+package platform
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestJudge(t *testing.T) {
+	txn := Txn{ID: "mine", Writes: []Write{{Row: "a", Expect: 4}, {Row: "b", Expect: 7}}}
+	row := func(name string, version uint64, id string) Row {
+		return Row{Name: name, Version: version, ChangeID: id}
+	}
+	for _, tc := range []struct {
+		name string
+		rows []Row
+		want verdict
+	}{
+		{"own change id", []Row{row("a", 5, "mine"), row("b", 8, "mine")}, wasWritten},
+		{"own change id on one row", []Row{row("a", 9, "other"), row("b", 8, "mine")}, wasWritten},
+		{"another took the version", []Row{row("a", 5, "other"), row("b", 9, "other")}, wasNotWritten},
+		{"a row is still as expected", []Row{row("b", 9, "other")}, wasNotWritten},
+		{"all rows moved on", []Row{row("a", 6, "other"), row("b", 9, "other")}, undecided},
+		{"rows deleted since", []Row{row("a", 0, ""), row("b", 0, "")}, undecided},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			require.Equal(t, tc.want, judge(txn, tc.rows))
+		})
+	}
+}
