--- /dev/null
+++ b/internal/filter/accept/accept.go
@@ -0,0 +1,187 @@
+// Package accept is the first filter: it turns a caller's HTTP request into a
+// bounded filter.Request, calls the pipeline, and delivers the answer whole.
+//
+// What an operator sees: counters accept.* for what was turned away, and
+// request.* for how accepted requests ended.
+package accept
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/outcome"
+	"github.com/banyandeal/banyandeal/internal/telemetry"
+	"github.com/banyandeal/banyandeal/internal/trace"
+)
+
+const (
+	// busyRetryAfter is when a caller turned away by a full instance comes
+	// back.
+	busyRetryAfter = time.Second
+	// minDeadline is the shortest deadline a caller may ask for.
+	minDeadline = time.Millisecond
+)
+
+// Handler serves callers' requests under /{service}/.
+type Handler struct {
+	// Estate returns the configuration in force, nil before there is one.
+	Estate func() *estate.Estate
+	// Next is the pipeline.
+	Next filter.Handler
+	// Region is called for the region of this instance.
+	Region   func() string
+	Metrics  *telemetry.Metrics
+	Recorder *trace.Recorder
+	// Slots bounds the requests in progress, Memory the bytes of their bodies.
+	Slots  *semaphore.Weighted
+	Memory *semaphore.Weighted
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	start := time.Now()
+	if !h.Slots.TryAcquire(1) {
+		h.Metrics.Count("accept.busy")
+		WriteError(w, outcome.NotRunError(outcome.KindOverloaded, busyRetryAfter, "this instance holds as many requests as it may"))
+		return
+	}
+	defer h.Slots.Release(1)
+	r, free, err := h.read(w, hr, start)
+	if err != nil {
+		h.Metrics.Count("accept." + string(err.Kind))
+		WriteError(w, err)
+		return
+	}
+	defer free()
+	h.serve(w, hr, r, start)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, hr *http.Request, r *filter.Request, start time.Time) {
+	ctx, cancel := context.WithDeadline(h.Recorder.Extract(hr.Context(), hr.Header.Get(trace.HeaderTraceParent)), r.Deadline)
+	defer cancel()
+	ctx, span := h.Recorder.Start(ctx, "request", attribute.String("service", r.Service.Name),
+		attribute.String("request", r.ID), attribute.String("method", r.Method), attribute.String("path", r.Path))
+	w.Header().Set(filter.HeaderRequestID, r.ID)
+	w.Header().Set(trace.HeaderTraceParent, h.Recorder.Inject(ctx))
+	answer, err := h.Next.Serve(ctx, r)
+	if err == nil {
+		err = deliver(w, answer)
+		if err != nil {
+			// The status line is out: only a broken connection tells the
+			// caller that the answer is not whole.
+			defer panic(http.ErrAbortHandler)
+		}
+	} else {
+		WriteError(w, outcome.AsError(err))
+	}
+	h.count(r, err, start)
+	trace.End(span, err)
+}
+
+func (h *Handler) count(r *filter.Request, err error, start time.Time) {
+	if err == nil {
+		h.Metrics.CountOutcome(r.Service.Name, outcome.Done, "")
+		h.Metrics.Latency("latency." + r.Service.Name).Record(time.Since(start))
+		return
+	}
+	e := outcome.AsError(err)
+	h.Metrics.CountOutcome(r.Service.Name, e.Outcome, e.Kind)
+}
+
+// read takes the request in within its bounds. free gives back the memory of
+// the body.
+func (h *Handler) read(w http.ResponseWriter, hr *http.Request, start time.Time) (*filter.Request, func(), *outcome.Error) {
+	e := h.Estate()
+	if e == nil {
+		return nil, nil, outcome.NotRunError(outcome.KindNotReady, busyRetryAfter, "this instance has no configuration yet")
+	}
+	name, path, _ := strings.Cut(strings.TrimPrefix(hr.URL.EscapedPath(), "/"), "/")
+	s := e.ServiceOf(name)
+	if s == nil {
+		return nil, nil, outcome.RejectedError(outcome.KindUnknownService, "send it to /{service}/{path} with a declared service", "no service %q", name)
+	}
+	path = "/" + path
+	if hr.URL.RawQuery != "" {
+		path += "?" + hr.URL.RawQuery
+	}
+	deadline, err := deadlineOf(hr, s, start)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, free, err := h.readBody(w, hr, s)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &filter.Request{
+		ID: rand.Text(), Caller: callerOf(hr), Service: s, Method: hr.Method, Path: path,
+		Header: filter.EndToEnd(hr.Header), Body: body, Key: hr.Header.Get(filter.HeaderKey),
+		Deadline: deadline, Stage: filter.StageEnter, FromRegion: h.Region(),
+	}, free, nil
+}
+
+func (h *Handler) readBody(w http.ResponseWriter, hr *http.Request, s *estate.Service) ([]byte, func(), *outcome.Error) {
+	if hr.ContentLength == 0 {
+		return nil, func() {}, nil
+	}
+	if hr.ContentLength > s.MaxBody {
+		return nil, nil, tooLarge(s)
+	}
+	reserve := hr.ContentLength
+	if reserve < 0 {
+		reserve = s.MaxBody
+	}
+	if !h.Memory.TryAcquire(reserve) {
+		return nil, nil, outcome.NotRunError(outcome.KindOverloaded, busyRetryAfter, "this instance holds as many body bytes as it may")
+	}
+	free := func() { h.Memory.Release(reserve) }
+	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, s.MaxBody))
+	if err == nil {
+		return body, free, nil
+	}
+	free()
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, nil, tooLarge(s)
+	}
+	return nil, nil, outcome.RejectedError(outcome.KindBadRequest, "send the whole body in time", "the body can't be read: %v", err)
+}
+
+func tooLarge(s *estate.Service) *outcome.Error {
+	return outcome.RejectedError(outcome.KindTooLarge, "send a smaller body", "the body is larger than %d bytes", s.MaxBody)
+}
+
+func deadlineOf(hr *http.Request, s *estate.Service, start time.Time) (time.Time, *outcome.Error) {
+	limit := start.Add(s.Deadline)
+	text := hr.Header.Get(filter.HeaderDeadline)
+	if text == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || time.Duration(ms)*time.Millisecond < minDeadline {
+		return limit, outcome.RejectedError(outcome.KindBadRequest, "give whole milliseconds, at least 1", "%s is %q", filter.HeaderDeadline, text)
+	}
+	if d := start.Add(time.Duration(ms) * time.Millisecond); d.Before(limit) {
+		return d, nil
+	}
+	return limit, nil
+}
+
+func callerOf(hr *http.Request) netip.Addr {
+	ap, err := netip.ParseAddrPort(hr.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr().Unmap()
+}
--- /dev/null
+++ b/internal/filter/accept/deliver.go
@@ -0,0 +1,81 @@
+package accept
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/outcome"
+)
+
+// writeProgress is how long a caller may take to accept one piece of an
+// answer.
+const writeProgress = 10 * time.Second
+
+// ErrorBody is the body of an answer that comes from the system itself.
+type ErrorBody struct {
+	Outcome string `json:"outcome"`
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+	// RetryAfterMS is 0 when coming back does not help.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// WriteError answers a caller with an error of the system.
+func WriteError(w http.ResponseWriter, e *outcome.Error) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(filter.HeaderOutcome, e.Outcome.String())
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Status())
+	// A caller that is gone does not read its error.
+	_ = json.NewEncoder(w).Encode(ErrorBody{
+		Outcome: e.Outcome.String(), Kind: string(e.Kind), Message: e.Message, Remedy: e.Remedy,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+	})
+}
+
+// deliver writes the answer to the caller. An error means that the caller did
+// not get it whole.
+func deliver(w http.ResponseWriter, a *filter.Answer) error {
+	defer a.Close()
+	h := w.Header()
+	for name, values := range filter.EndToEnd(a.Header) {
+		h[name] = values
+	}
+	h.Set(filter.HeaderOutcome, outcome.Done.String())
+	if a.Stream == nil {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		w.WriteHeader(a.Status)
+		_, err := w.Write(a.Body)
+		return errors.Annotate(err, "answer was not delivered")
+	}
+	if a.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	_, err := io.Copy(&progressWriter{w, http.NewResponseController(w)}, a.Stream)
+	return errors.Annotate(err, "answer was not delivered")
+}
+
+// progressWriter gives the caller writeProgress for each piece.
+type progressWriter struct {
+	w   io.Writer
+	ctl *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (p *progressWriter) Write(b []byte) (int, error) {
+	// A writer without deadlines still fails when the connection does.
+	_ = p.ctl.SetWriteDeadline(time.Now().Add(writeProgress))
+	return p.w.Write(b)
+}
