--- /dev/null
+++ b/internal/blocktable/blocktable.go
@@ -0,0 +1,186 @@
+// Package blocktable maps client blocks to small classes, such as the index of
+// their edge region. A table is immutable: a changed copy shares all but a few
+// kilobytes with the table it was made from, so snapshots are cheap to keep and
+// readers need no lock.
+package blocktable
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"slices"
+)
+
+// MaxBits6 is the longest prefix of an IPv6 block.
+const MaxBits6 = 64
+
+// Class is the value of a block.
+type Class = uint16
+
+// Entry is one block with its class.
+type Entry struct {
+	Prefix netip.Prefix
+	Class  Class
+}
+
+// Match is the longest block that contains an address. The block's prefix is
+// the address cut to Bits.
+type Match struct {
+	Class Class
+	Bits  uint8
+}
+
+// PrefixError reports a prefix that the table does not take.
+type PrefixError struct {
+	Prefix netip.Prefix
+	Reason string
+	Remedy string
+}
+
+// Error implements error.
+func (e *PrefixError) Error() string {
+	return fmt.Sprintf("block %v: %s; %s", e.Prefix, e.Reason, e.Remedy)
+}
+
+// Table holds client blocks. The zero Table is empty. All methods may be called
+// at once from many goroutines.
+type Table struct {
+	v4 tree[uint32]
+	v6 tree[uint64]
+}
+
+// New returns a table of the entries, in any order. It fails with a
+// *PrefixError on a prefix that stands twice or is not taken.
+func New(entries []Entry) (*Table, error) {
+	var v4 []entry[uint32]
+	var v6 []entry[uint64]
+	for _, e := range entries {
+		if err := check(e.Prefix); err != nil {
+			return nil, err
+		}
+		if e.Prefix.Addr().Is4() {
+			v4 = append(v4, entry4(e))
+		} else {
+			v6 = append(v6, entry6(e))
+		}
+	}
+	if e, ok := sortEntries(v4); !ok {
+		return nil, twice(netip.PrefixFrom(addr4(e.start), int(e.bits)))
+	}
+	if e, ok := sortEntries(v6); !ok {
+		return nil, twice(netip.PrefixFrom(addr6(e.start), int(e.bits)))
+	}
+	return &Table{v4: *build(v4), v6: *build(v6)}, nil
+}
+
+// With returns a table in which the entry's block has the entry's class.
+func (t *Table) With(e Entry) (*Table, error) {
+	if err := check(e.Prefix); err != nil {
+		return nil, err
+	}
+	n := *t
+	if e.Prefix.Addr().Is4() {
+		n.v4 = *t.v4.with(entry4(e))
+	} else {
+		n.v6 = *t.v6.with(entry6(e))
+	}
+	return &n, nil
+}
+
+// Without returns a table that lacks the block, and whether t held it.
+func (t *Table) Without(p netip.Prefix) (*Table, bool) {
+	if check(p) != nil {
+		return t, false
+	}
+	n := *t
+	if p.Addr().Is4() {
+		v4, ok := t.v4.without(key4(p.Addr()), uint8(p.Bits()))
+		n.v4 = *v4
+		return &n, ok
+	}
+	v6, ok := t.v6.without(key6(p.Addr()), uint8(p.Bits()))
+	n.v6 = *v6
+	return &n, ok
+}
+
+// Lookup returns the longest block that contains the address. An IPv4 address
+// mapped into IPv6 counts as IPv4.
+func (t *Table) Lookup(addr netip.Addr) (Match, bool) {
+	if addr.Is4() || addr.Is4In6() {
+		e, ok := t.v4.lookup(key4(addr))
+		return Match{Class: e.class, Bits: e.bits}, ok
+	}
+	if !addr.IsValid() {
+		return Match{}, false
+	}
+	e, ok := t.v6.lookup(key6(addr))
+	return Match{Class: e.class, Bits: e.bits}, ok
+}
+
+// Len returns the number of blocks.
+func (t *Table) Len() int { return t.v4.count + t.v6.count }
+
+// Bytes returns the memory that the table's arrays take, shared ones included.
+func (t *Table) Bytes() int { return t.v4.bytes() + t.v6.bytes() }
+
+func check(p netip.Prefix) error {
+	switch {
+	case !p.IsValid():
+		return &PrefixError{p, "not a prefix", "write it as address/bits"}
+	case p.Addr().Is4In6():
+		return &PrefixError{p, "IPv4 mapped into IPv6", "write it as an IPv4 block"}
+	case p.Masked() != p:
+		return &PrefixError{p, "address bits set after the prefix", fmt.Sprintf("write it as %v", p.Masked())}
+	case p.Addr().Is6() && p.Bits() > MaxBits6:
+		return &PrefixError{p, "longer than /64", "declare the /64 that contains it"}
+	}
+	return nil
+}
+
+func twice(p netip.Prefix) error {
+	return &PrefixError{p, "declared twice", "keep one of the two"}
+}
+
+// sortEntries sorts the entries and returns one that stands twice, if any.
+func sortEntries[K key](es []entry[K]) (dup entry[K], ok bool) {
+	slices.SortFunc(es, func(a, b entry[K]) int {
+		return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.bits, b.bits))
+	})
+	for i := 1; i < len(es); i++ {
+		if es[i].start == es[i-1].start && es[i].bits == es[i-1].bits {
+			return es[i], false
+		}
+	}
+	return dup, true
+}
+
+func entry4(e Entry) entry[uint32] {
+	return entry[uint32]{start: key4(e.Prefix.Addr()), class: e.Class, bits: uint8(e.Prefix.Bits())}
+}
+
+func entry6(e Entry) entry[uint64] {
+	return entry[uint64]{start: key6(e.Prefix.Addr()), class: e.Class, bits: uint8(e.Prefix.Bits())}
+}
+
+func key4(a netip.Addr) uint32 {
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:])
+}
+
+func key6(a netip.Addr) uint64 {
+	b := a.As16()
+	return binary.BigEndian.Uint64(b[:8])
+}
+
+func addr4(k uint32) netip.Addr {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], k)
+	return netip.AddrFrom4(b)
+}
+
+func addr6(k uint64) netip.Addr {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], k)
+	return netip.AddrFrom16(b)
+}
