operator: the HTTP surface; accept: bad input, full instance and cut answers tested

Each bad input gets its own 4xx with a remedy, a full instance answers at once and recovers, and a cut answer breaks the connection, so that it can't be taken for a whole one.

--- /dev/null
+++ b/internal/filter/accept/accept_test.go
@@ -0,0 +1,137 @@
+package accept_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/filter/accept"
+	"github.com/banyandeal/banyandeal/internal/outcome"
+	"github.com/banyandeal/banyandeal/internal/telemetry"
+	"github.com/banyandeal/banyandeal/internal/trace"
+)
+
+func handler(next filter.HandlerFunc) *accept.Handler {
+	e := &estate.Estate{Services: []estate.Service{{Name: "scoring", Deadline: time.Second, MaxBody: 16}}}
+	return &accept.Handler{
+		Estate: func() *estate.Estate { return e }, Next: next, Region: func() string { return "budapest" },
+		Metrics: telemetry.NewMetrics(), Recorder: trace.NewRecorder("a", 16, nil),
+		Slots: semaphore.NewWeighted(1), Memory: semaphore.NewWeighted(32),
+	}
+}
+
+func echo(_ context.Context, r *filter.Request) (*filter.Answer, error) {
+	return &filter.Answer{Status: 200, Body: r.Body, Header: http.Header{}}, nil
+}
+
+func TestBadInputGetsAClearAnswer(t *testing.T) {
+	cases := []struct {
+		name, method, path, body string
+		header                   http.Header
+		status                   int
+		kind                     outcome.Kind
+	}{
+		{"unknown service", "GET", "/nope/x", "", nil, 404, outcome.KindUnknownService},
+		{"no service", "GET", "/", "", nil, 404, outcome.KindUnknownService},
+		{"large body", "POST", "/scoring/x", strings.Repeat("a", 17), nil, 413, outcome.KindTooLarge},
+		{"garbage deadline", "GET", "/scoring/x", "", http.Header{filter.HeaderDeadline: {"soon"}}, 400, outcome.KindBadRequest},
+		{"negative deadline", "GET", "/scoring/x", "", http.Header{filter.HeaderDeadline: {"-5"}}, 400, outcome.KindBadRequest},
+	}
+	h := handler(echo)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			r := httptest.NewRequest(c.method, c.path, strings.NewReader(c.body))
+			for k, v := range c.header {
+				r.Header[k] = v
+			}
+			h.ServeHTTP(w, r)
+			require.Equal(t, c.status, w.Code)
+			require.Equal(t, "not-run", w.Header().Get(filter.HeaderOutcome))
+			var body accept.ErrorBody
+			require.NoError(t, json.Unmarshal(w.Body.Bytes(), &body))
+			require.Equal(t, string(c.kind), body.Kind)
+			require.NotEmpty(t, body.Remedy)
+		})
+	}
+	require.Equal(t, "1", h.Metrics.Counters.Get("accept.too_large").String())
+}
+
+func TestFullInstanceAnswersAtOnceAndRecovers(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	h := handler(func(ctx context.Context, r *filter.Request) (*filter.Answer, error) {
+		close(entered)
+		<-release
+		return echo(ctx, r)
+	})
+	first := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.ServeHTTP(first, httptest.NewRequest("GET", "/scoring/x", nil))
+	}()
+	<-entered
+	second := httptest.NewRecorder()
+	h.ServeHTTP(second, httptest.NewRequest("GET", "/scoring/x", nil))
+	require.Equal(t, 503, second.Code)
+	require.Equal(t, "1", second.Header().Get("Retry-After"))
+	close(release)
+	<-done
+	require.Equal(t, 200, first.Code)
+	require.True(t, h.Slots.TryAcquire(1))
+}
+
+// TestCutStreamBreaksTheConnection shows that a caller never takes a cut
+// answer for a whole one, also when its length was not declared.
+func TestCutStreamBreaksTheConnection(t *testing.T) {
+	for _, length := range []int64{-1, 100} {
+		h := handler(func(context.Context, *filter.Request) (*filter.Answer, error) {
+			body := io.MultiReader(strings.NewReader("half"), errReader{})
+			return &filter.Answer{Status: 200, Header: http.Header{}, Stream: io.NopCloser(body), Length: length}, nil
+		})
+		srv := httptest.NewServer(h)
+		resp, err := http.Get(srv.URL + "/scoring/x")
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+		}
+		require.Error(t, err)
+		srv.Close()
+	}
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte("GET /scoring/x HTTP/1.1\r\nHost: a\r\n\r\n"))
+	f.Add([]byte("POST /scoring/%2e%2e HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"))
+	f.Add([]byte("GET  HTTP/9\r\n\r\n"))
+	f.Add([]byte("POST /scoring/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nBanyandeal-Deadline: 1\r\nIdempotency-Key: \x01\r\n\r\nabcd"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		srv := httptest.NewServer(handler(echo))
+		defer srv.Close()
+		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+		require.NoError(t, err)
+		conn.Write(data)
+		conn.(*net.TCPConn).CloseWrite()
+		io.Copy(io.Discard, conn)
+		conn.Close()
+		resp, err := http.Get(srv.URL + "/scoring/x")
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, 200, resp.StatusCode)
+	})
+}
