backend: stand-in of a backend server, one or a group in a process

Cause: the request path needs backend servers that shed, drain, start cold, lie, crash, go silent and cut answers, and a record of every run. Ruled out: closing a listener without waiting for its pending accept: the system went on taking connections for a moment, and the platform's refusal test failed in 2 of 20 runs with a reset in place of a refusal. Before: no backend server.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -31,6 +31,7 @@
 		Usage: "stand-ins for the platform and for backend servers, for tests and the demo",
 		Commands: []*cli.Command{
 			platformCommand(),
+			backendCommand(),
 		},
 	}
 }
--- a/internal/standin/faultnet/server.go
+++ b/internal/standin/faultnet/server.go
@@ -25,6 +25,8 @@
 	// ln and srv are nil while the server refuses connections.
 	ln  *listener
 	srv *http.Server
+	// served is closed when srv has stopped to accept.
+	served chan struct{}
 }
 
 // New returns a server that is not yet open. A port of 0 in addr is chosen by
@@ -47,7 +49,11 @@
 	s.addr = raw.Addr().String()
 	s.ln = newListener(raw)
 	s.srv = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
-	go func(srv *http.Server, ln *listener) { _ = srv.Serve(ln) }(s.srv, s.ln)
+	s.served = make(chan struct{})
+	go func(srv *http.Server, ln *listener, served chan struct{}) {
+		defer close(served)
+		_ = srv.Serve(ln)
+	}(s.srv, s.ln, s.served)
 	return nil
 }
 
@@ -62,13 +68,15 @@
 // the next Open.
 func (s *Server) Refuse() {
 	s.mu.Lock()
-	ln, srv := s.ln, s.srv
+	ln, srv, served := s.ln, s.srv, s.served
 	s.ln, s.srv = nil, nil
 	s.mu.Unlock()
 	if ln == nil {
 		return
 	}
 	_ = srv.Close()
+	// The system goes on taking connections until the pending accept returns.
+	<-served
 	ln.closeOpen()
 }
 
