placement: demand of edge regions over zones, and the zones of one caller

Placing must not depend on the number of blocks, must stay within zones and links, and a look-up has 1 us.

Conclusion: flows between regions, zones by water-filling inside them, a rendezvous among the planned zones only, then a rotation of the others entered by spare capacity. A shift of d moves d of the callers where the other zones keep their proportions, as in a drain, and at most 2d/(1+d) otherwise.

--- /dev/null
+++ b/internal/decide/placement/placement_test.go
@@ -0,0 +1,354 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/banyandeal/banyandeal/internal/blocktable"
+	"github.com/banyandeal/banyandeal/internal/estate"
+)
+
+func drawInput(t *rapid.T) Input {
+	var in Input
+	regions := rapid.IntRange(1, 4).Draw(t, "regions")
+	flow := rapid.Custom(func(t *rapid.T) Rate {
+		return rapid.SampledFrom([]Rate{0, 1, 7, 50, 100, 1000}).Draw(t, "unit") * Rate(rapid.IntRange(0, 3).Draw(t, "n")) * PerSecond / 3
+	})
+	for r := range regions {
+		in.Regions = append(in.Regions, fmt.Sprint("r", r))
+		for z := range rapid.IntRange(1, 3).Draw(t, "zones") {
+			in.Zones = append(in.Zones, Zone{fmt.Sprint("r", r, "z", z), r})
+		}
+		for to := range regions {
+			if to != r && rapid.Bool().Draw(t, "linked") {
+				in.Links = append(in.Links, Link{r, to, flow.Draw(t, "cap")})
+			}
+		}
+	}
+	for s := range rapid.IntRange(1, 3).Draw(t, "services") {
+		n := len(in.Zones)
+		in.Services = append(in.Services, Service{
+			Name:     fmt.Sprint("s", s),
+			Demand:   rapid.SliceOfN(flow, regions, regions).Draw(t, "demand"),
+			Capacity: rapid.SliceOfN(flow, n, n).Draw(t, "capacity"),
+			Weight:   rapid.SliceOfN(rapid.Int64Range(0, shareUnit), n, n).Draw(t, "weight"),
+		})
+	}
+	return in
+}
+
+func TestPlanKeepsCapsAndLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t)
+		p, err := Compute(in)
+		require.NoError(t, err)
+		again, _ := Compute(in)
+		require.Equal(t, p, again)
+		for i, s := range p.Services {
+			for z, zone := range in.Zones {
+				var load Rate
+				for e := range in.Regions {
+					require.GreaterOrEqual(t, s.Flow.Row(e)[z], Rate(0))
+					load += s.Flow.Row(e)[z]
+				}
+				require.LessOrEqual(t, load, in.Services[i].Capacity[z], zone.Name)
+			}
+			for e := range in.Regions {
+				require.Equal(t, max(in.Services[i].Demand[e], nominalDemand), sum(s.Flow.Row(e)))
+			}
+		}
+		for from := range in.Regions {
+			for to := range in.Regions {
+				if from != to {
+					require.LessOrEqual(t, linkLoad(in, p, from, to), linkCap(in, from, to))
+				}
+			}
+		}
+	})
+}
+
+func linkCap(in Input, from, to int) Rate {
+	if from == to {
+		return Unlimited
+	}
+	for _, l := range in.Links {
+		if l.From == from && l.To == to {
+			return l.Cap
+		}
+	}
+	return 0
+}
+
+// TestOverflowFitsNowhere compares the placed flow of one service with the
+// least cut over all sets of edge regions.
+func TestOverflowFitsNowhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t)
+		in.Services = in.Services[:1]
+		p, err := Compute(in)
+		require.NoError(t, err)
+		var demand, overflow Rate
+		for e := range in.Regions {
+			demand += max(in.Services[0].Demand[e], nominalDemand)
+			overflow += p.Services[0].Flow.Overflow(e)
+		}
+		require.Equal(t, leastCut(in), demand-overflow)
+	})
+}
+
+func leastCut(in Input) Rate {
+	best := Rate(math.MaxInt64)
+	for set := range 1 << len(in.Regions) {
+		var cut Rate
+		for e, d := range in.Services[0].Demand {
+			if set>>e&1 == 0 {
+				cut += max(d, nominalDemand)
+			}
+		}
+		for r := range in.Regions {
+			var capacity, links Rate
+			for z, c := range in.Services[0].Capacity {
+				if in.Zones[z].Region == r {
+					capacity += c
+				}
+			}
+			for e := range in.Regions {
+				if set>>e&1 == 1 {
+					links += linkCap(in, e, r)
+				}
+			}
+			cut += min(capacity, links)
+		}
+		best = min(best, cut)
+	}
+	return best
+}
+
+// TestSharesAndMovement checks, for random flows of one edge region, that the
+// zones get their shares and that a change moves few callers that need not
+// move: with rendezvous at most 2d/(1+d) for a shift of d, and only the drained
+// zone's callers for a drain.
+func TestSharesAndMovement(t *testing.T) {
+	const pieces, slack = 5_000, 0.04
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 8).Draw(t, "zones")
+		zones := make([]Zone, n)
+		for i := range zones {
+			zones[i].Name = fmt.Sprint("z", i)
+		}
+		p := &Plan{Zones: zones, Services: []ServicePlan{{Name: "s", Spare: NewMatrix(1, n)}}}
+		draw := func() (Matrix, []float64) {
+			m := NewMatrix(1, n)
+			for i := range m.V {
+				m.V[i] = Rate(rapid.IntRange(0, 100).Draw(t, "flow"))
+			}
+			m.V[0]++
+			shares := make([]float64, len(m.V))
+			for i, v := range m.V {
+				shares[i] = float64(v) / float64(sum(m.V))
+			}
+			return m, shares
+		}
+		first := func(tab *Table, i int) int {
+			z, ok := tab.First(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}))
+			if !ok {
+				return n
+			}
+			return int(z)
+		}
+		a, shareA := draw()
+		b, shareB := draw()
+		drained := a.Clone()
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		drained.V[gone] = 0
+		if sum(drained.V) == 0 {
+			drained.V[n] = 1
+		}
+		table := func(m Matrix) *Table { return NewTable(p, 0, m, testBlocks(1), Units{Bits4: 32}, 0) }
+		tabA, tabB, tabDrained := table(a), table(b), table(drained)
+		count, moved := make([]float64, n+1), 0.0
+		for i := range pieces {
+			z := first(tabA, i)
+			count[z] += 1.0 / pieces
+			if first(tabB, i) != z {
+				moved += 1.0 / pieces
+			}
+			if z != gone {
+				require.Equal(t, z, first(tabDrained, i), "a drain moves only the drained zone's callers")
+			}
+		}
+		var d float64
+		for z := range count {
+			require.InDelta(t, shareA[z], count[z], slack)
+			d += max(shareB[z]-shareA[z], 0)
+		}
+		require.LessOrEqual(t, moved, 2*d/(1+d)+slack)
+		require.GreaterOrEqual(t, moved, d-slack)
+	})
+}
+
+func TestLogarithmIsExact(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 100_000 {
+		x := rng.Uint64() >> rng.UintN(60)
+		want := 64 - math.Log2(float64(x|1))
+		require.InDelta(t, want, float64(negLog2(x))/(1<<fractionBits), 1e-6)
+	}
+	require.Positive(t, negLog2(math.MaxUint64))
+}
+
+func TestNewInput(t *testing.T) {
+	e := &estate.Estate{
+		Regions: []estate.Region{{Name: "bgi"}, {Name: "pos"}},
+		Zones:   []estate.Zone{{Name: "bgi-a", Region: "bgi"}, {Name: "pos-a", Region: "pos"}, {Name: "pos-b", Region: "pos", State: estate.Draining}},
+		Sites:   []estate.Site{{Name: "half", Zone: "bgi-a", Weight: 0.5}, {Name: "whole", Zone: "pos-a", Weight: 1}, {Name: "left", Zone: "pos-b", Weight: 1}},
+		Links:   []estate.Link{{From: "pos", To: "bgi", MaxInFlight: 12, MaxRate: 1000}, {From: "bgi", To: "pos", MaxInFlight: 1000, MaxRate: 20}},
+		Services: []estate.Service{{
+			Name: "directory", Weights: map[string]float64{"bgi-a": 0.5, "pos-a": 0.25, "pos-b": 0.25},
+			MeanTime: 50 * time.Millisecond, MaxUtilisation: 0.8,
+			Backends: []estate.Backend{
+				{Name: "b1", Site: "half", Zone: "bgi-a", Slots: 5},
+				{Name: "b2", Site: "whole", Zone: "pos-a", Slots: 5},
+				{Name: "b3", Site: "whole", Zone: "pos-a", Slots: 5, State: estate.Draining},
+				{Name: "b4", Site: "left", Zone: "pos-b", Slots: 5},
+			},
+		}},
+		Blocks: []estate.Block{{Region: "bgi", Demand: 0.1}, {Region: "pos", Demand: 7}, {Region: "bgi", Demand: 0.2}},
+	}
+	d := NewDemand(e)
+	in := NewInput(e, d)
+	require.Equal(t, []Rate{300_000, 7 * PerSecond}, in.Services[0].Demand)
+	require.Equal(t, []Rate{40 * PerSecond, 80 * PerSecond, 0}, in.Services[0].Capacity, "slots / mean time x utilisation, without draining ones")
+	require.Equal(t, []Link{{0, 1, 20 * PerSecond}, {1, 0, 100 * PerSecond}}, in.Links, "the lower of rate and what fits in flight")
+	d.Remove(e, e.Blocks[2])
+	d.Add(e, e.Blocks[2])
+	require.Equal(t, NewDemand(e), d)
+}
+
+// largeInput is an estate of the size in two years: 8 regions, 26 zones.
+func largeInput() Input {
+	var in Input
+	for r := range 8 {
+		in.Regions = append(in.Regions, fmt.Sprint("r", r))
+		for z := range 3 {
+			in.Zones = append(in.Zones, Zone{fmt.Sprint("r", r, "z", z), r})
+		}
+		for to := range 8 {
+			if to != r {
+				in.Links = append(in.Links, Link{r, to, 5000 * PerSecond})
+			}
+		}
+	}
+	for len(in.Zones) < 26 {
+		in.Zones = append(in.Zones, Zone{fmt.Sprint("r7y", len(in.Zones)), 7})
+	}
+	for s := range 2 {
+		svc := Service{Name: fmt.Sprint("s", s)}
+		for r := range 8 {
+			svc.Demand = append(svc.Demand, Rate(9000+1500*r)*PerSecond)
+		}
+		for range in.Zones {
+			svc.Capacity = append(svc.Capacity, 4200*PerSecond)
+			svc.Weight = append(svc.Weight, shareUnit/26)
+		}
+		in.Services = append(in.Services, svc)
+	}
+	return in
+}
+
+func largeTable(blocks int) (*Table, []netip.Addr) {
+	in := largeInput()
+	p, err := Compute(in)
+	if err != nil {
+		panic(err)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	seen := make(map[netip.Prefix]bool)
+	var es []blocktable.Entry
+	var addrs []netip.Addr
+	for len(es) < blocks {
+		v := rng.Uint32()
+		pre := netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(v >> 24), byte(v >> 16), byte(v >> 8), byte(v)}), 20+rng.IntN(5)).Masked()
+		if !seen[pre] {
+			seen[pre] = true
+			es = append(es, blocktable.Entry{Prefix: pre, Class: blocktable.Class(rng.UintN(8))})
+			addrs = append(addrs, pre.Addr().Next())
+		}
+	}
+	bt, err := blocktable.New(es)
+	if err != nil {
+		panic(err)
+	}
+	rng.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return NewTable(p, 0, p.Services[0].Flow, bt, Units{}, 0), addrs[:min(len(addrs), 1<<16)]
+}
+
+func TestEmptyAndTooLargeEstates(t *testing.T) {
+	p, err := Compute(Input{Services: []Service{{Name: "s"}}})
+	require.NoError(t, err)
+	tab := NewTable(p, 0, p.Services[0].Flow, &blocktable.Table{}, Units{}, 3)
+	for _, a := range []string{"10.0.0.1", "2001:db8::1", "::ffff:10.0.0.1"} {
+		require.Empty(t, tab.Order(netip.MustParseAddr(a), nil))
+	}
+	require.Empty(t, tab.Order(netip.Addr{}, nil))
+	_, err = Compute(Input{Zones: make([]Zone, MaxZones+1)})
+	require.ErrorContains(t, err, "split the estate")
+}
+
+func TestOrderDoesNotAllocate(t *testing.T) {
+	tab, addrs := largeTable(1000)
+	dst := make([]ZoneIndex, 0, MaxZones)
+	require.Zero(t, testing.AllocsPerRun(100, func() { dst = tab.Order(addrs[0], dst[:0]) }))
+}
+
+func BenchmarkOrder(b *testing.B) {
+	for _, n := range []int{10_000, 100_000, 670_000} {
+		tab, addrs := largeTable(n)
+		dst := make([]ZoneIndex, 0, MaxZones)
+		b.Run(fmt.Sprintf("blocks=%d/zones=26", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				dst = tab.Order(addrs[i%len(addrs)], dst[:0])
+			}
+		})
+		b.Run(fmt.Sprintf("blocks=%d/zones=26/first", n), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				tab.First(addrs[i%len(addrs)])
+			}
+		})
+	}
+}
+
+// BenchmarkScore compares the score of integers with one by math.Log.
+func BenchmarkScore(b *testing.B) {
+	c := candidate{seed: 7, inverse: 1.0 / 3}
+	var sink float64
+	b.Run("table", func(b *testing.B) {
+		for i := uint64(0); b.Loop(); i++ {
+			sink += c.score(i)
+		}
+	})
+	b.Run("math", func(b *testing.B) {
+		for i := uint64(0); b.Loop(); i++ {
+			sink -= math.Log(float64(mix(i, c.seed)|1)/(1<<64)) * c.inverse
+		}
+	})
+	_ = sink
+}
+
+func BenchmarkCompute(b *testing.B) {
+	in := largeInput()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Compute(in); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
