bench: load from caching callers, checked against the run logs

Cause: lost, doubled and crossed answers are only seen by comparing what callers were told with what backend servers ran. Ruled out: counting statuses alone; a closed loop of callers, which hides waiting (latency counts from when a request was due). Before: no load. A bench that runs each request twice is caught for every non-idempotent one.

--- /dev/null
+++ b/internal/bench/caller.go
@@ -0,0 +1,155 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	lookupTimeout  = time.Second
+	maxLookupBytes = 64 << 10
+)
+
+// Lookup is the answer of GET /v1/lookup.
+type Lookup struct {
+	Service   string     `json:"service"`
+	Version   uint64     `json:"version"`
+	TTLMS     int64      `json:"ttl_ms"`
+	Key       string     `json:"key"`
+	Instances []Instance `json:"instances"`
+}
+
+// Instance is an entry instance in a look-up's answer.
+type Instance struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+}
+
+// caller is one caller of one service. It keeps a look-up's answer until its
+// TTL has passed.
+type caller struct {
+	addr    netip.Addr
+	service string
+	entries []string
+	http    *http.Client
+	lookups *latency
+
+	mu sync.Mutex
+	// rng orders the entries that look-ups go to.
+	rng     *rand.Rand
+	cached  Lookup
+	expires time.Time
+	// keyUsed is set once cached.Key was handed out.
+	keyUsed bool
+}
+
+// instances returns the entry instances to send to, in order.
+func (c *caller) instances(ctx context.Context) ([]Instance, error) {
+	c.mu.Lock()
+	l, fresh := c.cached, time.Now().Before(c.expires)
+	c.mu.Unlock()
+	if fresh {
+		return l.Instances, nil
+	}
+	l, err := c.lookup(ctx)
+	return l.Instances, err
+}
+
+// key returns a key that was not used before, looking up for one if need be.
+func (c *caller) key(ctx context.Context) (string, error) {
+	if k := c.takeKey(); k != "" {
+		return k, nil
+	}
+	if _, err := c.lookup(ctx); err != nil {
+		return "", err
+	}
+	if k := c.takeKey(); k != "" {
+		return k, nil
+	}
+	return c.key(ctx) // another request of this caller took it
+}
+
+func (c *caller) takeKey() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.keyUsed || !time.Now().Before(c.expires) {
+		return ""
+	}
+	c.keyUsed = true
+	return c.cached.Key
+}
+
+// forget drops the cached answer, after none of its instances could be
+// reached.
+func (c *caller) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expires = time.Time{}
+}
+
+// lookup asks the entries in random order until one answers.
+func (c *caller) lookup(ctx context.Context) (Lookup, error) {
+	c.mu.Lock()
+	order := c.rng.Perm(len(c.entries))
+	c.mu.Unlock()
+	var last error
+	for _, i := range order {
+		start := time.Now()
+		l, err := c.lookupAt(ctx, c.entries[i])
+		if err != nil {
+			last = err
+			continue
+		}
+		c.lookups.record(time.Since(start))
+		c.keep(l, start)
+		return l, nil
+	}
+	return Lookup{}, errors.Annotate(last, "no entry instance answered a look-up")
+}
+
+func (c *caller) keep(l Lookup, asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cached, c.keyUsed = l, false
+	c.expires = asked.Add(time.Duration(l.TTLMS) * time.Millisecond)
+}
+
+func (c *caller) lookupAt(ctx context.Context, entry string) (Lookup, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	query := url.Values{"service": {c.service}, "caller": {c.addr.String()}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/v1/lookup?"+query.Encode(), nil)
+	if err != nil {
+		return Lookup{}, errors.Trace(err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return Lookup{}, errors.Trace(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxLookupBytes))
+	if err != nil {
+		return Lookup{}, errors.Trace(err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return Lookup{}, errors.Errorf("look-up at %s: status %d: %s", entry, res.StatusCode, body)
+	}
+	var l Lookup
+	if err := json.Unmarshal(body, &l); err != nil {
+		return Lookup{}, errors.Annotatef(err, "look-up at %s", entry)
+	}
+	if l.Service != c.service || len(l.Instances) == 0 || l.Key == "" {
+		return Lookup{}, errors.Errorf("look-up at %s: no instances or no key, or another service's: %s", entry, body)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/bench/check.go
@@ -0,0 +1,114 @@
+package bench
+
+import (
+	"fmt"
+	"net/url"
+	"slices"
+
+	"github.com/banyandeal/banyandeal/internal/standin/backend"
+)
+
+// tokenParam is the query parameter that carries a request's token.
+const tokenParam = "t"
+
+// Fault is a promise that was broken to a caller.
+type Fault string
+
+// Faults that Check finds.
+const (
+	// Lost was told done but never ran, or never got an answer.
+	Lost Fault = "lost"
+	// Doubled is not idempotent and ran more than once.
+	Doubled Fault = "doubled"
+	// Crossed got an answer to another request.
+	Crossed Fault = "crossed"
+	// RanAfterAll was told that it was not run, but was.
+	RanAfterAll Fault = "not run, but ran"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	Fault  Fault
+	Record Record
+	Runs   []backend.Run
+	Detail string
+}
+
+// String returns the violation in one line.
+func (v Violation) String() string {
+	return fmt.Sprintf("fault=%q service=%s op=%s token=%s key=%s end=%s attempts=%d runs=%d detail=%q",
+		v.Fault, v.Record.Service, v.Record.Op, v.Record.Token, v.Record.Key, v.Record.End, v.Record.Attempts, len(v.Runs), v.Detail)
+}
+
+// Check compares what callers were told with what backend servers ran. The
+// runs are those of all backend servers, read after all of them have finished.
+// Violations are in the order of the records.
+func Check(records []Record, runs []backend.Run) []Violation {
+	byToken := map[string][]backend.Run{}
+	for _, run := range runs {
+		if t := tokenOf(run.URL); t != "" {
+			byToken[t] = append(byToken[t], run)
+		}
+	}
+	var out []Violation
+	for _, r := range records {
+		out = append(out, checkRecord(r, byToken[r.Token])...)
+	}
+	return out
+}
+
+func checkRecord(r Record, runs []backend.Run) []Violation {
+	var out []Violation
+	add := func(f Fault, detail string) {
+		out = append(out, Violation{Fault: f, Record: r, Runs: runs, Detail: detail})
+	}
+	if !r.Idempotent && len(runs) > 1 {
+		add(Doubled, fmt.Sprintf("run %d times", len(runs)))
+	}
+	switch r.End {
+	case Done:
+		if d := crossing(r); d != "" {
+			add(Crossed, d)
+		} else if !hasRun(runs, r.Answer) {
+			add(Lost, "done, but no backend server finished the run that it names")
+		}
+	case NotRun:
+		// Without a key each sending is a request of its own: an earlier one of
+		// unknown outcome may have run.
+		if len(runs) > 0 && (r.Key != "" || !r.Uncertain) {
+			add(RanAfterAll, r.Detail)
+		}
+	case Unanswered:
+		add(Lost, r.Detail)
+	case Unknown:
+	}
+	return out
+}
+
+// crossing tells how an answer differs from its request, or "".
+func crossing(r Record) string {
+	a := r.Answer
+	switch {
+	case tokenOf(a.URL) != r.Token:
+		return "the answer is to " + a.URL
+	case r.Key != "" && a.Key != r.Key:
+		return "the answer has key " + a.Key
+	case a.Method != r.Method || a.BodySum != r.BodySum:
+		return "the answer is to another method or body"
+	}
+	return ""
+}
+
+func hasRun(runs []backend.Run, a backend.Answer) bool {
+	return slices.ContainsFunc(runs, func(r backend.Run) bool {
+		return r.Backend == a.Backend && r.Number == a.Run && r.State == backend.RunDone
+	})
+}
+
+func tokenOf(rawURL string) string {
+	u, err := url.Parse(rawURL)
+	if err != nil {
+		return ""
+	}
+	return u.Query().Get(tokenParam)
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,173 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/semaphore"
+)
+
+// seedStep keeps the random streams of one load apart.
+const seedStep = 1 << 20
+
+// Load is one run of a load.
+type Load struct {
+	cfg     Config
+	slots   *semaphore.Weighted
+	send    *sender
+	http    *http.Client
+	lookups *latency
+
+	started atomic.Int64
+	skipped atomic.Int64
+	// due counts arrivals against MaxRequests.
+	due atomic.Int64
+
+	mu      sync.Mutex
+	records []Record
+}
+
+// NewLoad returns a load that is not yet running.
+func NewLoad(cfg Config) (*Load, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	client := &http.Client{Transport: newTransport()}
+	return &Load{
+		cfg: cfg, slots: semaphore.NewWeighted(int64(cfg.MaxInFlight)), http: client,
+		send:    &sender{http: client, maxAttempts: cfg.MaxAttempts, patience: cfg.Patience},
+		lookups: newLatency(),
+	}, nil
+}
+
+func newTransport() *http.Transport {
+	const (
+		idlePerHost = 64
+		idleTime    = 10 * time.Second
+	)
+	return &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTime}
+}
+
+// Run drives the load until it ends or the context does, waits for what is in
+// flight and returns the result.
+func (l *Load) Run(ctx context.Context) *Result {
+	arrivals, cancel := context.WithTimeout(ctx, l.cfg.Duration)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i, w := range l.cfg.Workloads {
+		rng := rand.New(rand.NewPCG(l.cfg.Seed, uint64(i)))
+		wg.Go(func() { l.arrive(arrivals, ctx, w, rng, &wg) })
+	}
+	wg.Wait()
+	l.http.CloseIdleConnections()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return newResult(l.records, l.skipped.Load(), l.lookups)
+}
+
+// InFlight returns how many requests are in flight.
+func (l *Load) InFlight() int64 { return l.started.Load() }
+
+// arrive starts the requests of one workload.
+func (l *Load) arrive(arrivals, ctx context.Context, w Workload, rng *rand.Rand, wg *sync.WaitGroup) {
+	callers := l.callersOf(w, rng)
+	pickCaller := picker(len(callers), func(i int) float64 { return l.cfg.Callers[i].Weight })
+	pickOp := picker(len(w.Ops), func(i int) float64 { return w.Ops[i].Weight })
+	due := time.Now()
+	for n := 0; l.due.Add(1) <= int64(l.cfg.MaxRequests); n++ {
+		due = due.Add(time.Duration(rng.ExpFloat64() / w.Rate * float64(time.Second)))
+		if !sleep(arrivals, time.Until(due)) {
+			return
+		}
+		c, op := callers[pickCaller(rng)], w.Ops[pickOp(rng)]
+		ownKey := rng.Float64() < l.cfg.OwnKeyShare
+		if !l.slots.TryAcquire(1) {
+			l.skipped.Add(1)
+			continue
+		}
+		r := request{
+			op: op, service: w.Service, deadline: w.Deadline, due: due,
+			token: fmt.Sprintf("%s-%s-%d", l.cfg.Prefix, w.Service, n),
+		}
+		wg.Go(func() {
+			defer l.slots.Release(1)
+			l.one(ctx, c, r, ownKey)
+		})
+	}
+}
+
+func (l *Load) callersOf(w Workload, rng *rand.Rand) []*caller {
+	out := make([]*caller, len(l.cfg.Callers))
+	for i, c := range l.cfg.Callers {
+		out[i] = &caller{
+			addr: c.Addr, service: w.Service, entries: l.cfg.Entries, http: l.http, lookups: l.lookups,
+			rng: rand.New(rand.NewPCG(rng.Uint64(), seedStep+uint64(i))),
+		}
+	}
+	return out
+}
+
+// one sends one request and records it.
+func (l *Load) one(ctx context.Context, c *caller, r request, ownKey bool) {
+	l.started.Add(1)
+	defer l.started.Add(-1)
+	if r.op.BodySize > 0 {
+		r.body = bodyOf(r.token, r.op.BodySize)
+	}
+	rec, err := l.withKey(ctx, c, &r, ownKey)
+	if err == nil {
+		rec = l.send.send(ctx, c, r)
+	}
+	l.mu.Lock()
+	l.records = append(l.records, rec)
+	l.mu.Unlock()
+}
+
+// withKey gives a non-idempotent request its key. On an error the request ends
+// with the returned record.
+func (l *Load) withKey(ctx context.Context, c *caller, r *request, ownKey bool) (Record, error) {
+	if r.op.Idempotent {
+		return Record{}, nil
+	}
+	if ownKey {
+		r.key = "own-" + r.token
+		return Record{}, nil
+	}
+	key, err := c.key(ctx)
+	r.key = key
+	return Record{
+		Token: r.token, Service: r.service, Op: r.op.Name, Method: r.op.Method, End: Unanswered,
+		Detail: fmt.Sprint(err), Start: r.due, Latency: time.Since(r.due),
+	}, err
+}
+
+// bodyOf returns a body of n bytes that differs from request to request.
+func bodyOf(token string, n int) []byte {
+	return []byte(strings.Repeat(token+"\n", n/(len(token)+1)+1)[:n])
+}
+
+// picker returns a function that draws an index by weight.
+func picker(n int, weight func(int) float64) func(*rand.Rand) int {
+	sums := make([]float64, n)
+	total := 0.0
+	for i := range n {
+		total += weight(i)
+		sums[i] = total
+	}
+	return func(rng *rand.Rand) int {
+		x := rng.Float64() * total
+		for i, s := range sums {
+			if x < s {
+				return i
+			}
+		}
+		return n - 1
+	}
+}
--- /dev/null
+++ b/internal/bench/load_test.go
@@ -0,0 +1,117 @@
+package bench
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/standin/backend"
+)
+
+// entry is a small entry instance before one backend server.
+type entry struct {
+	backend *backend.Server
+	// runs is how many times it runs each request.
+	runs int
+	// cutFirst cuts the connection at the first sending of each key.
+	cutFirst bool
+
+	mu   sync.Mutex
+	keys int
+	seen map[string]bool
+	addr string
+}
+
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.URL.Path == "/v1/lookup" {
+		e.keys++
+		_ = json.NewEncoder(w).Encode(Lookup{
+			Service: r.FormValue("service"), TTLMS: 60_000, Key: "key-" + strconv.Itoa(e.keys),
+			Instances: []Instance{{ID: "e1", Address: e.addr}},
+		})
+		return
+	}
+	key := r.Header.Get(filter.HeaderKey)
+	if e.cutFirst && key != "" && !e.seen[key] {
+		e.seen[key] = true
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(filter.HeaderOutcome, "done")
+	for range e.runs - 1 {
+		again := r.Clone(r.Context())
+		again.Body = http.NoBody
+		e.backend.Handler().ServeHTTP(httptest.NewRecorder(), again)
+	}
+	e.backend.Handler().ServeHTTP(w, r)
+}
+
+func runLoad(t *testing.T, e *entry) (*Result, []Violation) {
+	t.Helper()
+	e.backend = backend.New(backend.Config{Name: "b1", Slots: 1}, nil, nil)
+	e.seen = map[string]bool{}
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	e.addr = srv.Listener.Addr().String()
+	load, err := NewLoad(Config{
+		Entries: []string{e.addr},
+		Callers: []Caller{{netip.MustParseAddr("10.0.0.1"), 1}, {netip.MustParseAddr("10.0.1.1"), 3}},
+		Workloads: []Workload{{Service: "scoring", Rate: 1e6, Deadline: 10 * time.Second, Ops: []Op{
+			{Name: "applicant", Method: http.MethodGet, Path: "/applicants/1", Idempotent: true, Weight: 2, AnswerSize: 2000},
+			{Name: "decision", Method: http.MethodPost, Path: "/decisions", Weight: 1, BodySize: 100},
+		}}},
+		Duration: time.Minute, MaxRequests: 60, MaxInFlight: 60, MaxAttempts: 3, Patience: time.Minute,
+		OwnKeyShare: 0.2, Prefix: "test",
+	})
+	require.NoError(t, err)
+	res := load.Run(t.Context())
+	require.Len(t, res.Records, 60)
+	return res, Check(res.Records, e.backend.Runs())
+}
+
+func TestLoadIsDone(t *testing.T) {
+	res, violations := runLoad(t, &entry{runs: 1})
+	require.Empty(t, violations)
+	require.Len(t, res.Ops, 2)
+	for _, op := range res.Ops {
+		require.Equal(t, int64(op.Ends[Done]), op.Done.Count)
+	}
+	keys := map[string]bool{}
+	for _, r := range res.Records {
+		require.Equal(t, Done, r.End, r.Detail)
+		require.False(t, r.Key != "" && keys[r.Key], "a key is used for one request")
+		keys[r.Key] = true
+	}
+}
+
+func TestLoadSendsAgainWithTheSameKey(t *testing.T) {
+	res, violations := runLoad(t, &entry{runs: 1, cutFirst: true})
+	require.Empty(t, violations)
+	for _, r := range res.Records {
+		require.Equal(t, Done, r.End, r.Detail)
+		require.Equal(t, r.Key != "", r.Uncertain)
+	}
+}
+
+func TestDoubledRunsAreFound(t *testing.T) {
+	res, violations := runLoad(t, &entry{runs: 2})
+	posts := 0
+	for _, r := range res.Records {
+		if !r.Idempotent {
+			posts++
+		}
+	}
+	require.Len(t, violations, posts)
+	for _, v := range violations {
+		require.Equal(t, Doubled, v.Fault)
+	}
+}
--- /dev/null
+++ b/internal/bench/record.go
@@ -0,0 +1,50 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/standin/backend"
+)
+
+// End is how a request ended for its caller.
+type End string
+
+// Ends of requests.
+const (
+	// Done was answered whole by a backend server.
+	Done End = "done"
+	// NotRun was told that it was not run.
+	NotRun End = "not-run"
+	// Unknown was told that it may have been run.
+	Unknown End = "unknown"
+	// Unanswered got no whole answer from any instance it was sent to.
+	Unanswered End = "unanswered"
+)
+
+// Record is one request as its caller saw it.
+type Record struct {
+	// Token is unique; it stands in the URL's query.
+	Token   string
+	Service string
+	Op      string
+	// Key is the idempotency key that was sent, or empty.
+	Key        string
+	Method     string
+	Idempotent bool
+	// BodySum is the xxhash64 of the body that was sent, in hex.
+	BodySum string
+	End     End
+	Status  int
+	// Detail is the error body or the connection error of an end other than
+	// done.
+	Detail string
+	// Answer is what a backend server said, if Done.
+	Answer backend.Answer
+	// Attempts counts the sendings. Uncertain is set when one of them may have
+	// been run without the caller learning of it.
+	Attempts  int
+	Uncertain bool
+	// Start is when the request was due, Latency how long its caller waited.
+	Start   time.Time
+	Latency time.Duration
+}
--- /dev/null
+++ b/internal/bench/result.go
@@ -0,0 +1,115 @@
+package bench
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Range and precision of latency histograms.
+const (
+	minLatency    = time.Microsecond
+	maxLatency    = 2 * time.Minute
+	latencyDigits = 3
+)
+
+// latency is a histogram of microseconds.
+type latency struct {
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+}
+
+func newLatency() *latency {
+	return &latency{hist: hdrhistogram.New(1, int64(maxLatency/minLatency), latencyDigits)}
+}
+
+func (l *latency) record(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// A value in range is always recorded.
+	_ = l.hist.RecordValue(int64(min(max(d, minLatency), maxLatency) / minLatency))
+}
+
+func (l *latency) quantiles() Quantiles {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := func(p float64) time.Duration { return time.Duration(l.hist.ValueAtPercentile(p)) * minLatency }
+	return Quantiles{
+		Count: l.hist.TotalCount(), P50: at(50), P99: at(99),
+		Max: time.Duration(l.hist.Max()) * minLatency,
+	}
+}
+
+// Quantiles are those of a latency, as callers see it.
+type Quantiles struct {
+	Count         int64
+	P50, P99, Max time.Duration
+}
+
+// OpResult sums up one op of one service.
+type OpResult struct {
+	Service, Op string
+	Ends        map[End]int
+	// Resent counts requests that were sent more than once.
+	Resent int
+	// Done is the latency of answered requests, Refused of those told that
+	// they were not run.
+	Done, Refused Quantiles
+}
+
+// Result is the outcome of a load.
+type Result struct {
+	// Records are in the order in which the requests were due.
+	Records []Record
+	// Ops are sorted by service and op.
+	Ops []OpResult
+	// Skipped counts arrivals beyond MaxInFlight; they were not sent.
+	Skipped int64
+	Lookups Quantiles
+}
+
+func newResult(records []Record, skipped int64, lookups *latency) *Result {
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(a.Start.Compare(b.Start), cmp.Compare(a.Token, b.Token))
+	})
+	return &Result{Records: records, Ops: summarise(records), Skipped: skipped, Lookups: lookups.quantiles()}
+}
+
+func summarise(records []Record) []OpResult {
+	type name struct{ service, op string }
+	type sum struct {
+		result        *OpResult
+		done, refused *latency
+	}
+	sums := map[name]*sum{}
+	for _, r := range records {
+		s := sums[name{r.Service, r.Op}]
+		if s == nil {
+			s = &sum{&OpResult{Service: r.Service, Op: r.Op, Ends: map[End]int{}}, newLatency(), newLatency()}
+			sums[name{r.Service, r.Op}] = s
+		}
+		s.result.Ends[r.End]++
+		if r.Attempts > 1 {
+			s.result.Resent++
+		}
+		switch r.End {
+		case Done:
+			s.done.record(r.Latency)
+		case NotRun:
+			s.refused.record(r.Latency)
+		case Unknown, Unanswered:
+		}
+	}
+	out := make([]OpResult, 0, len(sums))
+	for _, s := range sums {
+		s.result.Done, s.result.Refused = s.done.quantiles(), s.refused.quantiles()
+		out = append(out, *s.result)
+	}
+	slices.SortFunc(out, func(a, b OpResult) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Op, b.Op))
+	})
+	return out
+}
--- /dev/null
+++ b/internal/bench/send.go
@@ -0,0 +1,152 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/standin/backend"
+)
+
+const (
+	// answerMargin is how much longer than its deadline a caller waits.
+	answerMargin   = 500 * time.Millisecond
+	maxDetailBytes = 400
+)
+
+// request is one request to be sent, the same at each attempt.
+type request struct {
+	op       Op
+	service  string
+	token    string
+	key      string
+	body     []byte
+	deadline time.Duration
+	due      time.Time
+}
+
+// path returns the path and query below the entry instance.
+func (r request) path() string {
+	q := url.Values{tokenParam: {r.token}}
+	if r.op.AnswerSize > 0 {
+		q.Set("size", strconv.FormatInt(r.op.AnswerSize, 10))
+	}
+	return "/" + r.service + r.op.Path + "?" + q.Encode()
+}
+
+// sender sends requests and applies the rules for callers.
+type sender struct {
+	http        *http.Client
+	maxAttempts int
+	patience    time.Duration
+}
+
+// send sends a request until it has ended.
+func (s *sender) send(ctx context.Context, c *caller, r request) Record {
+	rec := Record{
+		Token: r.token, Service: r.service, Op: r.op.Name, Key: r.key, Method: r.op.Method,
+		Idempotent: r.op.Idempotent, BodySum: sumOf(r.body), Start: r.due, End: Unanswered,
+	}
+	last := s.attempts(ctx, c, r, &rec)
+	rec.Latency = time.Since(r.due)
+	rec.End, rec.Status, rec.Answer, rec.Detail = last.end(), last.status, last.answer, last.detail
+	if last.err != nil {
+		rec.Detail = last.err.Error()
+	}
+	return rec
+}
+
+// attempts sends the request until the rules, the attempts or the patience end
+// it, and returns the last reply.
+func (s *sender) attempts(ctx context.Context, c *caller, r request, rec *Record) reply {
+	var last reply
+	for at := 0; rec.Attempts < s.maxAttempts; {
+		instances, err := c.instances(ctx)
+		if err != nil {
+			return reply{err: err, unsent: rec.Attempts == 0}
+		}
+		last = s.attempt(ctx, instances[at%len(instances)], r)
+		rec.Attempts++
+		rec.Uncertain = rec.Uncertain || last.uncertain()
+		step, wait := last.next(r.op.Idempotent, r.key)
+		switch step {
+		case finish:
+			return last
+		case resendNext:
+			at++
+			if at%len(instances) == 0 {
+				c.forget()
+			}
+		case resendLater:
+		}
+		if time.Now().Add(wait).After(r.due.Add(s.patience)) || !sleep(ctx, wait) {
+			return last
+		}
+	}
+	return last
+}
+
+// sleep reports whether the time passed before the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt sends the request once.
+func (s *sender) attempt(ctx context.Context, to Instance, r request) reply {
+	ctx, cancel := context.WithTimeout(ctx, r.deadline+answerMargin)
+	defer cancel()
+	var conns atomic.Int32
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { conns.Add(1) },
+	})
+	req, err := http.NewRequestWithContext(ctx, r.op.Method, "http://"+to.Address+r.path(), bytes.NewReader(r.body))
+	if err != nil {
+		return reply{err: err, unsent: true}
+	}
+	req.Header.Set(filter.HeaderDeadline, strconv.FormatInt(r.deadline.Milliseconds(), 10))
+	if r.key != "" {
+		req.Header.Set(filter.HeaderKey, r.key)
+	}
+	res, err := s.http.Do(req)
+	if err != nil {
+		return reply{err: err, unsent: conns.Load() == 0}
+	}
+	defer func() { _ = res.Body.Close() }()
+	out := readReply(res, r)
+	out.resent = conns.Load() > 1
+	return out
+}
+
+// readReply reads a whole answer; one that is cut counts as none.
+func readReply(res *http.Response, r request) reply {
+	out := reply{status: res.StatusCode, outcome: outcomeOf(res.Header), retryAfter: retryAfterOf(res.Header)}
+	if out.end() == Done && res.StatusCode == http.StatusOK {
+		out.answer, out.err = backend.ReadAnswer(res.Body, r.op.AnswerSize)
+		return out
+	}
+	detail, err := io.ReadAll(io.LimitReader(res.Body, maxDetailBytes))
+	out.detail, out.err = strings.TrimSpace(string(detail)), err
+	return out
+}
+
+func sumOf(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -34,7 +34,7 @@
 // Headers of requests and answers.
 const (
 	HeaderKey      = "Idempotency-Key"
-	HeaderRequest  = "X-Request-Id"
+	HeaderRequest  = "Banyandeal-Request-Id"
 	HeaderDeadline = "Banyandeal-Deadline" // time left in milliseconds
 	HeaderNotRun   = "Banyandeal-Not-Run"
 	HeaderDraining = "Banyandeal-Draining"
