keys: the driver of the at-most-once machine, and its filter

Answers too large to keep stream to the first attempt and are answered as done without a body later.

--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -62,6 +62,9 @@
 	Idempotent bool
 	Deadline   time.Time
 	Stage      Stage
+	// Hops counts the instances that the request passed on its way to the
+	// authority of its key.
+	Hops int
 	// FromRegion is the region that the last hop came from.
 	FromRegion string
 }
--- /dev/null
+++ b/internal/filter/once/once.go
@@ -0,0 +1,32 @@
+// Package once lets a request that is not idempotent run at most once: it goes
+// to the authority of its key, which runs it or answers it from memory.
+// Idempotent requests pass.
+//
+// What an operator sees: the counters once.records and once.bytes, and the
+// kinds home_gone, foreign_key and table_down among request.kind.*.
+package once
+
+import (
+	"context"
+
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/keys"
+)
+
+// Filter brings requests to the authority of their key.
+type Filter struct {
+	Keeper *keys.Keeper
+}
+
+// Name implements filter.Filter.
+func (Filter) Name() string { return "once" }
+
+// Wrap implements filter.Filter.
+func (f Filter) Wrap(next filter.Handler) filter.Handler {
+	return filter.HandlerFunc(func(ctx context.Context, r *filter.Request) (*filter.Answer, error) {
+		if r.Idempotent {
+			return next.Serve(ctx, r)
+		}
+		return f.Keeper.Do(ctx, r, r.Hops, next)
+	})
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -55,10 +55,11 @@
 		return nil, outcome.NotRunError(outcome.KindDeadline, 0, "the deadline passed before the request was passed on")
 	}
 	call := &peerpb.Call{Call: &peerpb.Call_Forward{Forward: &peerpb.Forward{
-		RequestId: r.ID, Service: r.Service.Name, Method: r.Method, Path: r.Path, Headers: toHeaders(r.Header),
+		RequestId: r.ID, Service: r.Service.Name, Method: r.Method, Path: r.Path, Headers: ToHeaders(r.Header),
 		BodyLength: int64(len(r.Body)), DeadlineMs: max(left.Milliseconds(), 1), Key: r.Key, Stage: int32(stage),
 		TraceParent: s.Recorder.Inject(ctx), Idempotent: r.Idempotent, Operation: r.Operation,
 		To: &peerpb.Identity{Id: to.ID, Incarnation: to.Incarnation}, FromRegion: s.Region(), Caller: r.Caller.String(),
+		Hops: int32(r.Hops + 1),
 	}}}
 	reply, body, err := s.Client.Call(ctx, to.Address, call, bodyOf(r.Body))
 	if err != nil {
@@ -86,9 +87,9 @@
 		return nil, outcome.UnknownError(outcome.KindInternal, "instance %s answered another request: %s", to.ID, reply.Error)
 	}
 	if f.Failure != nil {
-		return nil, fromFailure(f.Failure)
+		return nil, FromFailure(f.Failure)
 	}
-	a := &filter.Answer{Status: int(f.Status), Header: fromHeaders(f.Headers), Length: f.BodyLength, Backend: f.Backend}
+	a := &filter.Answer{Status: int(f.Status), Header: FromHeaders(f.Headers), Length: f.BodyLength, Backend: f.Backend}
 	if f.Streamed {
 		a.Stream = body
 		return a, nil
@@ -107,10 +108,10 @@
 	out := &peerpb.ForwardReply{RequestId: r.RequestId}
 	reply := &peerpb.Reply{Reply: &peerpb.Reply_Forward{Forward: out}}
 	if err != nil {
-		out.Failure = toFailure(outcome.AsError(err))
+		out.Failure = ToFailure(outcome.AsError(err))
 		return reply, nil
 	}
-	out.Status, out.Headers, out.Backend = int32(a.Status), toHeaders(a.Header), a.Backend
+	out.Status, out.Headers, out.Backend = int32(a.Status), ToHeaders(a.Header), a.Backend
 	out.Streamed, out.BodyLength = a.Stream != nil, a.Length
 	if a.Stream == nil {
 		out.BodyLength = int64(len(a.Body))
@@ -133,19 +134,22 @@
 	// An address that does not parse is left invalid: it only steers.
 	caller, _ := netip.ParseAddr(f.Caller)
 	return &filter.Request{
-		ID: f.RequestId, Caller: caller, Service: s, Method: f.Method, Path: f.Path, Header: fromHeaders(f.Headers),
+		ID: f.RequestId, Caller: caller, Service: s, Method: f.Method, Path: f.Path, Header: FromHeaders(f.Headers),
 		Body: body, Key: f.Key, Operation: f.Operation, Idempotent: f.Idempotent,
-		Deadline: start.Add(time.Duration(f.DeadlineMs) * time.Millisecond), Stage: filter.Stage(f.Stage), FromRegion: f.FromRegion,
+		Deadline: start.Add(time.Duration(f.DeadlineMs) * time.Millisecond), Stage: filter.Stage(f.Stage), Hops: int(f.Hops),
+		FromRegion: f.FromRegion,
 	}, nil
 }
 
-func toFailure(e *outcome.Error) *peerpb.Failure {
+// ToFailure returns the peer message of an error.
+func ToFailure(e *outcome.Error) *peerpb.Failure {
 	return &peerpb.Failure{
 		Outcome: int32(e.Outcome), Kind: string(e.Kind), Message: e.Message, Remedy: e.Remedy, RetryAfterMs: e.RetryAfter.Milliseconds(),
 	}
 }
 
-func fromFailure(f *peerpb.Failure) *outcome.Error {
+// FromFailure returns the error of a peer message; what is not surely not run is unknown.
+func FromFailure(f *peerpb.Failure) *outcome.Error {
 	o := outcome.Outcome(f.Outcome)
 	if o != outcome.NotRun {
 		o = outcome.Unknown
@@ -156,7 +160,8 @@
 	}
 }
 
-func toHeaders(h http.Header) []*peerpb.Header {
+// ToHeaders returns the peer messages of a header, by name.
+func ToHeaders(h http.Header) []*peerpb.Header {
 	out := make([]*peerpb.Header, 0, len(h))
 	for name, values := range h {
 		out = append(out, &peerpb.Header{Name: name, Values: values})
@@ -165,7 +170,8 @@
 	return out
 }
 
-func fromHeaders(hs []*peerpb.Header) http.Header {
+// FromHeaders returns the header of peer messages.
+func FromHeaders(hs []*peerpb.Header) http.Header {
 	out := make(http.Header, len(hs))
 	for _, h := range hs {
 		out[h.Name] = h.Values
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -59,6 +59,7 @@
 	KindCutAnswer      Kind = "cut_answer"
 	KindNotReady       Kind = "not_ready"
 	KindPeerLost       Kind = "peer_lost"
+	KindAnswerDropped  Kind = "answer_dropped"
 	KindInternal       Kind = "internal"
 )
 
@@ -89,7 +90,7 @@
 		return http.StatusRequestEntityTooLarge
 	case KindQuarantined:
 		return http.StatusUnprocessableEntity
-	case KindHomeGone:
+	case KindHomeGone, KindAnswerDropped:
 		return http.StatusConflict
 	case KindDeadline:
 		return http.StatusGatewayTimeout
