--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -147,7 +147,7 @@
 		if attrs := s.Attributes(); len(attrs) > 0 {
 			out.Attrs = make(map[string]string, len(attrs))
 			for _, a := range attrs {
-				out.Attrs[string(a.Key)] = a.Value.Emit()
+				out.Attrs[string(a.Key)] = a.Value.String()
 			}
 		}
 		e.r.add(out)
