attempt: one attempt to one backend server, written once

Cause: http.Transport sends a request again on a dead kept-alive connection when it looks replayable, and an Idempotency-Key header makes it look so. Ways weighed: a Transport with request bodies that can't be replayed (a GET or an empty POST stays replayable), a Transport without keep-alive (about 1 ms a request), and an own pool of http.ClientConn, which has no way to resend. The last is taken; the bytes written to the connection tell not run from unknown. Found on the way: a silent connection took two progress timeouts, since the request's own bytes counted as progress after the timer was set; the timer now runs from the last byte, and TestSilentConnectionIsLeft holds the bound.

--- /dev/null
+++ b/internal/attempt/watch.go
@@ -0,0 +1,182 @@
+package attempt
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/banyandeal/banyandeal/internal/outcome"
+)
+
+// checker asks over a new connection whether the backend server still
+// answers; checks at the same time are one.
+type checker struct{ group singleflight.Group }
+
+// watch looks after a connection while an answer is awaited. A connection
+// without a byte for the progress timeout, while a new one works, is given up
+// as silent: the attempt's context is cancelled with errSilent, and the idle
+// connections are closed, since what lost track of one has likely lost others.
+// A backend server that answers no new connection either is left to the
+// attempt's deadline.
+type watch struct {
+	client *Client
+	conn   *conn
+	cancel context.CancelCauseFunc
+	// quit ends a check in progress.
+	quit     context.Context
+	quitFunc context.CancelFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	// since is when the watch began: what was quiet before does not count.
+	since time.Time
+}
+
+func (c *Client) watch(conn *conn, cancel context.CancelCauseFunc) *watch {
+	w := &watch{client: c, conn: conn, cancel: cancel, since: time.Now()}
+	w.quit, w.quitFunc = context.WithCancel(context.Background())
+	w.timer = time.AfterFunc(c.cfg.ProgressTimeout, w.expired)
+	return w
+}
+
+func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+	w.quitFunc()
+}
+
+// expired runs when the progress timeout has passed.
+func (w *watch) expired() {
+	if w.moved() {
+		return
+	}
+	works := w.client.check(w.quit)
+	if w.moved() {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	if !works {
+		w.timer.Reset(w.client.cfg.ProgressTimeout)
+		return
+	}
+	w.cancel(errSilent)
+	w.client.pool.retireIdle()
+}
+
+// moved reports whether nothing is to be done, since the watch was stopped or
+// bytes have moved; for the latter it sets the timer to the time left.
+func (w *watch) moved() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return true
+	}
+	quiet := min(w.conn.quiet(), time.Since(w.since))
+	left := w.client.cfg.ProgressTimeout - quiet
+	if left <= 0 {
+		return false
+	}
+	w.timer.Reset(left)
+	return true
+}
+
+// check reports whether the backend server answers over a new connection.
+func (c *Client) check(quit context.Context) bool {
+	result := c.checks.group.DoChan("", func() (any, error) { return c.probe(), nil })
+	select {
+	case r := <-result:
+		return r.Val.(bool)
+	case <-quit.Done():
+		return false
+	}
+}
+
+// probe opens a connection and asks for the check path; any answer will do.
+func (c *Client) probe() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.CheckTimeout)
+	defer cancel()
+	conn, err := c.pool.dial(ctx)
+	if err != nil {
+		return false
+	}
+	defer conn.seal()
+	u := &url.URL{Scheme: "http", Host: c.cfg.Address, Path: c.cfg.CheckPath}
+	req := &http.Request{Method: http.MethodGet, URL: u, Header: http.Header{}, Body: http.NoBody}
+	resp, err := conn.client.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
+}
+
+// body reads the body of an answer and gives the connection back at its end.
+type body struct {
+	client *Client
+	conn   *conn
+	resp   *http.Response
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// whole is set once the end of the body was read.
+	whole  bool
+	closed bool
+}
+
+// Read implements io.Reader; a cut body ends with an *outcome.Error.
+func (b *body) Read(p []byte) (int, error) {
+	if b.whole {
+		return 0, io.EOF
+	}
+	w := b.client.watch(b.conn, b.cancel)
+	n, err := b.resp.Body.Read(p)
+	w.stop()
+	switch err {
+	case nil:
+		return n, nil
+	case io.EOF:
+		b.whole = true
+		return n, io.EOF
+	}
+	return n, failed(b.ctx, true, cutError(err)).Err
+}
+
+// cutError is the error of an answer that broke off.
+func cutError(err error) *outcome.Error {
+	return outcome.UnknownError(outcome.KindCutAnswer, "the answer broke off: %v", err)
+}
+
+// Close gives the connection back, or closes it when the body was not read to
+// its end.
+func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	if b.whole {
+		_ = b.resp.Body.Close()
+		b.client.pool.put(b.conn)
+	} else {
+		b.client.pool.drop(b.conn)
+		_ = b.resp.Body.Close()
+	}
+	b.cancel(nil)
+	return nil
+}
+
+// drain reads a short body to its end and closes it.
+func (b *body) drain() {
+	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDrain))
+	_ = b.Close()
+}
