--- /dev/null
+++ b/internal/operator/client/client.go
@@ -0,0 +1,112 @@
+// Package client reads the operator endpoints of instances.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/banyandeal/banyandeal/internal/operator"
+	"github.com/banyandeal/banyandeal/internal/trace"
+)
+
+// maxReplyBytes bounds one answer of an instance.
+const maxReplyBytes = 16 << 20
+
+// Unreachable is returned for an instance that gave no usable answer in time.
+type Unreachable struct {
+	// Addr is the operator address that was asked.
+	Addr  string
+	Cause error
+}
+
+// Error implements error.
+func (e *Unreachable) Error() string {
+	return fmt.Sprintf("instance at %s gives no answer: %v; check that it runs and that the address is its operator listener", e.Addr, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Unreachable) Unwrap() error { return e.Cause }
+
+// Client asks instances over HTTP. It is safe for concurrent use.
+type Client struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+// New returns a client that gives an instance so long for one answer.
+func New(timeout time.Duration) *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{}}, timeout: timeout}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Status asks the instance at the operator address, host:port or a base URL.
+// Errors: Unreachable.
+func (c *Client) Status(ctx context.Context, addr string) (operator.Status, error) {
+	var s operator.Status
+	return s, c.get(ctx, addr, "/v1/status", &s)
+}
+
+// Spans returns what the instance holds of one trace. Errors: Unreachable.
+func (c *Client) Spans(ctx context.Context, addr, traceID string) ([]trace.Span, error) {
+	var spans []trace.Span
+	return spans, c.get(ctx, addr, "/v1/trace/"+url.PathEscape(traceID), &spans)
+}
+
+// Roots returns the instance's last root spans, the newest first. Errors:
+// Unreachable.
+func (c *Client) Roots(ctx context.Context, addr string) ([]trace.Span, error) {
+	var spans []trace.Span
+	return spans, c.get(ctx, addr, "/v1/trace", &spans)
+}
+
+func (c *Client) get(ctx context.Context, addr, path string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := c.fetch(ctx, BaseURL(addr)+path, out); err != nil {
+		return errors.Trace(&Unreachable{Addr: addr, Cause: shorten(err)})
+	}
+	return nil
+}
+
+func (c *Client) fetch(ctx context.Context, target string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", res.StatusCode)
+	}
+	return json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(out)
+}
+
+// shorten drops the method and URL that the HTTP client puts before a cause.
+func shorten(err error) error {
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err
+	}
+	return err
+}
+
+// BaseURL returns the base URL of an address given as host:port or as a URL.
+func BaseURL(addr string) string {
+	if !strings.Contains(addr, "://") {
+		addr = "http://" + addr
+	}
+	return strings.TrimSuffix(addr, "/")
+}
--- /dev/null
+++ b/internal/operator/client/fleet.go
@@ -0,0 +1,193 @@
+package client
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyandeal/banyandeal/internal/operator"
+	"github.com/banyandeal/banyandeal/internal/trace"
+)
+
+const (
+	// maxConcurrent is the most instances asked at once.
+	maxConcurrent = 32
+	// maxInstances bounds how many instances a gathering follows.
+	maxInstances = 16384
+	// stateGone is the state of an instance that is no longer asked.
+	stateGone = "gone"
+)
+
+// Answer is what one instance said, or why it said nothing.
+type Answer struct {
+	// Addr is the operator address that was asked.
+	Addr string
+	// Believed is what other instances say of it; zero if none knows it.
+	Believed operator.InstanceStatus
+	// Status is only good while Err is nil.
+	Status operator.Status
+	Err    error
+}
+
+// ID returns the instance's ID as far as it is known, else its address.
+func (a Answer) ID() string {
+	return cmp.Or(a.Status.Instance, a.Believed.ID, a.Addr)
+}
+
+// Zone returns the instance's zone as far as it is known.
+func (a Answer) Zone() string { return cmp.Or(a.Status.Zone, a.Believed.Zone) }
+
+// Gather asks the instances at the endpoints and all others that they know of,
+// directly or not, except those believed gone. Answers are by zone and ID. The
+// error, Unreachable, is that of an endpoint when no instance answered.
+func (c *Client) Gather(ctx context.Context, endpoints []string) ([]Answer, error) {
+	g := gathering{client: c, known: map[string]operator.InstanceStatus{}, asked: map[string]bool{}}
+	todo := endpoints
+	for len(todo) > 0 {
+		g.ask(ctx, todo)
+		todo = g.unasked()
+	}
+	return g.result()
+}
+
+// gathering is one run of Gather.
+type gathering struct {
+	client  *Client
+	known   map[string]operator.InstanceStatus
+	asked   map[string]bool
+	answers []Answer
+}
+
+func (g *gathering) ask(ctx context.Context, addrs []string) {
+	var (
+		mu    sync.Mutex
+		group errgroup.Group
+	)
+	group.SetLimit(maxConcurrent)
+	for _, addr := range addrs {
+		if g.asked[addr] || len(g.asked) >= maxInstances {
+			continue
+		}
+		g.asked[addr] = true
+		group.Go(func() error {
+			s, err := g.client.Status(ctx, addr)
+			mu.Lock()
+			defer mu.Unlock()
+			g.answers = append(g.answers, Answer{Addr: addr, Status: s, Err: err})
+			return nil
+		})
+	}
+	_ = group.Wait() // failures are kept in the answers
+	for _, a := range g.answers {
+		g.learn(a)
+	}
+}
+
+// learn notes the instances that an answer names. One that anybody believes
+// to be there is asked.
+func (g *gathering) learn(a Answer) {
+	if a.Err != nil {
+		return
+	}
+	for _, i := range a.Status.Instances {
+		if old, ok := g.known[i.Operator]; !ok || old.State == stateGone {
+			g.known[i.Operator] = i
+		}
+	}
+}
+
+func (g *gathering) unasked() []string {
+	var out []string
+	for addr, i := range g.known {
+		if addr != "" && i.State != stateGone && !g.asked[addr] {
+			out = append(out, addr)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// result drops second answers of an instance that was asked at two addresses.
+func (g *gathering) result() ([]Answer, error) {
+	slices.SortFunc(g.answers, func(a, b Answer) int { return strings.Compare(a.Addr, b.Addr) })
+	seen := map[string]bool{}
+	var out []Answer
+	var failed error
+	for _, a := range g.answers {
+		a.Believed = g.known[a.Addr]
+		switch id := a.Status.Instance; {
+		case a.Err != nil:
+			failed = a.Err
+		case seen[id]:
+			continue
+		default:
+			seen[id] = true
+		}
+		out = append(out, a)
+	}
+	if len(seen) == 0 && failed != nil {
+		return nil, errors.Trace(failed)
+	}
+	out = slices.DeleteFunc(out, func(a Answer) bool { return a.Err != nil && seen[a.Believed.ID] })
+	slices.SortStableFunc(out, func(a, b Answer) int {
+		return cmp.Or(strings.Compare(a.Zone(), b.Zone()), strings.Compare(a.ID(), b.ID()))
+	})
+	return out, nil
+}
+
+// Trace gathers the spans of one trace from all instances that the endpoints
+// lead to. silent are the addresses that gave no answer, so that the trace may
+// lack spans. Errors: Unreachable, when no instance answered.
+func (c *Client) Trace(ctx context.Context, endpoints []string, traceID string) (spans []trace.Span, silent []string, err error) {
+	return c.collect(ctx, endpoints, func(ctx context.Context, addr string) ([]trace.Span, error) {
+		return c.Spans(ctx, addr, traceID)
+	})
+}
+
+// LastRoots gathers the last root spans of all instances, the newest first.
+// The results are those of Trace.
+func (c *Client) LastRoots(ctx context.Context, endpoints []string) (roots []trace.Span, silent []string, err error) {
+	roots, silent, err = c.collect(ctx, endpoints, c.Roots)
+	slices.SortStableFunc(roots, func(a, b trace.Span) int {
+		return cmp.Or(b.Start.Compare(a.Start), strings.Compare(a.ID, b.ID))
+	})
+	return roots, silent, err
+}
+
+func (c *Client) collect(ctx context.Context, endpoints []string, read func(context.Context, string) ([]trace.Span, error)) ([]trace.Span, []string, error) {
+	answers, err := c.Gather(ctx, endpoints)
+	if err != nil {
+		return nil, nil, err
+	}
+	var (
+		mu     sync.Mutex
+		group  errgroup.Group
+		spans  []trace.Span
+		silent []string
+	)
+	group.SetLimit(maxConcurrent)
+	for _, a := range answers {
+		group.Go(func() error {
+			var found []trace.Span
+			err := a.Err
+			if err == nil {
+				found, err = read(ctx, a.Addr)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				silent = append(silent, a.Addr)
+			}
+			spans = append(spans, found...)
+			return nil
+		})
+	}
+	_ = group.Wait() // failures are kept in silent
+	slices.Sort(silent)
+	return spans, silent, nil
+}
