membership: the view of instances, relays and evidence of death

Cause: ownership and link rights need to know who is dead, and look-ups who is silent; these are two questions. Ruled out: silence as death (a paused holder would lose what it still uses); an elected relay (needs agreement; the top three by rendezvous hash are the same without it). Conclusion: a change costs its zone only; silence never makes gone.

--- /dev/null
+++ b/internal/decide/membership/machine_test.go
@@ -0,0 +1,277 @@
+package membership
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/banyandeal/banyandeal/internal/platform"
+)
+
+// TestScripts runs the sessions in testdata. Commands: new, heartbeat, report,
+// list, evidence, leave, tick, view. Each takes at=<seconds>.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	for _, path := range paths {
+		var m *Machine
+		start := time.Unix(0, 0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var at int
+			d.MaybeScanArgs(t, "at", &at)
+			now := start.Add(time.Duration(at) * time.Second)
+			switch d.Cmd {
+			case "new":
+				m = New(Config{Self: parseInstance(t, d.Input)}, now)
+			case "heartbeat":
+				eachLine(d.Input, func(l string) { m.Heartbeat(now, parseInstance(t, l)) })
+			case "report":
+				eachLine(d.Input, func(l string) { m.Report(now, parseInstance(t, l)) })
+			case "list":
+				m.List(now, parseList(t, d.Input))
+			case "evidence":
+				eachLine(d.Input, func(l string) { m.Evidence(now, parseEvidence(t, l)) })
+			case "leave":
+				m.Leave(now)
+			case "tick":
+				m.Tick(now)
+			case "view":
+				return printView(m)
+			default:
+				d.Fatalf(t, "unknown command %q", d.Cmd)
+			}
+			return printReady(m.Ready())
+		})
+	}
+}
+
+func eachLine(s string, f func(string)) {
+	for _, l := range strings.Split(strings.TrimSpace(s), "\n") {
+		f(l)
+	}
+}
+
+// parseIdentity reads "a#1".
+func parseIdentity(t *testing.T, s string) Identity {
+	var id Identity
+	name, inc, ok := strings.Cut(s, "#")
+	require.True(t, ok, s)
+	id.ID = name
+	_, err := fmt.Sscan(inc, &id.Incarnation)
+	require.NoError(t, err)
+	return id
+}
+
+// parseInstance reads "a#1 z1 state seq=N peer=P"; the peer defaults to the ID.
+func parseInstance(t *testing.T, s string) Instance {
+	f := strings.Fields(s)
+	in := Instance{Identity: parseIdentity(t, f[0]), Zone: f[1], Sequence: 1}
+	in.Peer = in.ID
+	for _, w := range f[2:] {
+		switch k, v, _ := strings.Cut(w, "="); k {
+		case "seq":
+			_, err := fmt.Sscan(v, &in.Sequence)
+			require.NoError(t, err)
+		case "peer":
+			in.Peer = v
+		default:
+			in.State = State(slices.Index([]string{"live", "leaving", "suspect", "gone"}, k))
+		}
+	}
+	return in
+}
+
+func parseList(t *testing.T, s string) []platform.Instance {
+	var out []platform.Instance
+	for _, w := range strings.Fields(s) {
+		id, state, _ := strings.Cut(w, "=")
+		if state == "" {
+			state = "live"
+		}
+		out = append(out, platform.Instance{ID: id, Kind: platform.KindEntry, Peer: id, State: platform.InstanceState(state)})
+	}
+	return out
+}
+
+// parseEvidence reads "refused a#1 z1 peer" or "answered a#1 z1 peer b#2".
+func parseEvidence(t *testing.T, s string) Evidence {
+	f := strings.Fields(s)
+	ev := Evidence{About: parseIdentity(t, f[1]), Zone: f[2], Peer: f[3]}
+	ev.Kind = EvidenceKind(slices.Index([]string{"refused", "answered", "timeout"}, f[0]))
+	if ev.Kind == Answered {
+		ev.Observed = parseIdentity(t, f[4])
+	}
+	return ev
+}
+
+func printReady(r Ready) string {
+	var b strings.Builder
+	for _, c := range r.Changes {
+		from := c.From.String()
+		if c.New {
+			from = "new"
+		}
+		fmt.Fprintf(&b, "%s %s: %s -> %s (%s)\n", c.Instance.Zone, c.Instance.Identity, from, c.Instance.State, c.Cause)
+	}
+	for _, p := range r.Probes {
+		fmt.Fprintf(&b, "probe %s at %s\n", p.About, p.Peer)
+	}
+	if r.Announce {
+		b.WriteString("announce\n")
+	}
+	if r.Condemned {
+		b.WriteString("condemned\n")
+	}
+	return b.String()
+}
+
+func printView(m *Machine) string {
+	var b strings.Builder
+	for _, z := range m.View().Zones {
+		fmt.Fprintf(&b, "%s relays=%v\n", z.Name, z.Relays)
+		for _, in := range z.Instances {
+			fmt.Fprintf(&b, "  %s %s seq=%d\n", in.Identity, in.State, in.Sequence)
+		}
+	}
+	fmt.Fprintf(&b, "heartbeats to %v\n", m.Targets())
+	return b.String()
+}
+
+// TestSilenceIsNoEvidence holds that no order of messages, silence and lists
+// that name the instance makes it gone.
+func TestSilenceIsNoEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		self := Instance{Identity: Identity{"a", 1}, Zone: "z1", Peer: "a"}
+		other := Instance{Identity: Identity{"b", 1}, Zone: "z1", Peer: "b"}
+		m := New(Config{Self: self}, now)
+		m.Heartbeat(now, other)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "seconds")) * time.Second)
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				other.Sequence++
+				m.Heartbeat(now, other)
+			case 1:
+				in := other
+				in.State = Suspect
+				m.Report(now, in)
+			case 2:
+				m.List(now, []platform.Instance{{ID: "a", Kind: platform.KindEntry, Peer: "a"}, {ID: "b", Kind: platform.KindEntry, Peer: "b"}})
+			case 3:
+				// A list from before this instance's start, or an empty one.
+				m.List(now, nil)
+			case 4:
+				m.Evidence(now, Evidence{Kind: TimedOut, About: other.Identity, Peer: "b"})
+				m.Evidence(now, Evidence{Kind: Answered, About: other.Identity, Peer: "b", Observed: other.Identity})
+			default:
+				m.Tick(now)
+			}
+			in, ok := m.View().Instance(other.Identity)
+			require.True(t, ok)
+			require.NotEqual(t, Gone, in.State)
+		}
+	})
+}
+
+// TestMergeOrder holds that the same records in any order give the same view.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		var records []Instance
+		for range rapid.IntRange(1, 20).Draw(t, "records") {
+			id := rapid.SampledFrom([]string{"b", "c", "d"}).Draw(t, "id")
+			records = append(records, Instance{
+				Identity: Identity{id, uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))}, Zone: "z1", Peer: id,
+				State: State(rapid.IntRange(0, 3).Draw(t, "state")), Sequence: uint64(rapid.IntRange(1, 4).Draw(t, "sequence")),
+			})
+		}
+		self := Instance{Identity: Identity{"a", 1}, Zone: "z1", Peer: "a"}
+		states := func(ins []Instance) string {
+			m := New(Config{Self: self}, now)
+			m.Reports(now, ins)
+			var b strings.Builder
+			for _, in := range m.View().Zone("z1").Instances {
+				fmt.Fprintln(&b, in.Identity, in.State)
+			}
+			return b.String()
+		}
+		require.Equal(t, states(records), states(rapid.Permutation(records).Draw(t, "order")))
+	})
+}
+
+// TestHeartbeatsAreBounded holds that nobody sends to more than its zone's
+// relays and one relay of each other zone.
+func TestHeartbeatsAreBounded(t *testing.T) {
+	const zones, perZone = 26, 242
+	now := time.Unix(0, 0)
+	var all []Instance
+	for z := range zones {
+		for i := range perZone {
+			id := fmt.Sprintf("z%02d-%03d", z, i)
+			all = append(all, Instance{Identity: Identity{id, 1}, Zone: id[:3], Peer: id, Sequence: 1})
+		}
+	}
+	m := New(Config{Self: all[0]}, now)
+	m.Reports(now, all)
+	require.LessOrEqual(t, len(m.Targets()), RelaysPerZone+zones)
+	relays, plain := 0, 0
+	for _, in := range m.View().Zone("z00").Instances {
+		n := len(m.View().targetsOf(in))
+		if n > RelaysPerZone {
+			relays++
+			require.Equal(t, RelaysPerZone-1+zones-1, n)
+		} else {
+			plain++
+			require.Equal(t, RelaysPerZone, n)
+		}
+	}
+	require.Equal(t, RelaysPerZone, relays)
+	require.Equal(t, perZone-RelaysPerZone, plain)
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{100, 1000, 6300} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			m := New(Config{Self: Instance{Identity: Identity{"self", 1}, Zone: "z00", Peer: "self"}}, now)
+			var all []Instance
+			for i := range n {
+				id := fmt.Sprintf("i%05d", i)
+				all = append(all, Instance{Identity: Identity{id, 1}, Zone: fmt.Sprintf("z%02d", i%26), Peer: id, Sequence: 1})
+			}
+			m.Reports(now, all)
+			for b.Loop() {
+				m.Tick(now)
+			}
+		})
+	}
+}
+
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{100, 1000, 6300} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			m := New(Config{Self: Instance{Identity: Identity{"self", 1}, Zone: "z00", Peer: "self"}}, now)
+			var all []Instance
+			for i := range n {
+				id := fmt.Sprintf("i%05d", i)
+				all = append(all, Instance{Identity: Identity{id, 1}, Zone: fmt.Sprintf("z%02d", i%26), Peer: id, Sequence: 1})
+			}
+			m.Reports(now, all)
+			for b.Loop() {
+				all[0].Sequence++
+				all[0].State = Leaving - all[0].State
+				m.Report(now, all[0])
+				m.Ready()
+			}
+		})
+	}
+}
