--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -25,6 +25,10 @@
 	http    *http.Client
 	lookups *latency
 
+	// stop ends the arrivals.
+	stop     chan struct{}
+	stopOnce sync.Once
+
 	started atomic.Int64
 	skipped atomic.Int64
 	// due counts arrivals against MaxRequests.
@@ -43,7 +47,7 @@
 	return &Load{
 		cfg: cfg, slots: semaphore.NewWeighted(int64(cfg.MaxInFlight)), http: client,
 		send:    &sender{http: client, maxAttempts: cfg.MaxAttempts, patience: cfg.Patience},
-		lookups: newLatency(),
+		lookups: newLatency(), stop: make(chan struct{}),
 	}, nil
 }
 
@@ -60,6 +64,13 @@
 func (l *Load) Run(ctx context.Context) *Result {
 	arrivals, cancel := context.WithTimeout(ctx, l.cfg.Duration)
 	defer cancel()
+	go func() {
+		select {
+		case <-l.stop:
+			cancel()
+		case <-arrivals.Done():
+		}
+	}()
 	var wg sync.WaitGroup
 	for i, w := range l.cfg.Workloads {
 		rng := rand.New(rand.NewPCG(l.cfg.Seed, uint64(i)))
@@ -72,6 +83,9 @@
 	return newResult(l.records, l.skipped.Load(), l.lookups)
 }
 
+// Stop ends the arrivals; Run then waits for what is in flight.
+func (l *Load) Stop() { l.stopOnce.Do(func() { close(l.stop) }) }
+
 // InFlight returns how many requests are in flight.
 func (l *Load) InFlight() int64 { return l.started.Load() }
 
--- a/internal/standin/backend/runs.go
+++ b/internal/standin/backend/runs.go
@@ -43,6 +43,10 @@
 	Method      string   `json:"method"`
 	URL         string   `json:"url"`
 	State       RunState `json:"state"`
+	// Started and Ended are when the run took its slot and when it gave up its
+	// work; Ended is zero for a run that has not ended.
+	Started time.Time `json:"started"`
+	Ended   time.Time `json:"ended,omitzero"`
 }
 
 // runLog keeps the runs of one backend server and copies each change as a JSON
@@ -66,6 +70,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.Backend, r.Incarnation, r.State = l.name, l.incarnation, RunStarted
+	r.Started = time.Now()
 	l.last++
 	r.Number = l.last
 	if len(l.runs) < maxRuns {
@@ -78,7 +83,7 @@
 func (l *runLog) end(r Run, state RunState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.State = state
+	r.State, r.Ended = state, time.Now()
 	if r.Number <= uint64(len(l.runs)) {
 		l.runs[r.Number-1] = r
 	}
