config: parts, delta, diff, edits and the versioned path

Cause: an accepted configuration must reach every instance by what changed, and operators need drain and fill as lines to commit. Ruled out: shards by count, where one inserted block moves every later shard; ranges of addresses are halved instead, so shards depend on the blocks alone. A digest over the whole manifest, whose cost grows with it; the root is a sum of entry hashes. Times inside a site's part, since then the operator's tool would have to read every site to keep them. Before: only Load.

--- /dev/null
+++ b/internal/config/manifest.go
@@ -0,0 +1,275 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"math/bits"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Digest is a hex SHA-256. That of an object is the name under which the
+// object store keeps it.
+type Digest string
+
+// DigestOf returns the digest of an object.
+func DigestOf(data []byte) Digest {
+	sum := sha256.Sum256(data)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+// valid reports whether the digest is well-formed.
+func (d Digest) valid() bool {
+	raw, err := hex.DecodeString(string(d))
+	return err == nil && len(raw) == sha256.Size && hex.EncodeToString(raw) == string(d)
+}
+
+// Part is one piece of an estate.
+type Part struct {
+	Entry
+	// Bytes is the part's encoding; nobody may change it.
+	Bytes []byte
+}
+
+// Entry names one part of an estate.
+type Entry struct {
+	// Name is core, service/<name>, site/<name>, since/<site> or
+	// blocks/<range>.
+	Name string `json:"name"`
+	// Digest is that of the part's encoding and Size its length in bytes.
+	Digest Digest `json:"digest"`
+	Size   int    `json:"size"`
+}
+
+func newPart(name string, data []byte) Part {
+	return Part{Entry: Entry{Name: name, Digest: DigestOf(data), Size: len(data)}, Bytes: data}
+}
+
+// Manifest lists the parts of one content. Two contents are equal if and only
+// if their roots are.
+type Manifest struct {
+	Root Digest `json:"root"`
+	// Entries are sorted by name.
+	Entries []Entry `json:"entries"`
+}
+
+// root is the sum of the hashes of a content's entries modulo 2^256, so that a
+// change costs what it changes and not the length of the manifest. It tells
+// contents apart that were mixed up; an object is guarded by its own digest.
+type root [4]uint64
+
+func (e Entry) hash() root {
+	sum := sha256.Sum256([]byte(e.Name + "\x00" + string(e.Digest)))
+	var r root
+	for i := range r {
+		r[i] = binary.LittleEndian.Uint64(sum[i*8:])
+	}
+	return r
+}
+
+func (r root) add(e Entry) root {
+	h := e.hash()
+	var carry uint64
+	for i := range r {
+		r[i], carry = bits.Add64(r[i], h[i], carry)
+	}
+	return r
+}
+
+func (r root) remove(e Entry) root {
+	h := e.hash()
+	var borrow uint64
+	for i := range r {
+		r[i], borrow = bits.Sub64(r[i], h[i], borrow)
+	}
+	return r
+}
+
+func (r root) digest() Digest {
+	var raw [sha256.Size]byte
+	for i, w := range r {
+		binary.LittleEndian.PutUint64(raw[i*8:], w)
+	}
+	return Digest(hex.EncodeToString(raw[:]))
+}
+
+func rootOf(entries []Entry) root {
+	var r root
+	for _, e := range entries {
+		r = r.add(e)
+	}
+	return r
+}
+
+func newManifest(entries []Entry) Manifest {
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return Manifest{Root: rootOf(entries).digest(), Entries: entries}
+}
+
+// Encode returns the manifest as JSON.
+func (m Manifest) Encode() ([]byte, error) {
+	data, err := json.Marshal(m)
+	return data, errors.Annotate(err, "encode the manifest")
+}
+
+// DecodeManifest reads what Encode wrote and checks it against its root.
+func DecodeManifest(data []byte) (Manifest, error) {
+	var m Manifest
+	if err := decodeJSON("manifest", data, &m); err != nil {
+		return Manifest{}, err
+	}
+	if err := checkEntries("manifest", m.Entries); err != nil {
+		return Manifest{}, err
+	}
+	if rootOf(m.Entries).digest() != m.Root {
+		return Manifest{}, corrupt("manifest", "the entries do not give the root")
+	}
+	return m, nil
+}
+
+func checkEntries(what string, entries []Entry) error {
+	for i, e := range entries {
+		if !e.Digest.valid() || e.Size < 0 {
+			return corrupt(what, "the entry %q has no digest or size", e.Name)
+		}
+		if i > 0 && entries[i-1].Name >= e.Name {
+			return corrupt(what, "the entry %q is out of order", e.Name)
+		}
+	}
+	return nil
+}
+
+// entry returns the entry of a name.
+func (m Manifest) entry(name string) (Entry, bool) {
+	i, ok := slices.BinarySearchFunc(m.Entries, name, func(e Entry, n string) int { return strings.Compare(e.Name, n) })
+	if !ok {
+		return Entry{}, false
+	}
+	return m.Entries[i], true
+}
+
+// Bounds on the parts that a delta carries itself, in bytes.
+const (
+	maxInlinePart  = 4 << 10
+	maxInlineTotal = 16 << 10
+)
+
+// Delta leads from one version to the next.
+type Delta struct {
+	From uint64 `json:"from"`
+	To   uint64 `json:"to"`
+	// ChangeID and Author are those of version To.
+	ChangeID string `json:"change_id"`
+	Author   string `json:"author"`
+	// Prev is the digest of the delta that led to From; empty for the first.
+	Prev     Digest `json:"prev,omitempty"`
+	FromRoot Digest `json:"from_root"`
+	Root     Digest `json:"root"`
+	// Changed and Removed are sorted by name.
+	Changed []Entry  `json:"changed"`
+	Removed []string `json:"removed,omitempty"`
+	// Inline holds small changed parts by name, which need no fetch.
+	Inline map[string][]byte `json:"inline,omitempty"`
+}
+
+// NewDelta returns the parts that changed from one manifest to another. The
+// versions, Prev and Inline are the caller's to set.
+func NewDelta(old, new Manifest) Delta {
+	d := Delta{FromRoot: old.Root, Root: new.Root, Changed: []Entry{}}
+	i := 0
+	for _, e := range new.Entries {
+		for ; i < len(old.Entries) && old.Entries[i].Name < e.Name; i++ {
+			d.Removed = append(d.Removed, old.Entries[i].Name)
+		}
+		if i < len(old.Entries) && old.Entries[i].Name == e.Name {
+			i++
+			if old.Entries[i-1] == e {
+				continue
+			}
+		}
+		d.Changed = append(d.Changed, e)
+	}
+	for ; i < len(old.Entries); i++ {
+		d.Removed = append(d.Removed, old.Entries[i].Name)
+	}
+	return d
+}
+
+// Compose returns the delta that leads over d and then over next.
+func (d Delta) Compose(next Delta) Delta {
+	out := next
+	out.From, out.FromRoot, out.Prev = d.From, d.FromRoot, d.Prev
+	changed := map[string]Entry{}
+	removed := map[string]bool{}
+	out.Inline = map[string][]byte{}
+	for _, step := range []Delta{d, next} {
+		for _, name := range step.Removed {
+			delete(changed, name)
+			delete(out.Inline, name)
+			removed[name] = true
+		}
+		for _, e := range step.Changed {
+			delete(removed, e.Name)
+			delete(out.Inline, e.Name)
+			changed[e.Name] = e
+		}
+		maps.Copy(out.Inline, step.Inline)
+	}
+	out.Changed = make([]Entry, 0, len(changed))
+	for _, name := range sortedKeys(changed) {
+		out.Changed = append(out.Changed, changed[name])
+	}
+	out.Removed = sortedKeys(removed)
+	return out
+}
+
+// SetInline puts the small ones among the changed parts into the delta.
+func (d *Delta) SetInline(parts []Part) {
+	d.Inline = map[string][]byte{}
+	total := 0
+	for _, p := range parts {
+		if e, ok := (Manifest{Entries: d.Changed}).entry(p.Name); !ok || e != p.Entry {
+			continue
+		}
+		if p.Size <= maxInlinePart && total+p.Size <= maxInlineTotal {
+			d.Inline[p.Name] = p.Bytes
+			total += p.Size
+		}
+	}
+}
+
+// Encode returns the delta as JSON.
+func (d Delta) Encode() ([]byte, error) {
+	data, err := json.Marshal(d)
+	return data, errors.Annotate(err, "encode the delta")
+}
+
+// DecodeDelta reads what Encode wrote and checks the parts that it carries.
+func DecodeDelta(data []byte) (Delta, error) {
+	var d Delta
+	if err := decodeJSON("delta", data, &d); err != nil {
+		return Delta{}, err
+	}
+	if d.To <= d.From || !d.Root.valid() || !d.FromRoot.valid() || (d.Prev != "" && !d.Prev.valid()) {
+		return Delta{}, corrupt("delta", "it leads from version %d to %d, or has no root", d.From, d.To)
+	}
+	if err := checkEntries("delta", d.Changed); err != nil {
+		return Delta{}, err
+	}
+	if !slices.IsSorted(d.Removed) {
+		return Delta{}, corrupt("delta", "the removed parts are out of order")
+	}
+	for _, name := range sortedKeys(d.Inline) {
+		e, ok := Manifest{Entries: d.Changed}.entry(name)
+		if !ok || e != newPart(name, d.Inline[name]).Entry {
+			return Delta{}, corrupt("delta", "the part %q is not the listed one", name)
+		}
+	}
+	return d, nil
+}
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -21,7 +21,7 @@
 	for i := range d.overlays {
 		d.overlays[i].applySite(c, e)
 	}
-	m := merger{c: c, d: d, e: e}
+	m := merger{c: c, d: d, e: e, owner: map[string]string{}}
 	for i := range d.base.services {
 		e.Services = append(e.Services, m.service(&d.base.services[i]))
 	}
@@ -84,7 +84,7 @@
 	c *collector
 	d *declared
 	e *estate.Estate
-	// owner is the site of each backend server of the base file.
+	// owner is the site of each backend server.
 	owner map[string]string
 }
 
@@ -102,13 +102,7 @@
 	for i := range s.groups {
 		g := &s.groups[i]
 		o := m.overlayOf(g.site)
-		for _, b := range m.group(s, g, o) {
-			m.own(b)
-			if o != nil {
-				b = o.backends[b.Name].apply(b)
-			}
-			out.Backends = append(out.Backends, b)
-		}
+		out.Backends = append(out.Backends, m.group(s, g, o)...)
 	}
 	for i := range m.d.overlays {
 		o := &m.d.overlays[i]
@@ -124,15 +118,9 @@
 	return out
 }
 
-func (m *merger) own(b estate.Backend) {
-	if m.owner == nil {
-		m.owner = map[string]string{}
-	}
-	m.owner[b.Name] = b.Site
-}
-
-// group expands a group: its own limits go before those of the site's overlay
-// and of the service.
+// group expands a group: what the overlay says of one backend server goes
+// before the group's own limits, and these before those of the overlay and of
+// the service.
 func (m *merger) group(s *service, g *group, o *overlay) []estate.Backend {
 	site, ok := m.e.SiteOf(g.site)
 	if !ok {
@@ -147,7 +135,14 @@
 	if l.slots == 0 || l.connections == 0 {
 		m.c.fault(KindMissingField, g.at, "state slots and connections here or at the service", "the backend servers have no slots or no connections")
 	}
-	return g.expand(m.c, site.Zone, l)
+	backends := g.expand(m.c, site.Zone, l)
+	for i, b := range backends {
+		m.owner[b.Name] = b.Site
+		if o != nil {
+			backends[i] = o.backends[b.Name].apply(b)
+		}
+	}
+	return backends
 }
 
 func (ch change) apply(b estate.Backend) estate.Backend {
@@ -181,7 +176,7 @@
 		for name, ch := range o.backends {
 			switch site, ok := m.owner[name]; {
 			case !ok:
-				m.c.fault(KindDangling, ch.at, "correct the name, or declare the backend server under add", "base.yaml has no backend server %q", name)
+				m.c.fault(KindDangling, ch.at, "correct the name, or declare the backend server under add", "there is no backend server %q", name)
 			case site != o.site:
 				m.c.fault(KindForeign, ch.at, "move it to "+overlayFile(site), "the backend server %q belongs to site %q", name, site)
 			}
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -37,6 +37,8 @@
 }
 
 func (c *collector) fault(kind Kind, at place, remedy, format string, args ...any) {
+	// Paths in an overlay begin with its file, which the fault names anyway.
+	at.path = strings.TrimPrefix(strings.TrimPrefix(at.path, at.file), ".")
 	c.faults = append(c.faults, &Error{
 		Kind: kind, File: at.file, Line: at.line, Column: at.column, Path: at.path,
 		Message: fmt.Sprintf(format, args...), Remedy: remedy,
@@ -383,6 +385,9 @@
 			continue
 		}
 		n, err := strconv.ParseInt(number, 10, 64)
+		if errors.Is(err, strconv.ErrSyntax) {
+			break
+		}
 		if err != nil || n < 1 || n > math.MaxInt64/u.bytes {
 			v.fault(KindOutOfRange, remedy, "%s is out of range", s)
 			return
--- /dev/null
+++ b/internal/config/publish/apply.go
@@ -0,0 +1,120 @@
+package publish
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyandeal/banyandeal/internal/config"
+	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/platform"
+)
+
+// maxParallelObjects is how many objects are stored or read at once.
+const maxParallelObjects = 8
+
+// Store is the part of the platform that configurations pass through;
+// *platform.Client is one, and its errors are expected.
+type Store interface {
+	ReadRow(ctx context.Context, name string) (platform.Row, error)
+	Commit(ctx context.Context, txn platform.Txn) ([]platform.Row, error)
+	PutObject(ctx context.Context, data []byte) (string, error)
+	GetObject(ctx context.Context, digest string) ([]byte, error)
+}
+
+// Apply puts a checked estate in force as the version after ExpectVersion.
+// Errors: ConflictError, StaleError and UnavailableError (nothing was
+// applied), UnsettledError (unknown), config.Error.
+func Apply(ctx context.Context, store Store, e *estate.Estate, opts Options) (Result, error) {
+	a := NewApplier(e, opts)
+	for {
+		switch act := a.Ready(); {
+		case act.ReadHead:
+			row, err := readHead(ctx, store)
+			a.HeadRead(row, err)
+		case len(act.Get) > 0:
+			objects, err := getObjects(ctx, store, act.Get)
+			a.Got(objects, err)
+		case len(act.Put) > 0:
+			a.PutDone(putObjects(ctx, store, act.Put))
+		case act.Commit != nil:
+			_, err := store.Commit(ctx, *act.Commit)
+			a.Committed(err)
+		case act.Done != nil:
+			return *act.Done, nil
+		default:
+			return Result{}, act.Err
+		}
+	}
+}
+
+// ReadHead returns the head as some recent reader could have seen it; a zero
+// Head if there is no version yet.
+func ReadHead(ctx context.Context, store Store) (Head, error) {
+	row, err := readHead(ctx, store)
+	if err != nil {
+		return Head{}, errors.Trace(err)
+	}
+	return headOf(row)
+}
+
+// ReadContent returns the content of a head from the object store.
+func ReadContent(ctx context.Context, store Store, head Head) (*config.Assembly, error) {
+	data, err := store.GetObject(ctx, string(head.Manifest))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	m, err := config.DecodeManifest(data)
+	if err != nil {
+		return nil, err
+	}
+	digests := make([]config.Digest, len(m.Entries))
+	for i, e := range m.Entries {
+		digests[i] = e.Digest
+	}
+	objects, err := getObjects(ctx, store, digests)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	byDigest := make(map[config.Digest][]byte, len(objects))
+	for i, d := range digests {
+		byDigest[d] = objects[i]
+	}
+	return config.Join(m, func(e config.Entry) ([]byte, error) { return byDigest[e.Digest], nil })
+}
+
+func readHead(ctx context.Context, store Store) (platform.Row, error) {
+	row, err := store.ReadRow(ctx, HeadRow)
+	var absent *platform.NotFound
+	if errors.As(err, &absent) {
+		return platform.Row{}, nil
+	}
+	return row, err
+}
+
+func getObjects(ctx context.Context, store Store, digests []config.Digest) ([][]byte, error) {
+	out := make([][]byte, len(digests))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxParallelObjects)
+	for i, d := range digests {
+		g.Go(func() error {
+			data, err := store.GetObject(ctx, string(d))
+			out[i] = data
+			return err
+		})
+	}
+	return out, g.Wait()
+}
+
+func putObjects(ctx context.Context, store Store, objects [][]byte) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxParallelObjects)
+	for _, data := range objects {
+		g.Go(func() error {
+			_, err := store.PutObject(ctx, data)
+			return err
+		})
+	}
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/config/publish/receiver.go
@@ -0,0 +1,317 @@
+package publish
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/banyandeal/banyandeal/internal/config"
+)
+
+// Source is where a head or an object can be had: Platform, or the id of a
+// neighbour.
+type Source string
+
+// Platform is the platform's table and object store.
+const Platform Source = "platform"
+
+// Bounds of a Receiver.
+const (
+	// maxChain is how many deltas are followed before the full manifest is
+	// taken.
+	maxChain = 32
+	// maxFetches is how many objects are asked for at once.
+	maxFetches = 8
+)
+
+// Installed is one version in force at this instance.
+type Installed struct {
+	Head     Head
+	Assembly *config.Assembly
+	// Changed and Removed name the parts that differ from the version before;
+	// Changed is nil if all may. Blocks of removed parts go before those of
+	// changed ones come.
+	Changed, Removed []string
+	// objects holds the deltas that led here, for neighbours.
+	objects map[config.Digest][]byte
+	// deltas orders objects, oldest first.
+	deltas []config.Digest
+}
+
+// Object returns an object of this version, or of the deltas that led to it,
+// for a neighbour.
+func (i *Installed) Object(digest config.Digest) ([]byte, bool) {
+	if data, ok := i.objects[digest]; ok {
+		return data, true
+	}
+	if digest == i.Head.Manifest {
+		data, err := i.Assembly.Manifest().Encode()
+		return data, err == nil && config.DigestOf(data) == digest
+	}
+	return i.Assembly.Object(digest)
+}
+
+// Fetch asks a source for an object; with an empty digest, for its head.
+type Fetch struct {
+	Source Source
+	Digest config.Digest
+}
+
+// String returns the fetch as it stands in logs.
+func (f Fetch) String() string {
+	if f.Digest == "" {
+		return fmt.Sprintf("head from %s", f.Source)
+	}
+	return fmt.Sprintf("%s from %s", f.Digest, f.Source)
+}
+
+// Ready is what a Receiver wants done.
+type Ready struct {
+	// Fetch is to be started; each one ends in HeadOf, NoHead, Object or
+	// Failed.
+	Fetch []Fetch
+	// Install is to be put in force; nil if nothing changed.
+	Install *Installed
+}
+
+// Receiver follows the configuration in force. It accepts strictly higher
+// versions only, whole and with every digest checked.
+type Receiver struct {
+	current *Installed
+	// asked holds the sources that a newborn has not heard yet; nothing is
+	// taken before it is empty.
+	asked map[Source]bool
+	// heads holds the best head above current that each source has offered.
+	heads map[Source]Head
+	// asking holds the sources whose head is being fetched.
+	asking map[Source]bool
+	// heard is the highest version that each source says it has.
+	heard  map[Source]uint64
+	target *target
+	out    Ready
+	// mismatches counts heads that contradict the version in force.
+	mismatches int
+}
+
+// NewReceiver returns a Receiver of a new instance that first asks the given
+// sources, and is not ready before each has answered or failed.
+func NewReceiver(ask ...Source) *Receiver {
+	r := &Receiver{
+		asked: map[Source]bool{}, heads: map[Source]Head{}, asking: map[Source]bool{}, heard: map[Source]uint64{},
+	}
+	for _, s := range ask {
+		r.asked[s] = true
+		r.askHead(s)
+	}
+	return r
+}
+
+// Current returns the version in force, or nil before the first.
+func (r *Receiver) Current() *Installed { return r.current }
+
+// Version returns the number of the version in force; 0 before the first.
+func (r *Receiver) Version() uint64 {
+	if r.current == nil {
+		return 0
+	}
+	return r.current.Head.Version
+}
+
+// Mismatches returns how many heads contradicted the version in force.
+func (r *Receiver) Mismatches() int { return r.mismatches }
+
+// Ready returns what is to be done and forgets it.
+func (r *Receiver) Ready() Ready {
+	out := r.out
+	r.out = Ready{}
+	return out
+}
+
+// Heard tells that a source says it has a version, as a neighbour's heartbeat
+// does.
+func (r *Receiver) Heard(from Source, version uint64) {
+	r.heard[from] = version
+	if version > r.Version() && version > r.heads[from].Version {
+		r.askHead(from)
+	}
+}
+
+// Poll asks a source for its head, as is done for the platform in turn.
+func (r *Receiver) Poll(from Source) { r.askHead(from) }
+
+// Forget drops a neighbour that is gone.
+func (r *Receiver) Forget(from Source) {
+	delete(r.heard, from)
+	delete(r.heads, from)
+	delete(r.asked, from)
+	delete(r.asking, from)
+	if r.target != nil {
+		r.target.lose(from)
+	}
+	r.advance()
+}
+
+func (r *Receiver) askHead(from Source) {
+	if !r.asking[from] {
+		r.asking[from] = true
+		r.out.Fetch = append(r.out.Fetch, Fetch{Source: from})
+	}
+}
+
+// HeadOf tells the head that a source answered, fresh or stale.
+func (r *Receiver) HeadOf(from Source, head Head) {
+	delete(r.asking, from)
+	delete(r.asked, from)
+	switch {
+	case head.Version > r.Version():
+		if head.Version >= r.heads[from].Version {
+			r.heads[from] = head
+		}
+	case r.current != nil && head.Version == r.Version() && head.Root != r.current.Head.Root:
+		r.mismatches++
+	}
+	r.advance()
+}
+
+// NoHead tells that a source has no configuration.
+func (r *Receiver) NoHead(from Source) {
+	delete(r.asking, from)
+	delete(r.asked, from)
+	r.advance()
+}
+
+// Failed tells that a fetch failed or timed out.
+func (r *Receiver) Failed(f Fetch) {
+	if f.Digest == "" {
+		r.NoHead(f.Source)
+		return
+	}
+	if r.target != nil {
+		r.target.failed(f)
+	}
+	r.advance()
+}
+
+// Object tells the answer to a fetch. One that does not match its digest counts
+// as failed.
+func (r *Receiver) Object(f Fetch, data []byte) {
+	if config.DigestOf(data) != f.Digest {
+		r.Failed(f)
+		return
+	}
+	if r.target != nil {
+		r.target.got(f.Digest, data)
+	}
+	r.advance()
+}
+
+// advance works on the target until it waits for objects or there is none.
+func (r *Receiver) advance() {
+	for {
+		if r.target == nil && !r.choose() {
+			return
+		}
+		done, err := r.target.step()
+		switch {
+		case err != nil:
+			r.abandon()
+		case r.target.exhausted():
+			if r.target.full {
+				r.abandon()
+			} else {
+				r.target.full = true // a delta that nobody has; the manifest may do
+			}
+		case done != nil:
+			r.install(done)
+		default:
+			r.out.Fetch = append(r.out.Fetch, r.target.fetches()...)
+			return
+		}
+	}
+}
+
+// choose picks the highest head on offer; among equal versions that of the
+// platform, else of the lowest name.
+func (r *Receiver) choose() bool {
+	if len(r.asked) > 0 {
+		return false
+	}
+	var best Source
+	for _, s := range r.sources() {
+		h := r.heads[s]
+		if h.Version > r.heads[best].Version || (h.Version == r.heads[best].Version && s == Platform) {
+			best = s
+		}
+	}
+	if best == "" {
+		return false
+	}
+	head := r.heads[best]
+	r.target = newTarget(head, r.current, r.sourcesOf(head))
+	return true
+}
+
+func (r *Receiver) sources() []Source {
+	return slices.Sorted(maps.Keys(r.heads))
+}
+
+// sourcesOf returns who offers a head, and the platform as the last resort.
+func (r *Receiver) sourcesOf(head Head) []Source {
+	var out []Source
+	for _, s := range r.sources() {
+		if s != Platform && r.heads[s].same(head) {
+			out = append(out, s)
+		}
+	}
+	return append(out, Platform)
+}
+
+// abandon drops the target and every offer of it; a later offer tries again.
+func (r *Receiver) abandon() {
+	head := r.target.head
+	r.target = nil
+	for _, s := range r.sources() {
+		if r.heads[s].same(head) {
+			delete(r.heads, s)
+		}
+	}
+}
+
+// install puts the target in force. Versions only rise: a target is above the
+// current version when it is chosen, and the current one changes only here.
+func (r *Receiver) install(done *Installed) {
+	r.target = nil
+	if pending := r.out.Install; pending != nil {
+		done.merge(pending)
+	}
+	r.current = done
+	r.out.Install = done
+	for _, s := range r.sources() {
+		if r.heads[s].Version <= done.Head.Version {
+			delete(r.heads, s)
+		}
+	}
+}
+
+// merge adds the changes of an install that nobody has taken yet.
+func (i *Installed) merge(earlier *Installed) {
+	if i.Changed == nil || earlier.Changed == nil {
+		i.Changed, i.Removed = nil, nil
+		return
+	}
+	changed := map[string]bool{}
+	for _, name := range slices.Concat(earlier.Changed, i.Changed) {
+		if _, ok := i.Assembly.Part(name); ok {
+			changed[name] = true
+		}
+	}
+	removed := map[string]bool{}
+	for _, name := range slices.Concat(earlier.Removed, i.Removed, earlier.Changed) {
+		if _, ok := i.Assembly.Part(name); !ok {
+			removed[name] = true
+		}
+	}
+	i.Changed = slices.Sorted(maps.Keys(changed))
+	i.Removed = slices.SortedFunc(maps.Keys(removed), cmp.Compare)
+}
