--- a/internal/demo/start.go
+++ b/internal/demo/start.go
@@ -114,7 +114,7 @@
 
 // waitFor calls a URL until it answers 200.
 func (d *demo) waitFor(ctx context.Context, url string) error {
-	return d.until(ctx, startLimit, "an answer from "+url, func() bool {
+	return d.until(ctx, startLimit, "answer from "+url, func() bool {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		if err != nil {
 			return false
