platform: a read that a 5xx answers is unavailable, not a bad reply

Cause: notFoundOr looked for the status through the Unavailable that wraps it, so a 503 to ReadRow or GetObject came out as BadReply, whose remedy is to check the endpoint. Ruled out: dropping the cause from Unavailable; its text is of use. Before: TestReadErrors failed for 503 and 500. After: it passes; a 404 is still NotFound and a 403 still BadReply. Conclusion: callers that tell an outage from a wrong endpoint by type now see the outage.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -235,10 +235,14 @@
 	return &BadReply{Op: e.op, Status: e.reply.status, Detail: e.detail()}
 }
 
-// notFoundOr gives a 404 its type and any other refusal that of a bad reply.
+// notFoundOr gives a 404 its type and any other refusal that of a bad reply. An
+// Unavailable stays one, also when its cause is a 5xx.
 func notFoundOr(err error, what, name string) error {
-	var s *errStatus
-	if !errors.As(err, &s) {
+	var (
+		s *errStatus
+		u *Unavailable
+	)
+	if errors.As(err, &u) || !errors.As(err, &s) {
 		return err
 	}
 	if s.reply.status == http.StatusNotFound {
