banyanctl: diff, apply, drain, fill and lookup

Cause: a checked configuration could not be put in force, compared or edited from the command line. Ruled out: letting drain apply whatever the directory holds (it would take another operator's unmerged change back or bring unfinished edits along): an edit is only applied from a directory equal to what is in force. Writing the file before the version is accepted: after a conflict the directory would be ahead of what is in force. Before: no such commands.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/banyandeal/banyandeal/internal/operator/client"
+	"github.com/banyandeal/banyandeal/internal/platform"
 )
 
 // Names of the global flags and of the variables that set them.
@@ -94,7 +95,12 @@
 func (a *app) commands() []*cli.Command {
 	all := []*cli.Command{
 		a.validateCommand(),
+		a.diffCommand(),
+		a.applyCommand(),
+		a.drainCommand(),
+		a.fillCommand(),
 		a.statusCommand(),
+		a.lookupCommand(),
 		a.traceCommand(),
 		a.versionCommand(),
 	}
@@ -166,4 +172,17 @@
 	return endpoints, client.New(c.Duration(flagTimeout)), nil
 }
 
+// platformClient returns a client of the platform.
+func platformClient(c *cli.Command) (*platform.Client, error) {
+	endpoints := c.StringSlice(flagPlatform)
+	if len(endpoints) == 0 {
+		return nil, usagef("give --platform URL or set "+envPlatform, "no platform endpoint is known")
+	}
+	p, err := platform.New(endpoints, platform.Options{Timeout: c.Duration(flagTimeout)})
+	if err != nil {
+		return nil, usagef("correct --platform or "+envPlatform, "%v", err)
+	}
+	return p, nil
+}
+
 func (a *app) printf(format string, args ...any) { fmt.Fprintf(a.Stdout, format, args...) }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -51,12 +51,13 @@
 	ts.Setenv(envAddresses, ts.Getenv(envAddresses)+" "+addr+" "+name)
 }
 
-// TestSessions runs whole sessions at the tool. Besides the commands of
-// testscript they have
+// TestSessions runs whole sessions at the tool, each in a directory with the
+// configuration testdata/estate. Besides the commands of testscript they have
 //
 //	exits CODE banyanctl ARGS...   run the tool, which must end with the code
 //	platform                       start a platform and set BANYAN_PLATFORM
 //	faults JSON                    set the faults of the platform
+//	lossy                          lose the reply to the next write, be down then
 //	instances FILE                 start the instances of the file and set
 //	                               BANYAN_OPERATOR to the first, $NAME to each
 func TestSessions(t *testing.T) {
@@ -68,13 +69,14 @@
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("CHANGE_ID", "change-1")
 			env.Setenv("GORACE", "atexit_sleep_ms=10") // of each run of the tool, a second by default
-			return nil
+			return os.CopyFS(env.WorkDir+"/estate", os.DirFS("testdata/estate"))
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"exits":     exits,
 			"platform":  startPlatform,
 			"faults":    setFaults,
 			"instances": startInstances,
+			"lossy":     startLossy,
 		},
 	})
 }
@@ -130,7 +132,7 @@
 	if code := cli.Run(t.Context(), []string{"banyanctl", "--help"}, o); code != cli.ExitOK {
 		t.Fatalf("exit code %d", code)
 	}
-	for _, name := range []string{"validate", "status", "trace", "version", "completion"} {
+	for _, name := range []string{"validate", "diff", "apply", "drain", "fill", "status", "lookup", "trace", "version", "completion"} {
 		if !bytes.Contains(out.Bytes(), []byte("\n   "+name)) {
 			t.Errorf("no command %s in\n%s", name, out.String())
 		}
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -7,7 +7,9 @@
 	"github.com/juju/errors"
 
 	"github.com/banyandeal/banyandeal/internal/config"
+	"github.com/banyandeal/banyandeal/internal/config/publish"
 	"github.com/banyandeal/banyandeal/internal/operator/client"
+	"github.com/banyandeal/banyandeal/internal/outcome"
 	"github.com/banyandeal/banyandeal/internal/platform"
 )
 
@@ -21,7 +23,8 @@
 	ExitUsage = 2
 	// ExitInvalid is a configuration with faults; nothing was applied.
 	ExitInvalid = 3
-	// ExitConflict means that another operator was first; nothing was written.
+	// ExitConflict means that what is in force is not what the operator started
+	// from: another operator was first; nothing was written.
 	ExitConflict = 4
 	// ExitPlatform means that the platform could not be reached; nothing was
 	// written.
@@ -83,19 +86,19 @@
 	switch {
 	case err == nil:
 		return ExitOK
-	case isKind[*platform.ReplyLost](err):
+	case isKind[*publish.UnsettledError](err), isKind[*platform.ReplyLost](err):
 		return ExitUnknown
 	case isKind[*UsageError](err):
 		return ExitUsage
-	case isKind[*config.Error](err):
-		return ExitInvalid
-	case isKind[*platform.Conflict](err):
+	case isKind[*publish.ConflictError](err), isKind[*publish.StaleError](err), isKind[*OutOfDateError](err):
 		return ExitConflict
-	case isKind[*platform.Unavailable](err):
+	case isKind[*publish.UnavailableError](err), isKind[*platform.Unavailable](err):
 		return ExitPlatform
+	case isKind[*config.Error](err):
+		return ExitInvalid
 	case isKind[*NotInForceError](err):
 		return ExitNotInForce
-	case isKind[*client.Unreachable](err):
+	case isKind[*client.Unreachable](err), isKind[*outcome.Error](err):
 		return ExitUnreachable
 	}
 	return ExitInternal
--- a/internal/cli/fakes_test.go
+++ b/internal/cli/fakes_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/banyandeal/banyandeal/internal/filter/accept"
 	"github.com/banyandeal/banyandeal/internal/operator"
+	"github.com/banyandeal/banyandeal/internal/outcome"
 	"github.com/banyandeal/banyandeal/internal/standin/platform"
 	"github.com/banyandeal/banyandeal/internal/trace"
 )
@@ -44,6 +48,42 @@
 	ts.Check(s.(*platform.Server).SetFaults(f))
 }
 
+// startLossy puts a front before the platform that passes calls on until a
+// transaction is committed, loses its reply and is down from then on.
+func startLossy(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 0 {
+		ts.Fatalf("usage: lossy")
+	}
+	target := ts.Getenv("BANYAN_PLATFORM")
+	var down atomic.Bool
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		req, err := http.NewRequestWithContext(r.Context(), r.Method, target+r.URL.EscapedPath(), r.Body)
+		if err != nil {
+			panic(err)
+		}
+		res, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer func() { _ = res.Body.Close() }()
+		if r.Method == http.MethodPost {
+			down.Store(true)
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(res.StatusCode)
+		_, _ = io.Copy(w, res.Body)
+	}))
+	ts.Defer(front.Close)
+	ts.Setenv("BANYAN_PLATFORM", front.URL)
+	ts.Setenv("PLATFORM", target)
+	nameAddress(ts, front.URL, "URL-of-lossy")
+	nameAddress(ts, strings.TrimPrefix(front.URL, "http://"), "lossy")
+}
+
 // fakeInstance is one instance of a session. Its status lists all instances.
 type fakeInstance struct {
 	Status operator.Status `json:"status"`
@@ -51,6 +91,8 @@
 	// stays. Empty means Status.Version.
 	Versions []uint64     `json:"versions"`
 	Spans    []trace.Span `json:"spans"`
+	// Lookup is the answer to look-ups of its service.
+	Lookup json.RawMessage `json:"lookup"`
 	// Fault is "refuse" or "garbage" instead of answers.
 	Fault string `json:"fault"`
 	// Believed is the state that others hold it to be in, live by default.
@@ -104,6 +146,8 @@
 		_ = json.NewEncoder(w).Encode(s)
 	case one:
 		_ = json.NewEncoder(w).Encode(f.spans(func(s trace.Span) bool { return s.Trace == id }))
+	case r.URL.Path == "/v1/lookup":
+		f.lookup(w, r.FormValue("service"))
 	case r.URL.Path == "/v1/trace":
 		_ = json.NewEncoder(w).Encode(f.spans(func(s trace.Span) bool { return s.Parent == "" }))
 	default:
@@ -111,6 +155,17 @@
 	}
 }
 
+func (f *fakeInstance) lookup(w http.ResponseWriter, service string) {
+	switch {
+	case f.Lookup == nil:
+		accept.WriteError(w, outcome.NotRunError(outcome.KindNotReady, time.Second, "this instance has no configuration yet"))
+	case service != "scoring":
+		accept.WriteError(w, outcome.RejectedError(outcome.KindUnknownService, "ask for a declared service", "no service %q", service))
+	default:
+		_, _ = w.Write(f.Lookup)
+	}
+}
+
 func (f *fakeInstance) spans(wanted func(trace.Span) bool) []trace.Span {
 	out := []trace.Span{}
 	for _, s := range f.Spans {
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -22,14 +22,15 @@
 
 // Unreachable is returned for an instance that gave no usable answer in time.
 type Unreachable struct {
-	// Addr is the operator address that was asked.
-	Addr  string
-	Cause error
+	// Addr is the address that was asked, of the named listener: operator or
+	// caller.
+	Addr, Listener string
+	Cause          error
 }
 
 // Error implements error.
 func (e *Unreachable) Error() string {
-	return fmt.Sprintf("instance at %s gives no answer: %v; check that it runs and that the address is its operator listener", e.Addr, e.Cause)
+	return fmt.Sprintf("instance at %s gives no answer: %v; check that it runs and that the address is its %s listener", e.Addr, e.Cause, e.Listener)
 }
 
 // Unwrap returns the cause.
@@ -73,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	if err := c.fetch(ctx, BaseURL(addr)+path, out); err != nil {
-		return errors.Trace(&Unreachable{Addr: addr, Cause: shorten(err)})
+		return errors.Trace(&Unreachable{Addr: addr, Listener: "operator", Cause: Shorten(err)})
 	}
 	return nil
 }
@@ -94,8 +95,8 @@
 	return json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(out)
 }
 
-// shorten drops the method and URL that the HTTP client puts before a cause.
-func shorten(err error) error {
+// Shorten drops the method and URL that the HTTP client puts before a cause.
+func Shorten(err error) error {
 	var u *url.Error
 	if errors.As(err, &u) {
 		return u.Err
