--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,8 @@
 	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH=$(CURDIR)/bin:$$PATH protoc -I internal/peer/peerpb --go_out=. \
 		--go_opt=module=github.com/banyandeal/banyandeal internal/peer/peerpb/peer.proto
+
+# Runs a whole estate on loopback with load and faults; fails when a promise
+# was broken.
+demo: build
+	./bin/demo --estate examples/$(ESTATE)
--- /dev/null
+++ b/internal/control/calls.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/config"
+	"github.com/banyandeal/banyandeal/internal/decide/once"
+	"github.com/banyandeal/banyandeal/internal/keys"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+)
+
+// askTimeout bounds the wait of a peer's call for the control goroutine.
+const askTimeout = time.Second
+
+// ServeCall implements peer.Handler for the calls that are not requests.
+func (c *Control) ServeCall(ctx context.Context, call *peerpb.Call, body io.Reader) (*peerpb.Reply, io.ReadCloser) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	switch m := call.Call.(type) {
+	case *peerpb.Call_Exchange:
+		return c.serveExchange(ctx, m.Exchange)
+	case *peerpb.Call_ConfigFetch:
+		return c.serveConfig(ctx, config.Digest(m.ConfigFetch.Digest))
+	case *peerpb.Call_KeyTransfer:
+		t, err := keys.DecodeTransfer(m.KeyTransfer, body)
+		if err != nil {
+			return &peerpb.Reply{Error: err.Error()}, nil
+		}
+		return ack(c.Keeper.Adopt(t), nil), nil
+	case *peerpb.Call_KeySettle:
+		known := c.Keeper.Settled(keys.DecodeHome(m.KeySettle.From), keys.DecodeRecords(m.KeySettle.Records))
+		return ack(true, known), nil
+	case *peerpb.Call_KeyMoved:
+		c.Keeper.Step(once.Moved{From: keys.DecodeHome(m.KeyMoved.From), To: keys.DecodeHome(m.KeyMoved.To)})
+		return ack(true, nil), nil
+	}
+	return &peerpb.Reply{Error: "unknown call; this instance runs an older version"}, nil
+}
+
+func ack(accepted bool, known []string) *peerpb.Reply {
+	return &peerpb.Reply{Reply: &peerpb.Reply_Ack{Ack: &peerpb.Ack{Accepted: accepted, Keys: known}}}
+}
+
+func (c *Control) serveExchange(ctx context.Context, ex *peerpb.Exchange) (*peerpb.Reply, io.ReadCloser) {
+	reply := &peerpb.Reply{Error: "the instance is stopping"}
+	c.ask(ctx, func(now time.Time) {
+		c.takeExchange(now, ex.From, ex.ConfigVersion, ex.Self, ex.Records)
+		reply = &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: &peerpb.ExchangeReply{
+			From: c.exchangeMessage().From, ConfigVersion: c.config.receiver.Version(), Self: c.selfRecord(), Records: c.records.list(),
+		}}}
+	})
+	return reply, nil
+}
+
+func (c *Control) serveConfig(ctx context.Context, digest config.Digest) (*peerpb.Reply, io.ReadCloser) {
+	var data []byte
+	var found bool
+	c.ask(ctx, func(time.Time) { data, found = c.object(digest) })
+	reply := &peerpb.Reply{Reply: &peerpb.Reply_ConfigPart{ConfigPart: &peerpb.ConfigPart{Found: found}}}
+	return reply, io.NopCloser(bytes.NewReader(data))
+}
+
+// recordMoved names a record that tells where a home's authority went.
+const recordMoved = "keys-moved"
+
+// movedReport is the value of a recordMoved.
+type movedReport struct {
+	From once.Home `json:"from"`
+	To   once.Home `json:"to"`
+}
+
+// AnnounceMoved tells all instances, by way of the replicated records, that
+// a home's authority went to another.
+func (c *Control) AnnounceMoved(from, to once.Home) {
+	c.post(func(time.Time) {
+		c.logError("moved_record_failed", c.records.set(recordMoved+"/"+from.String(), movedReport{from, to}))
+		c.sendHeartbeats()
+	})
+}
+
+func (c *Control) takeMoved(rec *peerpb.Record) {
+	var m movedReport
+	if json.Unmarshal(rec.Value, &m) == nil {
+		c.Keeper.Step(once.Moved{From: m.From, To: m.To})
+	}
+}
--- /dev/null
+++ b/internal/control/drains.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/operator"
+)
+
+// keptDrains is how many finished drains are remembered.
+const keptDrains = 32
+
+// drainLog follows drains from their declaration until nothing is in flight.
+type drainLog struct {
+	all []operator.DrainStatus
+}
+
+// begin notes a drain; one that is known already is left as it is.
+func (d *drainLog) begin(what string, now time.Time) {
+	if slices.ContainsFunc(d.all, func(s operator.DrainStatus) bool { return s.What == what }) {
+		return
+	}
+	d.all = append(d.all, operator.DrainStatus{What: what, Since: now})
+	if len(d.all) > keptDrains {
+		d.all = d.all[1:]
+	}
+}
+
+// update notes the work left of a drain and reports whether it has just ended.
+func (d *drainLog) update(what string, inFlight int, now time.Time) (ended bool) {
+	for i := range d.all {
+		s := &d.all[i]
+		if s.What != what || s.Took != 0 {
+			continue
+		}
+		s.InFlight = inFlight
+		if inFlight == 0 {
+			s.Took = max(now.Sub(s.Since).Seconds(), 0.001)
+			return true
+		}
+	}
+	return false
+}
+
+func (d *drainLog) status() []operator.DrainStatus {
+	return append([]operator.DrainStatus(nil), d.all...)
+}
+
+// keep drops the drains that are no longer declared.
+func (d *drainLog) keep(declared map[string]bool) {
+	d.all = slices.DeleteFunc(d.all, func(s operator.DrainStatus) bool { return !declared[s.What] })
+}
+
+// followDrains notes the drains that concern this instance: its zone, and the
+// backend servers that it owns.
+func (c *Control) followDrains(now time.Time) {
+	e := c.steer.estate
+	if e == nil {
+		return
+	}
+	declared := map[string]bool{}
+	follow := func(what string, inFlight int) {
+		declared[what] = true
+		c.drains.begin(what, now)
+		if c.drains.update(what, inFlight, now) {
+			c.Log.Info().Str("what", what).Msg("drained")
+		}
+	}
+	if e.ZoneDraining(c.Self.Zone) {
+		follow("zone "+c.Self.Zone, c.Pool.Total())
+	}
+	for _, u := range c.Pool.Usage() {
+		if u.State.IsDraining() {
+			follow("backend "+u.Name, u.InFlight)
+		}
+	}
+	c.drains.keep(declared)
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/balance"
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
+	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/operator"
+	"github.com/banyandeal/banyandeal/internal/pool"
+)
+
+// statusTimeout bounds the wait of an operator's request for the control
+// goroutine.
+const statusTimeout = time.Second
+
+// Status returns what this instance knows, for operators.
+func (c *Control) Status() operator.Status {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	var s operator.Status
+	c.ask(ctx, func(time.Time) { s = c.status() })
+	return s
+}
+
+func (c *Control) status() operator.Status {
+	s := operator.Status{
+		Instance: c.Self.ID, Incarnation: c.Self.Incarnation, Zone: c.Self.Zone, Started: c.started,
+		Leaving: c.leaving != nil, PlatformUp: c.platformUp.Load(), InForceSince: c.config.inForce,
+		Latency: c.Metrics.Latencies(), Instances: c.instanceStatus(), Drains: c.drains.status(),
+	}
+	if e := c.steer.estate; e != nil {
+		s.Estate, s.Version, s.Ready = e.Name, e.Version, true
+		z, _ := e.ZoneOf(c.Self.Zone)
+		s.Region = z.Region
+		s.Services, s.Links, s.Backends = c.serviceStatus(), c.linkStatus(s.Region), c.backendStatus()
+	}
+	return s
+}
+
+func (c *Control) instanceStatus() []operator.InstanceStatus {
+	var out []operator.InstanceStatus
+	for _, z := range c.members.View().Zones {
+		for _, in := range z.Instances {
+			out = append(out, operator.InstanceStatus{
+				ID: in.ID, Incarnation: in.Incarnation, Zone: in.Zone, State: in.State.String(),
+				Operator: in.Operator, Relay: z.IsRelay(in.Identity),
+			})
+		}
+	}
+	return out
+}
+
+func (c *Control) serviceStatus() []operator.ServiceStatus {
+	var out []operator.ServiceStatus
+	for i, sp := range c.steer.plan.Services {
+		st := operator.ServiceStatus{Name: sp.Name}
+		now, total := columns(c.steer.flows[sp.Name])
+		target, _ := columns(sp.Flow)
+		for zi, z := range c.steer.plan.Zones {
+			st.Zones = append(st.Zones, operator.ServiceZoneStatus{
+				Zone: z.Name, Weight: share(now[zi], total), Target: share(target[zi], total),
+				Slots: c.zoneSlots(i, z.Name), Free: c.zoneFree(sp.Name, z.Name),
+			})
+		}
+		st.Overflow = share(now[len(now)-1], total)
+		out = append(out, st)
+	}
+	return out
+}
+
+// columns sums a matrix by zone, the overflow last.
+func columns(m placement.Matrix) (sums []placement.Rate, total placement.Rate) {
+	sums = make([]placement.Rate, m.Zones+1)
+	for e := range m.Edges {
+		for z, v := range m.Row(e) {
+			sums[z] += v
+			total += v
+		}
+	}
+	return sums, total
+}
+
+func share(part, total placement.Rate) float64 {
+	if total == 0 {
+		return 0
+	}
+	return float64(part) / float64(total)
+}
+
+func (c *Control) zoneSlots(service int, zone string) int {
+	n := 0
+	for _, b := range c.steer.estate.Services[service].Backends {
+		if b.Zone == zone && !c.steer.estate.BackendDraining(b) {
+			n += b.Slots
+		}
+	}
+	return n
+}
+
+func (c *Control) zoneFree(service, zone string) int {
+	free := 0
+	for _, in := range c.members.View().Zone(zone).Usable() {
+		if in.Identity == c.Self.Identity {
+			own, _ := c.Pool.Free(service)
+			free += own
+			continue
+		}
+		free += c.steer.loads[in.Identity][service].Free
+	}
+	return free
+}
+
+func (c *Control) linkStatus(region string) []operator.LinkStatus {
+	var out []operator.LinkStatus
+	for _, u := range c.Links.Usage() {
+		l, _ := c.steer.estate.LinkOf(region, u.To)
+		out = append(out, operator.LinkStatus{
+			From: region, To: u.To, MaxInFlight: l.MaxInFlight, MaxRate: l.MaxRate,
+			RightsInFlight: u.Rights.InFlight, RightsRate: u.Rights.Rate, InFlight: u.InFlight, Peak: u.Peak,
+		})
+	}
+	return out
+}
+
+func (c *Control) backendStatus() []operator.BackendStatus {
+	usage := map[string]pool.Usage{}
+	for _, u := range c.Pool.Usage() {
+		usage[u.Name] = u
+	}
+	var out []operator.BackendStatus
+	c.eachZoneBackend(func(s *estate.Service, b estate.Backend) {
+		st := operator.BackendStatus{Name: b.Name, Service: s.Name, Site: b.Site, Slots: b.Slots}
+		if a, ok := c.owners.machine.OwnerOf(b.Name); ok {
+			st.Owner = a.Owner.ID
+		}
+		if u, ok := usage[b.Name]; ok {
+			st.InFlight, st.Peak, st.State = u.InFlight, u.Peak, standingName(u.Standing)
+		}
+		out = append(out, st)
+	})
+	return out
+}
+
+func standingName(s balance.Standing) string {
+	switch s {
+	case balance.Open:
+		return "healthy"
+	case balance.Doubtful:
+		return "suspect"
+	}
+	return "closed"
+}
--- /dev/null
+++ b/internal/control/steer.go
@@ -0,0 +1,189 @@
+package control
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/blocktable"
+	"github.com/banyandeal/banyandeal/internal/config"
+	"github.com/banyandeal/banyandeal/internal/config/publish"
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
+	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	"github.com/banyandeal/banyandeal/internal/snapshot"
+)
+
+// steerState is where requests are steered.
+type steerState struct {
+	assembly *config.Assembly
+	// estate is the configuration in force without its blocks.
+	estate *estate.Estate
+	blocks *blocktable.Table
+	demand placement.Demand
+	plan   *placement.Plan
+	tables map[string]*placement.Table
+	// flows holds the flows that are in force, by service.
+	flows map[string]placement.Matrix
+	// loads holds what each incarnation last reported, by service.
+	loads map[membership.Identity]map[string]snapshot.Load
+}
+
+func newSteerState() *steerState {
+	return &steerState{
+		blocks: &blocktable.Table{}, tables: map[string]*placement.Table{}, loads: map[membership.Identity]map[string]snapshot.Load{},
+	}
+}
+
+// install takes a version in. Blocks follow the parts that changed; all others
+// are shared with the version before.
+func (s *steerState) install(in *publish.Installed) error {
+	skeleton := in.Assembly.Skeleton(in.Head.Version)
+	if s.estate == nil || in.Changed == nil || !sameRegions(s.estate, skeleton) {
+		return s.rebuild(in.Assembly, skeleton)
+	}
+	blocks, demand := s.blocks, append(placement.Demand(nil), s.demand...)
+	for _, name := range append(append([]string(nil), in.Removed...), in.Changed...) {
+		if !isShard(name) {
+			continue
+		}
+		if _, had := s.assembly.Part(name); !had {
+			continue
+		}
+		old, err := s.assembly.Shard(name)
+		if err != nil {
+			return err
+		}
+		for _, b := range old.Blocks {
+			blocks, _ = blocks.Without(b.Prefix)
+			demand.Remove(skeleton, b)
+		}
+	}
+	for _, name := range in.Changed {
+		if !isShard(name) {
+			continue
+		}
+		shard, err := in.Assembly.Shard(name)
+		if err != nil {
+			return err
+		}
+		for _, b := range shard.Blocks {
+			if blocks, err = blocks.With(entryOf(skeleton, b)); err != nil {
+				return err
+			}
+			demand.Add(skeleton, b)
+		}
+	}
+	s.assembly, s.estate, s.blocks, s.demand = in.Assembly, skeleton, blocks, demand
+	return nil
+}
+
+func (s *steerState) rebuild(a *config.Assembly, skeleton *estate.Estate) error {
+	var entries []blocktable.Entry
+	demand := make(placement.Demand, len(skeleton.Regions))
+	for _, name := range a.ShardNames() {
+		shard, err := a.Shard(name)
+		if err != nil {
+			return err
+		}
+		for _, b := range shard.Blocks {
+			entries = append(entries, entryOf(skeleton, b))
+			demand.Add(skeleton, b)
+		}
+	}
+	blocks, err := blocktable.New(entries)
+	if err != nil {
+		return err
+	}
+	s.assembly, s.estate, s.blocks, s.demand = a, skeleton, blocks, demand
+	return nil
+}
+
+func sameRegions(a, b *estate.Estate) bool {
+	if len(a.Regions) != len(b.Regions) {
+		return false
+	}
+	for i := range a.Regions {
+		if a.Regions[i].Name != b.Regions[i].Name {
+			return false
+		}
+	}
+	return true
+}
+
+func entryOf(e *estate.Estate, b estate.Block) blocktable.Entry {
+	return blocktable.Entry{Prefix: b.Prefix, Class: blocktable.Class(regionIndex(e, b.Region))}
+}
+
+func regionIndex(e *estate.Estate, name string) int {
+	for i, r := range e.Regions {
+		if r.Name == name {
+			return i
+		}
+	}
+	return 0
+}
+
+// steerUnits are the pieces in which blocks are steered.
+var steerUnits = placement.Units{Bits4: 24, Bits6: 56}
+
+// replan computes the placement of the configuration in force.
+func (c *Control) replan(time.Time) {
+	s := c.steer
+	plan, err := placement.Compute(placement.NewInput(s.estate, s.demand))
+	if err != nil {
+		c.Log.Error().Err(err).Msg("placement_failed")
+		return
+	}
+	s.plan = plan
+	s.tables, s.flows = map[string]*placement.Table{}, map[string]placement.Matrix{}
+	for i, sp := range plan.Services {
+		s.flows[sp.Name] = sp.Flow
+		s.tables[sp.Name] = placement.NewTable(plan, i, sp.Flow, s.blocks, steerUnits, c.ownRegion())
+	}
+	c.dirty = true
+}
+
+// ownRegion returns the index of this instance's region, which stands for
+// callers that no block contains.
+func (c *Control) ownRegion() int {
+	z, _ := c.steer.estate.ZoneOf(c.Self.Zone)
+	return regionIndex(c.steer.estate, z.Region)
+}
+
+func (c *Control) tickSteer(time.Time) {}
+
+// loadReport is the value of a load record, by service.
+type loadReport map[string]struct {
+	Free  int `json:"free"`
+	Slots int `json:"slots"`
+}
+
+// publishLoad writes this instance's load record.
+func (c *Control) publishLoad(time.Time) {
+	if c.steer.estate == nil {
+		return
+	}
+	report := loadReport{}
+	for _, s := range c.steer.estate.Services {
+		entry := report[s.Name]
+		entry.Free, entry.Slots = c.Pool.Free(s.Name)
+		report[s.Name] = entry
+	}
+	if err := c.records.set(recordLoad, report); err != nil {
+		c.Log.Error().Err(err).Msg("load_record_failed")
+	}
+}
+
+func (c *Control) takeLoad(now time.Time, rec *peerpb.Record) {
+	var report loadReport
+	if json.Unmarshal(rec.Value, &report) != nil {
+		return
+	}
+	loads := make(map[string]snapshot.Load, len(report))
+	for name, l := range report {
+		loads[name] = snapshot.Load{Free: l.Free, Slots: l.Slots, At: now}
+	}
+	c.steer.loads[membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}] = loads
+	c.dirty = true
+}
--- /dev/null
+++ b/internal/daemon/calls.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/banyandeal/banyandeal/internal/control"
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/forward"
+	"github.com/banyandeal/banyandeal/internal/outcome"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	"github.com/banyandeal/banyandeal/internal/trace"
+)
+
+// calls serves the calls of other instances: requests go to the pipeline, all
+// else to control.
+type calls struct {
+	control  *control.Control
+	recorder *trace.Recorder
+	// home runs a request as the authority of its key, run in this zone.
+	home, run filter.Handler
+}
+
+// ServeCall implements peer.Handler.
+func (c *calls) ServeCall(ctx context.Context, call *peerpb.Call, body io.Reader) (*peerpb.Reply, io.ReadCloser) {
+	f := call.GetForward()
+	if f == nil {
+		return c.control.ServeCall(ctx, call, body)
+	}
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(c.recorder.Extract(ctx, f.TraceParent), time.Duration(f.DeadlineMs)*time.Millisecond)
+	ctx, span := c.recorder.Start(ctx, "serve", attribute.String("request", f.RequestId))
+	answer, err := c.serve(ctx, f, body, start)
+	trace.End(span, err)
+	reply, out := forward.ToReply(f, answer, err)
+	if out == nil {
+		cancel()
+		return reply, nil
+	}
+	return reply, &endBody{out, cancel}
+}
+
+func (c *calls) serve(ctx context.Context, f *peerpb.Forward, body io.Reader, start time.Time) (*filter.Answer, error) {
+	snap := c.control.Snapshot()
+	if to := f.To; to.GetIncarnation() != 0 && (to.Id != snap.Self.ID || to.Incarnation != snap.Self.Incarnation) {
+		return nil, outcome.UnknownError(outcome.KindHomeGone, "incarnation %d of instance %s, the home of the key, is gone", to.Incarnation, to.Id)
+	}
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return nil, outcome.NotRunError(outcome.KindInternal, time.Second, "the request's body can't be read: %v", err)
+	}
+	r, bad := forward.ToRequest(snap.Estate, f, data, start)
+	if bad != nil {
+		return nil, bad
+	}
+	if r.Stage == filter.StageHome {
+		return c.home.Serve(ctx, r)
+	}
+	return c.run.Serve(ctx, r)
+}
+
+// endBody ends the call's context when its body is closed.
+type endBody struct {
+	io.ReadCloser
+	end context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *endBody) Close() error {
+	defer b.end()
+	return b.ReadCloser.Close()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,16 +4,232 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/banyandeal/banyandeal/internal/config/static"
+	"github.com/banyandeal/banyandeal/internal/control"
+	"github.com/banyandeal/banyandeal/internal/decide/balance"
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/once"
+	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/filter/accept"
+	"github.com/banyandeal/banyandeal/internal/filter/identify"
+	"github.com/banyandeal/banyandeal/internal/filter/limit"
+	filteronce "github.com/banyandeal/banyandeal/internal/filter/once"
+	"github.com/banyandeal/banyandeal/internal/filter/route"
+	"github.com/banyandeal/banyandeal/internal/forward"
+	"github.com/banyandeal/banyandeal/internal/keys"
+	"github.com/banyandeal/banyandeal/internal/links"
+	"github.com/banyandeal/banyandeal/internal/lookup"
+	"github.com/banyandeal/banyandeal/internal/operator"
+	"github.com/banyandeal/banyandeal/internal/peer"
+	"github.com/banyandeal/banyandeal/internal/platform"
+	"github.com/banyandeal/banyandeal/internal/pool"
 	"github.com/banyandeal/banyandeal/internal/telemetry"
+	"github.com/banyandeal/banyandeal/internal/trace"
+)
+
+const (
+	// stopTimeout bounds the end of callers' requests after the handover.
+	stopTimeout = 30 * time.Second
+	// maxKeyTTL bounds how long a key may be valid in any estate.
+	maxKeyTTL = time.Hour
+	// claimTTL is how long a key chosen by a caller is remembered.
+	claimTTL = 10 * time.Minute
+	// idleTimeout ends kept-alive connections of callers.
+	idleTimeout = time.Minute
 )
 
+// Daemon is one running instance.
+type Daemon struct {
+	settings static.Settings
+	log      zerolog.Logger
+	metrics  *telemetry.Metrics
+	recorder *trace.Recorder
+	control  *control.Control
+	keeper   *keys.Keeper
+	pool     *pool.Pool
+	links    *links.Gate
+	peers    *peer.Client
+	platform *platform.Client
+	sender   *forward.Sender
+	home     once.Home
+
+	callerListener, peerListener, operatorListener net.Listener
+}
+
 // Run runs the daemon until ctx ends and its work is handed over.
 func Run(ctx context.Context, s static.Settings, logs io.Writer) error {
-	log := telemetry.NewLogger(logs, s.Log.Level, s.ID)
-	log.Info().Str("zone", s.Zone).Msg("started")
-	<-ctx.Done()
+	d, err := New(s, logs)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	expvar.Publish("banyandeal", d.metrics.Counters)
+	expvar.Publish("latency", expvar.Func(func() any { return d.metrics.Latencies() }))
+	return d.Run(ctx)
+}
+
+// New binds the listeners and puts the parts together.
+func New(s static.Settings, logs io.Writer) (*Daemon, error) {
+	d := &Daemon{settings: s, log: telemetry.NewLogger(logs, s.Log.Level, s.ID), metrics: telemetry.NewMetrics(), links: links.New(), peers: peer.NewClient()}
+	var spans io.Writer
+	if s.Trace.File != "" {
+		f, err := os.OpenFile(s.Trace.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, errors.Annotate(err, "trace.file can't be opened; give a path that can be written")
+		}
+		spans = f
+	}
+	d.recorder = trace.NewRecorder(s.ID, s.Trace.Spans, spans)
+	client, err := platform.New(s.Platform.Endpoints, platform.Options{Timeout: s.Platform.Timeout})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	d.platform = client
+	if err := d.listen(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	d.assemble(time.Now())
+	return d, nil
+}
+
+// listen binds the peer listener last, since an instance that can be reached
+// there counts as alive.
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		name, addr string
+		to         *net.Listener
+	}{
+		{"caller", d.settings.Listen.Caller, &d.callerListener},
+		{"operator", d.settings.Listen.Operator, &d.operatorListener},
+		{"peer", d.settings.Listen.Peer, &d.peerListener},
+	} {
+		ln, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return errors.Annotatef(err, "listen.%s can't be bound; free the address or give another", l.name)
+		}
+		*l.to = ln
+	}
+	return nil
+}
+
+func (d *Daemon) assemble(now time.Time) {
+	s := d.settings
+	self := membership.Instance{
+		Identity: membership.Identity{ID: s.ID, Incarnation: uint64(now.UnixNano())}, Zone: s.Zone,
+		Caller: s.Advertise.Caller, Peer: s.Advertise.Peer, Operator: s.Advertise.Operator,
+	}
+	d.home = once.Home{Zone: s.Zone, ID: s.ID, Incarnation: self.Incarnation}
+	d.sender = &forward.Sender{Client: d.peers, Recorder: d.recorder, Region: d.region}
+	t := &transport{sender: d.sender, peers: d.peers, platform: d.platform, self: d.home}
+	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: maxKeyTTL, ClaimTTL: claimTTL}, t)
+	d.pool = pool.New(balance.LeastLoaded, func(r pool.Result) { d.control.BackendResult(r) })
+	d.control = control.New(control.Deps{
+		Settings: s, Self: self, Platform: d.platform, Peers: d.peers, Pool: d.pool, Links: d.links,
+		Keeper: d.keeper, Metrics: d.metrics, Log: d.log,
+	}, now)
+	t.control = d.control
+}
+
+func (d *Daemon) region() string { return d.control.Snapshot().Region }
+
+// pipeline returns the filters that a request passes: enter for callers'
+// requests, home for those sent to the authority of their key, run for those
+// that run in this zone.
+func (d *Daemon) pipeline() (enter, home, run filter.Handler) {
+	attempt := limit.Handler{Pool: d.pool, Recorder: d.recorder}
+	router := route.Filter{
+		Snapshot: d.control.Snapshot, Sender: d.sender, Slots: d.pool, Links: d.links, Budget: unlimited{},
+		Outbox: route.NewOutbox(), Metrics: d.metrics, Recorder: d.recorder,
+	}
+	run = filter.Chain(attempt, router)
+	home = filter.Chain(run, filteronce.Filter{Keeper: d.keeper})
+	enter = filter.Chain(home, identify.Filter{Issue: func(r *filter.Request) (string, error) {
+		return keys.Issue(d.home, time.Now(), r.Service.KeyTTL)
+	}})
+	return enter, home, run
+}
+
+type unlimited struct{}
+
+func (unlimited) First(string)      {}
+func (unlimited) Retry(string) bool { return true }
+
+// Run serves until ctx ends, hands over and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	enter, home, run := d.pipeline()
+	stopped, stop := context.WithCancel(context.Background())
+	defer stop()
+	controlDone := make(chan struct{})
+	d.control.Bind(stopped)
+	go func() { defer close(controlDone); d.control.Run() }()
+	peers := peer.NewServer(&calls{control: d.control, recorder: d.recorder, home: home, run: run})
+	go peers.Serve(d.peerListener)
+	callers := d.callerServer(enter)
+	go callers.Serve(d.callerListener)
+	operators := &http.Server{
+		Handler: operator.NewHandler(d.control.Status, d.recorder), ReadHeaderTimeout: d.settings.Limits.ReadHeaderTimeout,
+		MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes,
+	}
+	go operators.Serve(d.operatorListener)
+	d.log.Info().Str("zone", d.settings.Zone).Uint64("incarnation", d.home.Incarnation).
+		Str("caller", d.settings.Advertise.Caller).Str("peer", d.settings.Advertise.Peer).Msg("started")
+	err := d.wait(ctx)
+	d.shutdown(callers)
+	operators.Close()
+	stop()
+	<-controlDone
+	// The peer listener closes last: a refused connection there is evidence
+	// that this incarnation is dead.
+	d.peerListener.Close()
+	peers.Close()
+	d.peers.Close()
+	d.log.Info().Msg("stopped")
+	return errors.Trace(err)
+}
+
+// wait returns when the planned stop has handed everything over, or with an
+// error when this incarnation must end.
+func (d *Daemon) wait(ctx context.Context) error {
+	select {
+	case err := <-d.control.Fatal():
+		return err
+	case <-ctx.Done():
+	}
+	d.control.Leave(context.Background())
 	return nil
 }
+
+// shutdown lets callers' requests end.
+func (d *Daemon) shutdown(callers *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.Error().Err(err).Msg("requests_cut_off")
+	}
+}
+
+func (d *Daemon) callerServer(enter filter.Handler) *http.Server {
+	l := d.settings.Limits
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/lookup", &lookup.Handler{Snapshot: d.control.Snapshot, Metrics: d.metrics})
+	mux.Handle("/", &accept.Handler{
+		Estate: func() *estate.Estate { return d.control.Snapshot().Estate }, Next: enter, Region: d.region,
+		Metrics: d.metrics, Recorder: d.recorder,
+		Slots: semaphore.NewWeighted(int64(l.MaxInFlight)), Memory: semaphore.NewWeighted(l.BodyMemory),
+	})
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: l.ReadHeaderTimeout, ReadTimeout: l.ReadTimeout,
+		MaxHeaderBytes: l.MaxHeaderBytes, IdleTimeout: idleTimeout,
+	}
+}
--- /dev/null
+++ b/internal/daemon/transport.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/banyandeal/banyandeal/internal/control"
+	"github.com/banyandeal/banyandeal/internal/decide/once"
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/forward"
+	"github.com/banyandeal/banyandeal/internal/keys"
+	"github.com/banyandeal/banyandeal/internal/outcome"
+	"github.com/banyandeal/banyandeal/internal/peer"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	"github.com/banyandeal/banyandeal/internal/platform"
+)
+
+const (
+	// claimTries bounds the compare-and-set rounds of one batch of claims.
+	claimTries = 5
+	// claimRow is the row of a shard of claims.
+	claimRow = "claims/%d"
+)
+
+// transport is the keys.Transport of a daemon.
+type transport struct {
+	control  *control.Control
+	sender   *forward.Sender
+	peers    *peer.Client
+	platform *platform.Client
+	self     once.Home
+}
+
+// address returns the peer address of a home that may still run. A leaving or
+// suspect instance is asked as well: it alone knows.
+func (t *transport) address(h once.Home) (string, bool) { return t.control.AddressOf(h) }
+
+// Forward implements keys.Transport.
+func (t *transport) Forward(ctx context.Context, to once.Home, r *filter.Request) (a *filter.Answer, replied, sent bool, err error) {
+	addr, ok := t.address(to)
+	if !ok {
+		return nil, false, false, outcome.NotRunError(outcome.KindPeerLost, time.Second, "home %s of the key is not known here", to)
+	}
+	a, err = t.sender.Send(ctx, forward.Target{Address: addr, ID: to.ID, Incarnation: to.Incarnation}, r, filter.StageHome)
+	if err == nil {
+		return a, true, true, nil
+	}
+	var failed *forward.Failed
+	if errors.As(err, &failed) {
+		return nil, false, failed.Sent, failed.Err
+	}
+	return nil, true, true, err
+}
+
+// Claim implements keys.Transport.
+func (t *transport) Claim(ctx context.Context, batch once.ClaimBatch) once.ClaimResult {
+	failed := once.ClaimResult{Shard: batch.Shard, Failed: true}
+	for try := range claimTries {
+		row, err := t.claimRow(ctx, batch.Shard)
+		if err != nil {
+			return failed
+		}
+		var value once.ClaimRow
+		if row.Version > 0 && json.Unmarshal(row.Value, &value) != nil {
+			return failed
+		}
+		next, stand, write := value.Merge(batch.Claims, time.Now())
+		if !write {
+			return once.ClaimResult{Shard: batch.Shard, Claims: stand}
+		}
+		if done, err := t.writeClaims(ctx, row, next, try); err != nil {
+			return failed
+		} else if done {
+			return once.ClaimResult{Shard: batch.Shard, Claims: stand}
+		}
+	}
+	return failed
+}
+
+func (t *transport) claimRow(ctx context.Context, shard uint32) (platform.Row, error) {
+	name := fmt.Sprintf(claimRow, shard)
+	row, err := t.platform.ReadRow(ctx, name)
+	var missing *platform.NotFound
+	if errors.As(err, &missing) {
+		return platform.Row{Name: name}, nil
+	}
+	return row, errors.Trace(err)
+}
+
+// writeClaims reports whether the row was written; false means that another
+// writer was first.
+func (t *transport) writeClaims(ctx context.Context, row platform.Row, next once.ClaimRow, try int) (bool, error) {
+	data, err := json.Marshal(next)
+	if err != nil {
+		return false, errors.Trace(err)
+	}
+	id := fmt.Sprintf("%s/%s/%d/%d/%d", t.self, row.Name, row.Version, time.Now().UnixNano(), try)
+	_, err = t.platform.Commit(ctx, platform.Txn{ID: id, Writes: []platform.Write{{Row: row.Name, Expect: row.Version, Value: data}}})
+	var conflict *platform.Conflict
+	if errors.As(err, &conflict) {
+		return false, nil
+	}
+	return err == nil, errors.Trace(err)
+}
+
+// Transfer implements keys.Transport.
+func (t *transport) Transfer(ctx context.Context, tr once.Transfer) (bool, error) {
+	msg, body, err := keys.EncodeTransfer(tr)
+	if err != nil {
+		return false, errors.Trace(err)
+	}
+	addr, ok := t.address(tr.To)
+	if !ok {
+		return false, errors.NotFoundf("address of %s", tr.To)
+	}
+	reply, out, err := t.peers.Call(ctx, addr, &peerpb.Call{Call: &peerpb.Call_KeyTransfer{KeyTransfer: msg}}, body)
+	if err != nil {
+		return false, errors.Trace(err)
+	}
+	out.Close()
+	if reply.GetAck() == nil {
+		return false, errors.New(reply.Error)
+	}
+	return reply.GetAck().Accepted, nil
+}
+
+// Settle implements keys.Transport.
+func (t *transport) Settle(ctx context.Context, to, from once.Home, records []once.Record) ([]string, error) {
+	addr, ok := t.address(to)
+	if !ok {
+		return nil, errors.NotFoundf("address of %s", to)
+	}
+	call := &peerpb.Call{Call: &peerpb.Call_KeySettle{KeySettle: &peerpb.KeySettle{
+		From: keys.EncodeHome(from), To: keys.EncodeHome(to), Records: keys.EncodeRecords(records),
+	}}}
+	reply, out, err := t.peers.Call(ctx, addr, call, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	out.Close()
+	return reply.GetAck().GetKeys(), nil
+}
+
+// Moved implements keys.Transport.
+func (t *transport) Moved(from, to once.Home) { t.control.AnnounceMoved(from, to) }
--- a/internal/decide/membership/types.go
+++ b/internal/decide/membership/types.go
@@ -61,11 +61,12 @@
 type Instance struct {
 	Identity
 	Zone string `json:"zone"`
-	// Caller and Peer are the addresses (host:port) for callers and for other
-	// instances.
-	Caller string `json:"caller"`
-	Peer   string `json:"peer"`
-	State  State  `json:"state"`
+	// Caller, Peer and Operator are the addresses (host:port) for callers, for
+	// other instances and for operators.
+	Caller   string `json:"caller"`
+	Peer     string `json:"peer"`
+	Operator string `json:"operator"`
+	State    State  `json:"state"`
 	// Sequence is raised by the instance itself when its state changes or when
 	// it learns that it is suspected.
 	Sequence uint64 `json:"sequence"`
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -47,12 +47,12 @@
 }
 
 // Send passes the request on at the given stage and returns the answer. The
-// error is an *outcome.Error: a call that was never sent leaves the request
+// error wraps an *outcome.Error: a call that was never sent leaves the request
 // not run, a call that was lost leaves it unknown.
 func (s *Sender) Send(ctx context.Context, to Target, r *filter.Request, stage filter.Stage) (*filter.Answer, error) {
 	left := time.Until(r.Deadline)
 	if left <= 0 {
-		return nil, outcome.NotRunError(outcome.KindDeadline, 0, "the deadline passed before the request was passed on")
+		return nil, &Failed{Err: outcome.NotRunError(outcome.KindDeadline, 0, "the deadline passed before the request was passed on")}
 	}
 	call := &peerpb.Call{Call: &peerpb.Call_Forward{Forward: &peerpb.Forward{
 		RequestId: r.ID, Service: r.Service.Name, Method: r.Method, Path: r.Path, Headers: ToHeaders(r.Header),
@@ -73,12 +73,25 @@
 	return answer, nil
 }
 
-func callFailure(to Target, err error) *outcome.Error {
+// Failed is a request that got no reply of the other instance.
+type Failed struct {
+	// Sent is false if no byte of it left this instance.
+	Sent bool
+	Err  *outcome.Error
+}
+
+// Error implements error.
+func (f *Failed) Error() string { return f.Err.Error() }
+
+// Unwrap returns the outcome of the request.
+func (f *Failed) Unwrap() error { return f.Err }
+
+func callFailure(to Target, err error) *Failed {
 	var cerr *peer.CallError
 	if errors.As(err, &cerr) && cerr.Sent == peer.NotSent {
-		return outcome.NotRunError(outcome.KindPeerLost, lostRetryAfter, "instance %s can't be reached: %v", to.ID, cerr.Err)
+		return &Failed{Err: outcome.NotRunError(outcome.KindPeerLost, lostRetryAfter, "instance %s can't be reached: %v", to.ID, cerr.Err)}
 	}
-	return outcome.UnknownError(outcome.KindPeerLost, "instance %s was lost while it held the request: %v", to.ID, err)
+	return &Failed{Sent: true, Err: outcome.UnknownError(outcome.KindPeerLost, "instance %s was lost while it held the request: %v", to.ID, err)}
 }
 
 func (s *Sender) answer(r *filter.Request, to Target, reply *peerpb.Reply, body io.ReadCloser) (*filter.Answer, error) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,29 +6,31 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/attempt"
+	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/outcome"
 )
 
+// checkPath is the backend servers' health endpoint.
+const checkPath = "/healthz"
+
 // Backend is one backend server as control wants it to be used.
 type Backend struct {
 	estate.Backend
 	Service string
-	// Accepting is false for one that drains, is ejected or is being given to
-	// another owner: it gets no new work and keeps what it has.
-	Accepting bool
-	// Reserved slots count as taken until ReservedUntil: a dead owner's work
-	// may still run there.
-	Reserved      int
-	ReservedUntil time.Time
-	// Limit is how many slots may be used now, at most Slots; it is lower while
-	// the backend server is cold.
-	Limit int
+	// Standing is how far it may be given new work.
+	Standing balance.Standing
+	// OccupiedUntil is until when the work of a dead owner may run there; no
+	// new work is sent before it.
+	OccupiedUntil time.Time
+	// ColdSince is when it began to take work with cold caches.
+	ColdSince time.Time
 }
 
 // Result is how one use of a backend server ended; control learns from it.
@@ -41,111 +43,88 @@
 	Shed     bool
 	Lost     bool
 	Silent   bool
-}
-
-// Chooser picks one of the candidates for a request, -1 for none. All of them
-// have a free slot.
-type Chooser func(candidates []Candidate) int
-
-// Candidate is a backend server with a free slot.
-type Candidate struct {
-	Name     string
-	Slots    int
-	InFlight int
-	// Latency is the smoothed latency of whole answers, 0 if unknown.
-	Latency time.Duration
-	// Failures is the smoothed share of uses that failed.
-	Failures float64
+	// Cancelled is set when the caller's side ended the attempt.
+	Cancelled bool
 }
 
 // Pool is safe for concurrent use.
 type Pool struct {
-	choose Chooser
+	policy balance.Policy
 	// report takes each result; it must not block.
 	report func(Result)
 
 	mu       sync.Mutex
 	backends map[string]*member
-	services map[string][]*member
+	services map[string]*balance.Balancer
 }
 
 type member struct {
 	Backend
-	client   *attempt.Client
-	inFlight int
-	peak     int
-	latency  time.Duration
-	failures float64
-	// removed members finish what they have and are closed then.
-	removed bool
+	client *attempt.Client
+	peak   int
+	// refused is set by the backend server's own word that it is draining, and
+	// stands until control has seen it.
+	refused bool
 }
 
-const (
-	// latencyGain and failureGain are the weight of the newest observation in
-	// the smoothed figures.
-	latencyGain = 0.2
-	failureGain = 0.2
-)
-
 // New returns an empty pool.
-func New(choose Chooser, report func(Result)) *Pool {
-	return &Pool{choose: choose, report: report, backends: map[string]*member{}, services: map[string][]*member{}}
+func New(policy balance.Policy, report func(Result)) *Pool {
+	return &Pool{policy: policy, report: report, backends: map[string]*member{}, services: map[string]*balance.Balancer{}}
 }
 
 // Set replaces the set of owned backend servers. One that is no longer owned
 // gets no new work; what it has in flight goes on.
-func (p *Pool) Set(backends []Backend) {
+func (p *Pool) Set(services []estate.Service, backends []Backend) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	keep := make(map[string]*member, len(backends))
 	for _, b := range backends {
 		m := p.backends[b.Name]
 		if m == nil || m.Address != b.Address || m.MaxConnections != b.MaxConnections {
-			p.remove(m)
-			m = &member{client: attempt.New(attempt.Config{
-				Address: b.Address, MaxConns: b.MaxConnections, CheckPath: "/healthz",
-			})}
+			if m != nil {
+				m.client.Close()
+			}
+			m = &member{client: attempt.New(attempt.Config{Address: b.Address, MaxConns: b.MaxConnections, CheckPath: checkPath})}
 		}
 		m.Backend = b
+		m.refused = m.refused && b.Standing == balance.Closed
 		keep[b.Name] = m
 	}
 	for name, m := range p.backends {
 		if keep[name] == nil {
-			p.remove(m)
+			m.client.Close()
 		}
 	}
 	p.backends = keep
-	p.index()
+	p.update(services)
 }
 
-func (p *Pool) remove(m *member) {
-	if m == nil {
-		return
-	}
-	m.removed, m.Accepting = true, false
-	m.client.Close()
-}
-
-func (p *Pool) index() {
-	p.services = map[string][]*member{}
+// update tells the balancers what stands where.
+func (p *Pool) update(services []estate.Service) {
+	now := time.Now()
+	sets := map[string][]balance.Backend{}
 	for _, m := range p.backends {
-		p.services[m.Service] = append(p.services[m.Service], m)
+		sets[m.Service] = append(sets[m.Service], m.standing(now))
 	}
-	for _, ms := range p.services {
-		sort.Slice(ms, func(i, j int) bool { return ms[i].Name < ms[j].Name })
+	for _, s := range services {
+		b := p.services[s.Name]
+		if b == nil {
+			b = balance.New(balance.Settings{Policy: p.policy, ColdTime: coldTime, Deadline: s.Deadline})
+			p.services[s.Name] = b
+		}
+		b.Update(sets[s.Name])
 	}
 }
 
-// free returns the slots that may be taken now.
-func (m *member) free(now time.Time) int {
-	if !m.Accepting {
-		return 0
-	}
-	limit := min(m.Limit, m.Slots)
-	if now.Before(m.ReservedUntil) {
-		limit -= m.Reserved
+// coldTime is how long a backend server takes to warm its caches.
+const coldTime = 5 * time.Second
+
+func (m *member) standing(now time.Time) balance.Backend {
+	b := balance.Backend{Name: m.Name, Slots: m.Slots, Standing: m.Standing, ColdSince: m.ColdSince}
+	if m.refused || now.Before(m.OccupiedUntil) {
+		b.Standing = balance.Closed
 	}
-	return max(limit-m.inFlight, 0)
+	return b
 }
 
 // Lease is the right to send one request to a backend server.
@@ -162,36 +141,19 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var candidates []Candidate
-	var members []*member
-	for _, m := range p.services[service] {
-		if m.free(now) > 0 && !contains(tried, m.Name) {
-			members = append(members, m)
-			candidates = append(candidates, Candidate{m.Name, m.Slots, m.inFlight, m.latency, m.failures})
-		}
-	}
-	if len(candidates) == 0 {
+	b := p.services[service]
+	if b == nil {
 		return nil, false
 	}
-	i := p.choose(candidates)
-	if i < 0 {
+	name, err := b.Pick(now, rand.Uint64(), tried...)
+	if err != nil {
 		return nil, false
 	}
-	m := members[i]
-	m.inFlight++
-	m.peak = max(m.peak, m.inFlight)
+	m := p.backends[name]
+	m.peak = max(m.peak, b.InFlight(name))
 	return &Lease{pool: p, m: m, at: now}, true
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // Name returns the backend server's name.
 func (l *Lease) Name() string { return l.m.Name }
 
@@ -206,8 +168,11 @@
 	l.once.Do(func() {
 		res := Result{
 			Backend: l.m.Name, Outcome: rep.Outcome, Latency: time.Since(l.at), Status: rep.Status,
-			Draining: rep.Draining, Shed: rep.Err != nil && rep.Err.Kind == outcome.KindOverloaded,
-			Lost: rep.Lost, Silent: rep.Silent,
+			Draining: rep.Draining, Lost: rep.Lost, Silent: rep.Silent,
+		}
+		if rep.Err != nil {
+			res.Shed = rep.Err.Kind == outcome.KindOverloaded
+			res.Cancelled = rep.Err.Kind == outcome.KindCancelled || rep.Err.Kind == outcome.KindDeadline
 		}
 		l.pool.release(l.m, res)
 		l.pool.report(res)
@@ -217,59 +182,97 @@
 func (p *Pool) release(m *member, res Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m.inFlight--
-	failed := 0.0
-	if res.Outcome == outcome.Done {
-		m.latency += time.Duration(latencyGain * float64(res.Latency-m.latency))
-	} else {
-		failed = 1
+	b := p.services[m.Service]
+	latency := res.Latency
+	if res.Outcome != outcome.Done {
+		latency = 0
 	}
-	m.failures += failureGain * (failed - m.failures)
-	if res.Draining {
+	failed := (res.Outcome != outcome.Done && !res.Shed && !res.Cancelled) || res.Status >= serverError
+	b.End(m.Name, latency, failed)
+	if res.Draining && !m.refused {
 		// Its own answer counts at once, before control has seen it.
-		m.Accepting = false
+		m.refused = true
+		p.refresh(m.Service)
+	}
+}
+
+// serverError is the first status of a backend server's own failure.
+const serverError = 500
+
+// refresh tells one service's balancer what stands where.
+func (p *Pool) refresh(service string) {
+	now := time.Now()
+	var set []balance.Backend
+	for _, m := range p.backends {
+		if m.Service == service {
+			set = append(set, m.standing(now))
+		}
+	}
+	p.services[service].Update(set)
+}
+
+// Refresh takes notice that time passed: occupied backend servers may be free
+// now.
+func (p *Pool) Refresh() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service := range p.services {
+		p.refresh(service)
 	}
 }
 
 // Usage is what one backend server has.
 type Usage struct {
 	Backend
-	InFlight, Peak, Free int
+	InFlight, Peak int
 }
 
 // Usage returns all owned backend servers by name.
 func (p *Pool) Usage() []Usage {
-	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make([]Usage, 0, len(p.backends))
 	for _, m := range p.backends {
-		out = append(out, Usage{m.Backend, m.inFlight, m.peak, m.free(now)})
+		out = append(out, Usage{m.Backend, p.inFlight(m), m.peak})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
 
+func (p *Pool) inFlight(m *member) int {
+	if b := p.services[m.Service]; b != nil {
+		return b.InFlight(m.Name)
+	}
+	return 0
+}
+
 // InFlight returns what the named backend server has in flight from here.
 func (p *Pool) InFlight(name string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.backends[name]; m != nil {
-		return m.inFlight
+		return p.inFlight(m)
 	}
 	return 0
 }
 
+// Total returns what all backend servers have in flight from here.
+func (p *Pool) Total() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, m := range p.backends {
+		n += p.inFlight(m)
+	}
+	return n
+}
+
 // Free returns the free slots of a service and all slots that take work.
 func (p *Pool) Free(service string) (free, slots int) {
-	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, m := range p.services[service] {
-		free += m.free(now)
-		if m.Accepting {
-			slots += m.Slots
-		}
+	if b := p.services[service]; b != nil {
+		return b.Free(time.Now())
 	}
-	return free, slots
+	return 0, 0
 }
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/estate"
 )
@@ -25,6 +26,9 @@
 	// Zones stand in the order of Estate.Zones, which is that of
 	// placement.ZoneIndex.
 	Zones []Zone
+	// Peers holds the peer address of every incarnation that may be alive,
+	// suspect and leaving ones included.
+	Peers map[membership.Identity]string
 	// Version counts published snapshots.
 	Version uint64
 }
