--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -252,7 +252,7 @@
 	zone := d.targets.drainZone
 	d.say("drain zone %s", zone)
 	d.drainBegan = time.Now()
-	if err := d.change(ctx, "drain of zone "+zone+" in force", "drain", "zone", zone, "--dir", d.dir, "--apply"); err != nil {
+	if err := d.change(ctx, "drain of zone "+zone+" in force", "drain", "zone", zone, "--dir", d.dir, "--apply", "--author", "demo"); err != nil {
 		return errors.Trace(err)
 	}
 	var quiet time.Time
@@ -273,7 +273,7 @@
 	zone := d.targets.drainZone
 	d.say("fill zone %s", zone)
 	d.fillBegan = time.Now()
-	if err := d.change(ctx, "fill of zone "+zone+" in force", "fill", "zone", zone, "--dir", d.dir, "--apply"); err != nil {
+	if err := d.change(ctx, "fill of zone "+zone+" in force", "fill", "zone", zone, "--dir", d.dir, "--apply", "--author", "demo"); err != nil {
 		return errors.Trace(err)
 	}
 	return pause(ctx, fillTime)
