operator/client: an empty status is no answer

Cause: an instance whose control goroutine does not answer in time sends an empty status. Two of them were taken for one instance and the exit code of status was 0. Conclusion: a status counts only with an instance in it.

--- a/internal/cli/fakes_test.go
+++ b/internal/cli/fakes_test.go
@@ -93,7 +93,7 @@
 	Spans    []trace.Span `json:"spans"`
 	// Lookup is the answer to look-ups of its service.
 	Lookup json.RawMessage `json:"lookup"`
-	// Fault is "refuse" or "garbage" instead of answers.
+	// Fault is "refuse", "garbage" or "empty" instead of answers.
 	Fault string `json:"fault"`
 	// Believed is the state that others hold it to be in, live by default.
 	Believed string `json:"believed"`
@@ -133,9 +133,13 @@
 }
 
 func (f *fakeInstance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.Fault == "garbage" {
+	switch f.Fault {
+	case "garbage":
 		_, _ = w.Write([]byte("<html>"))
 		return
+	case "empty":
+		_, _ = w.Write([]byte("{}"))
+		return
 	}
 	switch id, one := strings.CutPrefix(r.URL.Path, "/v1/trace/"); {
 	case r.URL.Path == "/v1/status":
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -54,7 +54,13 @@
 // Errors: Unreachable.
 func (c *Client) Status(ctx context.Context, addr string) (operator.Status, error) {
 	var s operator.Status
-	return s, c.get(ctx, addr, "/v1/status", &s)
+	if err := c.get(ctx, addr, "/v1/status", &s); err != nil {
+		return s, err
+	}
+	if s.Instance == "" { // it answers, and its control state does not
+		return s, errors.Trace(&Unreachable{Addr: addr, Listener: "operator", Cause: errors.New("the status is empty")})
+	}
+	return s, nil
 }
 
 // Spans returns what the instance holds of one trace. Errors: Unreachable.
