control: health of owned backend servers from probes, answers and the list

Cause: the thin path took every owned backend server for healthy until the platform listed it as leaving. The health machine now sees probes over fresh connections, the result of each use and the list; a backend server's own word that it drains closes it in the pool at once, before control has seen it.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -143,6 +143,7 @@
 	c.Metrics.Count("config.installed")
 	c.replan(now)
 	c.installBackends(now)
+	c.installHealth(now)
 	c.sendHeartbeats()
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -56,6 +56,7 @@
 	config  *configState
 	steer   *steerState
 	owners  *ownerState
+	health  *healthState
 	timers  timers
 	// dirty is set when the snapshot no longer matches the state.
 	dirty   bool
@@ -77,7 +78,8 @@
 		Deps: d, started: now, events: make(chan func(time.Time), eventQueue),
 		members: membership.New(membership.Config{Self: d.Self}, now),
 		records: newRecords(d.Self.Identity), steer: newSteerState(), owners: newOwnerState(d.Self, now),
-		fatal: make(chan error, 1),
+		health: newHealthState(),
+		fatal:  make(chan error, 1),
 	}
 	c.config = newConfigState()
 	c.snap.Store(&snapshot.Snapshot{Self: c.selfView(), Zone: d.Self.Zone})
@@ -166,9 +168,7 @@
 	if due(&c.timers.configPoll, now, t.ConfigPoll) {
 		c.pollConfig()
 	}
-	if due(&c.timers.health, now, healthPeriod) {
-		c.probeBackends()
-	}
+	c.tickHealth(now)
 	c.tickSteer(now)
 	c.tickOwners(now)
 	c.tickLeaving(now)
@@ -185,6 +185,7 @@
 func (c *Control) settle(now time.Time) {
 	c.settleMembers(now)
 	c.settleOwners(now)
+	c.settleHealth()
 	c.settleConfig(now)
 	if c.dirty {
 		c.dirty = false
--- a/internal/control/owners.go
+++ b/internal/control/owners.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/ownership"
 	"github.com/banyandeal/banyandeal/internal/estate"
@@ -22,8 +21,6 @@
 	held map[string]*holding
 	// view is the membership view that the machine saw last.
 	view *membership.View
-	// listed are the backend servers that the platform lists as leaving.
-	listed map[string]bool
 }
 
 // holding is one owned backend server.
@@ -39,26 +36,10 @@
 func newOwnerState(self membership.Instance, now time.Time) *ownerState {
 	return &ownerState{
 		machine: ownership.New(ownership.Config{Self: self.Identity, Peer: self.Peer, Zone: self.Zone}, now),
-		held:    map[string]*holding{}, listed: map[string]bool{},
+		held:    map[string]*holding{},
 	}
 }
 
-// takeBackendList notes which backend servers the platform lists as leaving.
-func (c *Control) takeBackendList(_ time.Time, list []platform.Instance) {
-	listed := map[string]bool{}
-	for _, l := range list {
-		if l.Kind == platform.KindBackend && l.State == platform.InstanceLeaving {
-			listed[l.ID] = true
-		}
-	}
-	for name := range listed {
-		if !c.owners.listed[name] {
-			c.dirty = true
-		}
-	}
-	c.owners.listed = listed
-}
-
 // installBackends tells the machine the zone's backend servers of a new
 // configuration.
 func (c *Control) installBackends(now time.Time) {
@@ -114,6 +95,9 @@
 	for _, s := range ready.Starts {
 		c.startOwning(now, s)
 	}
+	if len(ready.Starts)+len(ready.Gave)+len(ready.Lost) > 0 {
+		defer c.installHealth(now)
+	}
 	for _, s := range ready.Stops {
 		if h := c.owners.held[s.Backend]; h != nil {
 			h.stopping, h.attempt = true, s.Attempt
@@ -201,7 +185,7 @@
 }
 
 // applyOwners gives the pool the backend servers that this instance may use.
-func (c *Control) applyOwners() {
+func (c *Control) applyOwners(now time.Time) {
 	if c.steer.estate == nil {
 		return
 	}
@@ -211,17 +195,10 @@
 		if h == nil {
 			return
 		}
+		standing, cold := c.standing(now, b, h)
 		owned = append(owned, pool.Backend{
-			Backend: b, Service: s.Name, Standing: c.standing(b, h), OccupiedUntil: h.occupiedUntil,
+			Backend: b, Service: s.Name, Standing: standing, ColdSince: cold, OccupiedUntil: h.occupiedUntil,
 		})
 	})
 	c.Pool.Set(c.steer.estate.Services, owned)
 }
-
-// standing is how far an owned backend server may be given new work.
-func (c *Control) standing(b estate.Backend, h *holding) balance.Standing {
-	if h.stopping || c.owners.listed[b.Name] || b.State.IsDraining() {
-		return balance.Closed
-	}
-	return balance.Open
-}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -9,7 +9,7 @@
 )
 
 // publish makes the state visible to traffic.
-func (c *Control) publish(time.Time) {
+func (c *Control) publish(now time.Time) {
 	old := c.snap.Load()
 	s := &snapshot.Snapshot{
 		Self: c.selfView(), Zone: c.Self.Zone, Estate: c.steer.estate, InForce: c.config.inForce,
@@ -22,7 +22,7 @@
 			s.Zones = append(s.Zones, snapshot.Zone{Name: z.Name, Region: z.Region, Instances: c.usable(z.Name)})
 		}
 	}
-	c.applyOwners()
+	c.applyOwners(now)
 	c.applyLinks(s.Region)
 	c.snap.Store(s)
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/operator"
@@ -136,19 +135,9 @@
 			st.Owner = a.Owner.ID
 		}
 		if u, ok := usage[b.Name]; ok {
-			st.InFlight, st.Peak, st.State = u.InFlight, u.Peak, standingName(u.Standing)
+			st.InFlight, st.Peak, st.State = u.InFlight, u.Peak, c.health.machine.State(b.Name).String()
 		}
 		out = append(out, st)
 	})
 	return out
 }
-
-func standingName(s balance.Standing) string {
-	switch s {
-	case balance.Open:
-		return "healthy"
-	case balance.Doubtful:
-		return "suspect"
-	}
-	return "closed"
-}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -62,9 +62,9 @@
 	Backend
 	client *attempt.Client
 	peak   int
-	// refused is set by the backend server's own word that it is draining, and
-	// stands until control has seen it.
-	refused bool
+	// refusedUntil is set by the backend server's own word that it is
+	// draining; by then control has seen it.
+	refusedUntil time.Time
 }
 
 // New returns an empty pool.
@@ -87,7 +87,6 @@
 			m = &member{client: attempt.New(attempt.Config{Address: b.Address, MaxConns: b.MaxConnections, CheckPath: checkPath})}
 		}
 		m.Backend = b
-		m.refused = m.refused && b.Standing == balance.Closed
 		keep[b.Name] = m
 	}
 	for name, m := range p.backends {
@@ -116,12 +115,17 @@
 	}
 }
 
-// coldTime is how long a backend server takes to warm its caches.
-const coldTime = 5 * time.Second
+const (
+	// coldTime is how long a backend server takes to warm its caches.
+	coldTime = 5 * time.Second
+	// refusedTime is how long a backend server's notice that it is draining
+	// stands here by itself.
+	refusedTime = 2 * time.Second
+)
 
 func (m *member) standing(now time.Time) balance.Backend {
 	b := balance.Backend{Name: m.Name, Slots: m.Slots, Standing: m.Standing, ColdSince: m.ColdSince}
-	if m.refused || now.Before(m.OccupiedUntil) {
+	if now.Before(m.refusedUntil) || now.Before(m.OccupiedUntil) {
 		b.Standing = balance.Closed
 	}
 	return b
@@ -189,9 +193,9 @@
 	}
 	failed := (res.Outcome != outcome.Done && !res.Shed && !res.Cancelled) || res.Status >= serverError
 	b.End(m.Name, latency, failed)
-	if res.Draining && !m.refused {
+	if res.Draining {
 		// Its own answer counts at once, before control has seen it.
-		m.refused = true
+		m.refusedUntil = time.Now().Add(refusedTime)
 		p.refresh(m.Service)
 	}
 }
