config/publish: scripts and a property of the versioned path

Cause: publish was untested. Ruled out: settling by a read of the head alone, which may be stale; the same compare-and-set is sent again and takes effect once at most. Before: conflict for a change in force. After: each delta names the change of the version that it leads from.

--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -164,9 +164,11 @@
 type Delta struct {
 	From uint64 `json:"from"`
 	To   uint64 `json:"to"`
-	// ChangeID and Author are those of version To.
-	ChangeID string `json:"change_id"`
-	Author   string `json:"author"`
+	// FromChangeID is the change of version From; ChangeID and Author are those
+	// of version To.
+	FromChangeID string `json:"from_change_id"`
+	ChangeID     string `json:"change_id"`
+	Author       string `json:"author"`
 	// Prev is the digest of the delta that led to From; empty for the first.
 	Prev     Digest `json:"prev,omitempty"`
 	FromRoot Digest `json:"from_root"`
@@ -204,7 +206,7 @@
 // Compose returns the delta that leads over d and then over next.
 func (d Delta) Compose(next Delta) Delta {
 	out := next
-	out.From, out.FromRoot, out.Prev = d.From, d.FromRoot, d.Prev
+	out.From, out.FromRoot, out.FromChangeID, out.Prev = d.From, d.FromRoot, d.FromChangeID, d.Prev
 	changed := map[string]Entry{}
 	removed := map[string]bool{}
 	out.Inline = map[string][]byte{}
--- a/internal/config/publish/applier.go
+++ b/internal/config/publish/applier.go
@@ -265,7 +265,8 @@
 	}
 	a.delta = config.NewDelta(a.manifest, m)
 	a.delta.From, a.delta.To = a.head.Version, a.next.Version
-	a.delta.ChangeID, a.delta.Author, a.delta.Prev = a.opts.ChangeID, a.opts.Author, a.head.Delta
+	a.delta.FromChangeID, a.delta.ChangeID, a.delta.Author = a.head.ChangeID, a.opts.ChangeID, a.opts.Author
+	a.delta.Prev = a.head.Delta
 	a.delta.SetInline(parts)
 	if data, err = a.delta.Encode(); err != nil {
 		return err
@@ -383,11 +384,12 @@
 	switch {
 	case err != nil:
 		a.giveUpWalk(err)
-	case d.ChangeID == a.opts.ChangeID:
-		// It was in force as version d.To; newer versions follow it.
-		a.next.Version, a.next.Root, a.next.Author, a.next.ChangeID = d.To, d.Root, d.Author, d.ChangeID
+	case d.FromChangeID == a.opts.ChangeID:
+		// It was in force as version d.From; newer versions follow it.
+		a.next.Version, a.next.Root = d.From, d.FromRoot
+		a.next.Author, a.next.ChangeID = a.opts.Author, a.opts.ChangeID
 		a.finish(a.result(true))
-	case d.To <= a.opts.ExpectVersion+1 || d.Prev == "":
+	case d.From <= a.opts.ExpectVersion+1 || d.Prev == "":
 		a.fail(&ConflictError{Expected: a.opts.ExpectVersion, Head: a.seen})
 	case a.deltas >= maxSettleDeltas:
 		a.giveUpWalk(errors.Errorf("%d newer versions are in force", maxSettleDeltas))
--- a/internal/config/publish/apply.go
+++ b/internal/config/publish/apply.go
@@ -29,23 +29,29 @@
 func Apply(ctx context.Context, store Store, e *estate.Estate, opts Options) (Result, error) {
 	a := NewApplier(e, opts)
 	for {
-		switch act := a.Ready(); {
-		case act.ReadHead:
-			row, err := readHead(ctx, store)
-			a.HeadRead(row, err)
-		case len(act.Get) > 0:
-			objects, err := getObjects(ctx, store, act.Get)
-			a.Got(objects, err)
-		case len(act.Put) > 0:
-			a.PutDone(putObjects(ctx, store, act.Put))
-		case act.Commit != nil:
-			_, err := store.Commit(ctx, *act.Commit)
-			a.Committed(err)
-		case act.Done != nil:
+		act := a.Ready()
+		if act.Done != nil {
 			return *act.Done, nil
-		default:
+		}
+		if act.Err != nil {
 			return Result{}, act.Err
 		}
+		perform(ctx, store, a, act)
+	}
+}
+
+// perform does what an Applier asks for and tells it the result.
+func perform(ctx context.Context, store Store, a *Applier, act Action) {
+	switch {
+	case act.ReadHead:
+		a.HeadRead(readHead(ctx, store))
+	case len(act.Get) > 0:
+		a.Got(getObjects(ctx, store, act.Get))
+	case len(act.Put) > 0:
+		a.PutDone(putObjects(ctx, store, act.Put))
+	case act.Commit != nil:
+		_, err := store.Commit(ctx, *act.Commit)
+		a.Committed(err)
 	}
 }
 
--- /dev/null
+++ b/internal/config/publish/fake_test.go
@@ -0,0 +1,183 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/config"
+	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/platform"
+)
+
+// commitFault is what happens to one transaction.
+type commitFault string
+
+const (
+	// replyLost writes and loses the reply.
+	replyLost commitFault = "reply"
+	// requestLost does not write, and the caller cannot know.
+	requestLost commitFault = "request"
+	// late loses the reply and writes only when settle is called.
+	late commitFault = "late"
+)
+
+// fakeStore is a table of one row with its history, and objects.
+type fakeStore struct {
+	mu      sync.Mutex
+	history []platform.Row
+	objects map[string][]byte
+	// delayed holds transactions that may take effect yet.
+	delayed []platform.Txn
+	// down fails every call before it takes effect; commit is the fault of the
+	// next transaction; back is how many versions reads are behind.
+	down   bool
+	commit commitFault
+	back   int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{objects: map[string][]byte{}} }
+
+func (s *fakeStore) unavailable(op string) error {
+	if s.down {
+		return &platform.Unavailable{Op: op, Cause: errors.New("it is down")}
+	}
+	return nil
+}
+
+func (s *fakeStore) at(back int) platform.Row {
+	if i := len(s.history) - 1 - back; i >= 0 {
+		return s.history[i]
+	}
+	return platform.Row{Name: HeadRow}
+}
+
+func (s *fakeStore) ReadRow(_ context.Context, name string) (platform.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row := s.at(s.back)
+	if row.Version == 0 && !s.down {
+		return row, &platform.NotFound{What: "row", Name: name}
+	}
+	return row, s.unavailable("read")
+}
+
+func (s *fakeStore) Commit(_ context.Context, txn platform.Txn) ([]platform.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.unavailable("transaction"); err != nil {
+		return nil, err
+	}
+	fault := s.commit
+	s.commit = ""
+	lost := &platform.ReplyLost{ChangeID: txn.ID, Cause: errors.New("connection reset")}
+	switch fault {
+	case requestLost:
+		return nil, lost
+	case late:
+		s.delayed = append(s.delayed, txn)
+		return nil, lost
+	}
+	row, err := s.write(txn)
+	if fault == replyLost {
+		return nil, lost
+	}
+	return []platform.Row{row}, err
+}
+
+func (s *fakeStore) write(txn platform.Txn) (platform.Row, error) {
+	now := s.at(0)
+	if w := txn.Writes[0]; now.Version != w.Expect {
+		return now, &platform.Conflict{Row: now, Expected: w.Expect}
+	}
+	row := platform.Row{Name: HeadRow, Version: now.Version + 1, ChangeID: txn.ID, Value: txn.Writes[0].Value}
+	s.history = append(s.history, row)
+	return row, nil
+}
+
+// settle lets delayed transactions take effect.
+func (s *fakeStore) settle() {
+	for _, txn := range s.delayed {
+		_, _ = s.write(txn) // a conflict is the point of compare-and-set
+	}
+	s.delayed = nil
+}
+
+func (s *fakeStore) PutObject(_ context.Context, data []byte) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	digest := string(config.DigestOf(data))
+	if err := s.unavailable("put"); err != nil {
+		return "", err
+	}
+	s.objects[digest] = data
+	return digest, nil
+}
+
+func (s *fakeStore) GetObject(_ context.Context, digest string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[digest]
+	if !ok && !s.down {
+		return nil, &platform.NotFound{What: "object", Name: digest}
+	}
+	return data, s.unavailable("get")
+}
+
+// label names an object for golden output.
+func (s *fakeStore) label(digest config.Digest) string {
+	data := s.objects[string(digest)]
+	if d, err := config.DecodeDelta(data); err == nil {
+		return fmt.Sprintf("delta %d->%d", d.From, d.To)
+	}
+	if _, err := config.DecodeManifest(data); err == nil {
+		return "manifest"
+	}
+	for _, data := range s.objects {
+		m, err := config.DecodeManifest(data)
+		if err != nil {
+			continue
+		}
+		for _, e := range m.Entries {
+			if e.Digest == digest {
+				return e.Name
+			}
+		}
+	}
+	return "unknown"
+}
+
+// smallEstate is the small estate with another weight of its site west-a1.
+func smallEstate(t require.TestingT, weight string) *estate.Estate {
+	files, err := config.ReadFiles("../testdata/small")
+	require.NoError(t, err)
+	const overlay = "overlays/west-a1.yaml"
+	text := strings.Replace(string(files[overlay]), "weight: 0.5", "weight: "+weight, 1)
+	files[overlay] = []byte(text)
+	e, err := config.Parse(files)
+	require.NoError(t, err)
+	return e
+}
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func options(author, id string, expect uint64) Options {
+	return Options{ExpectVersion: expect, Author: author, ChangeID: id, Note: "test", Now: start}
+}
+
+// versions prints the history of the head.
+func (s *fakeStore) versions(t testing.TB) string {
+	var b strings.Builder
+	for _, row := range s.history {
+		h, err := headOf(row)
+		require.NoError(t, err)
+		fmt.Fprintf(&b, "version %d: %s by %s\n", h.Version, h.ChangeID, h.Author)
+	}
+	return b.String()
+}
--- a/internal/config/publish/receiver.go
+++ b/internal/config/publish/receiver.go
@@ -1,7 +1,6 @@
 package publish
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -18,8 +17,8 @@
 
 // Bounds of a Receiver.
 const (
-	// maxChain is how many deltas are followed before the full manifest is
-	// taken.
+	// maxChain is how many versions an instance may be behind before it takes
+	// the full manifest instead of the deltas.
 	maxChain = 32
 	// maxFetches is how many objects are asked for at once.
 	maxFetches = 8
@@ -282,8 +281,8 @@
 // current version when it is chosen, and the current one changes only here.
 func (r *Receiver) install(done *Installed) {
 	r.target = nil
-	if pending := r.out.Install; pending != nil {
-		done.merge(pending)
+	if r.out.Install != nil {
+		done.Changed, done.Removed = nil, nil // nobody took the version before
 	}
 	r.current = done
 	r.out.Install = done
@@ -293,25 +292,3 @@
 		}
 	}
 }
-
-// merge adds the changes of an install that nobody has taken yet.
-func (i *Installed) merge(earlier *Installed) {
-	if i.Changed == nil || earlier.Changed == nil {
-		i.Changed, i.Removed = nil, nil
-		return
-	}
-	changed := map[string]bool{}
-	for _, name := range slices.Concat(earlier.Changed, i.Changed) {
-		if _, ok := i.Assembly.Part(name); ok {
-			changed[name] = true
-		}
-	}
-	removed := map[string]bool{}
-	for _, name := range slices.Concat(earlier.Removed, i.Removed, earlier.Changed) {
-		if _, ok := i.Assembly.Part(name); !ok {
-			removed[name] = true
-		}
-	}
-	i.Changed = slices.Sorted(maps.Keys(changed))
-	i.Removed = slices.SortedFunc(maps.Keys(removed), cmp.Compare)
-}
--- /dev/null
+++ b/internal/config/publish/script_test.go
@@ -0,0 +1,254 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/juju/errors"
+)
+
+// TestScripts runs testdata/scripts/*.txt, each with a fresh store:
+//
+//	store  [down] [up] [commit=reply|request|late] [back=N] [settle]
+//	begin  op= id= expect= weight=   an operator starts to apply
+//	step   op= [n=1]                 does its next actions
+//	run    op=                       does all of them
+//	versions                         the history of the head
+//	new    r= [ask=(a,b)]            an instance is born
+//	heard  r= from= version=         a neighbour's heartbeat
+//	poll   r= from=                  asks for a head
+//	head   r= from= [back=N] [fail]  answers that
+//	serve  r= [fail=(a,b)] [corrupt=a] [n=100]  answers its fetches of objects
+//	forget r= from=                  a neighbour is gone
+//
+// Objects are served by the store for platform, else by the named instance.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s := &script{store: newFakeStore(), operators: map[string]*Applier{}, receivers: map[string]*instance{}}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.out.Reset()
+			s.command(t, d)
+			if s.out.Len() == 0 {
+				return "ok\n"
+			}
+			return s.out.String()
+		})
+	})
+}
+
+type script struct {
+	store     *fakeStore
+	operators map[string]*Applier
+	receivers map[string]*instance
+	out       strings.Builder
+}
+
+// instance is a Receiver and its fetches in flight.
+type instance struct {
+	*Receiver
+	fetches []Fetch
+}
+
+func (s *script) printf(format string, args ...any) { fmt.Fprintf(&s.out, format, args...) }
+
+func arg(t *testing.T, d *datadriven.TestData, name string) string {
+	var v string
+	d.ScanArgs(t, name, &v)
+	return v
+}
+
+func number(t *testing.T, d *datadriven.TestData, name string, otherwise int) int {
+	if d.HasArg(name) {
+		d.ScanArgs(t, name, &otherwise)
+	}
+	return otherwise
+}
+
+func list(d *datadriven.TestData, name string) []string {
+	for _, a := range d.CmdArgs {
+		if a.Key == name {
+			return a.Vals
+		}
+	}
+	return nil
+}
+
+func (s *script) command(t *testing.T, d *datadriven.TestData) {
+	switch d.Cmd {
+	case "store":
+		s.faults(t, d)
+	case "begin":
+		opts := options(arg(t, d, "op"), arg(t, d, "id"), uint64(number(t, d, "expect", 0)))
+		s.operators[opts.Author] = NewApplier(smallEstate(t, arg(t, d, "weight")), opts)
+	case "step":
+		for range number(t, d, "n", 1) {
+			s.step(s.operators[arg(t, d, "op")])
+		}
+	case "run":
+		for s.step(s.operators[arg(t, d, "op")]) {
+		}
+	case "versions":
+		s.printf("%s", s.store.versions(t))
+	case "new":
+		var ask []Source
+		for _, a := range list(d, "ask") {
+			ask = append(ask, Source(a))
+		}
+		s.receivers[arg(t, d, "r")] = &instance{Receiver: NewReceiver(ask...)}
+		s.drain(s.receivers[arg(t, d, "r")])
+	default:
+		s.receive(t, d, s.receivers[arg(t, d, "r")])
+	}
+}
+
+func (s *script) faults(t *testing.T, d *datadriven.TestData) {
+	switch {
+	case d.HasArg("down"):
+		s.store.down = true
+	case d.HasArg("up"):
+		s.store.down = false
+	case d.HasArg("settle"):
+		s.store.settle()
+	case d.HasArg("commit"):
+		s.store.commit = commitFault(arg(t, d, "commit"))
+	}
+	s.store.back = number(t, d, "back", 0)
+}
+
+// step does one action of an operator and reports whether there may be more.
+func (s *script) step(a *Applier) bool {
+	switch act := a.Ready(); {
+	case act.Done != nil:
+		s.printf("done: version %d already=%v\n", act.Done.Head.Version, act.Done.Already)
+		return false
+	case act.Err != nil:
+		s.printf("%T: %v\n", errors.Cause(act.Err), act.Err)
+		return false
+	default:
+		s.printf("%s\n", s.describe(act))
+		perform(context.Background(), s.store, a, act)
+		return true
+	}
+}
+
+func (s *script) describe(act Action) string {
+	switch {
+	case act.ReadHead:
+		return "read head"
+	case act.Commit != nil:
+		return fmt.Sprintf("commit %s from version %d", act.Commit.ID, act.Commit.Writes[0].Expect)
+	case len(act.Put) > 0:
+		return fmt.Sprintf("put %d objects", len(act.Put))
+	}
+	labels := make([]string, len(act.Get))
+	for i, digest := range act.Get {
+		labels[i] = s.store.label(digest)
+	}
+	return "get " + strings.Join(labels, ", ")
+}
+
+func (s *script) receive(t *testing.T, d *datadriven.TestData, r *instance) {
+	from := Source("")
+	if d.HasArg("from") {
+		from = Source(arg(t, d, "from"))
+	}
+	switch d.Cmd {
+	case "heard":
+		r.Heard(from, uint64(number(t, d, "version", 0)))
+	case "poll":
+		r.Poll(from)
+	case "forget":
+		r.Forget(from)
+	case "head":
+		s.answerHead(t, d, r, from)
+	case "serve":
+		s.serve(t, d, r)
+		return
+	default:
+		d.Fatalf(t, "unknown command %s", d.Cmd)
+	}
+	s.drain(r)
+}
+
+// drain takes a Receiver's Ready and prints it.
+func (s *script) drain(r *instance) {
+	ready := r.Ready()
+	for _, f := range ready.Fetch {
+		what := "head"
+		if f.Digest != "" {
+			what = s.store.label(f.Digest)
+		}
+		s.printf("fetch %s from %s\n", what, f.Source)
+	}
+	r.fetches = append(r.fetches, ready.Fetch...)
+	if i := ready.Install; i != nil {
+		changed := strings.Join(i.Changed, " ")
+		if i.Changed == nil {
+			changed = "everything"
+		}
+		s.printf("in force: version %d (%s)\n", i.Head.Version, changed)
+	}
+}
+
+func (s *script) answerHead(t *testing.T, d *datadriven.TestData, r *instance, from Source) {
+	f := Fetch{Source: from}
+	if !slices.Contains(r.fetches, f) {
+		d.Fatalf(t, "no head was asked of %s", from)
+	}
+	r.fetches = slices.DeleteFunc(r.fetches, func(g Fetch) bool { return f == g })
+	head := Head{}
+	if from != Platform {
+		if c := s.receivers[string(from)].Current(); c != nil {
+			head = c.Head
+		}
+	} else if row := s.store.at(number(t, d, "back", 0)); row.Version > 0 {
+		head, _ = headOf(row)
+	}
+	switch {
+	case d.HasArg("fail"):
+		r.Failed(f)
+	case head.Version == 0:
+		r.NoHead(from)
+	default:
+		r.HeadOf(from, head)
+	}
+}
+
+// serve answers fetches of objects, oldest first, with those that follow.
+func (s *script) serve(t *testing.T, d *datadriven.TestData, r *instance) {
+	for n := number(t, d, "n", 100); n > 0; n-- {
+		i := slices.IndexFunc(r.fetches, func(f Fetch) bool { return f.Digest != "" })
+		if i < 0 {
+			return
+		}
+		f := r.fetches[i]
+		r.fetches = slices.Delete(r.fetches, i, i+1)
+		data, ok := s.object(f)
+		switch {
+		case !ok || slices.Contains(list(d, "fail"), string(f.Source)):
+			s.printf("%s fails: %s\n", f.Source, s.store.label(f.Digest))
+			r.Failed(f)
+		case slices.Contains(list(d, "corrupt"), string(f.Source)):
+			s.printf("%s garbles: %s\n", f.Source, s.store.label(f.Digest))
+			r.Object(f, append([]byte{' '}, data...))
+		default:
+			r.Object(f, data)
+		}
+		s.drain(r)
+	}
+}
+
+func (s *script) object(f Fetch) ([]byte, bool) {
+	if f.Source == Platform {
+		data, ok := s.store.objects[string(f.Digest)]
+		return data, ok && !s.store.down
+	}
+	if r := s.receivers[string(f.Source)]; r != nil && r.Current() != nil {
+		return r.Current().Object(f.Digest)
+	}
+	return nil, false
+}
--- a/internal/config/publish/target.go
+++ b/internal/config/publish/target.go
@@ -16,24 +16,25 @@
 type target struct {
 	head Head
 	base *Installed
-	// sources offer the head's objects; lost holds those gone since.
+	// sources offer the head's objects; the platform is the last.
 	sources []Source
 	// objects holds what has arrived by digest.
 	objects map[config.Digest][]byte
 	// wants holds the objects still missing, asked the fetches in flight, and
-	// tried how many sources have failed to give an object.
-	wants map[config.Digest]bool
-	asked map[config.Digest]Source
-	tried map[config.Digest]int
+	// failing the sources that have failed to give an object.
+	wants   map[config.Digest]bool
+	asked   map[config.Digest]Source
+	failing map[config.Digest][]Source
 	// full is set when the deltas do not lead from base to head.
 	full bool
 }
 
 func newTarget(head Head, base *Installed, sources []Source) *target {
 	return &target{
-		head: head, base: base, sources: sources, full: base == nil || head.Delta == "",
+		head: head, base: base, sources: sources,
+		full:    base == nil || head.Delta == "" || head.Version-base.Head.Version > maxChain,
 		objects: map[config.Digest][]byte{}, wants: map[config.Digest]bool{},
-		asked: map[config.Digest]Source{}, tried: map[config.Digest]int{},
+		asked: map[config.Digest]Source{}, failing: map[config.Digest][]Source{},
 	}
 }
 
@@ -206,7 +207,7 @@
 		return // an answer to an earlier target
 	}
 	delete(t.asked, f.Digest)
-	t.tried[f.Digest]++
+	t.failing[f.Digest] = append(t.failing[f.Digest], f.Source)
 }
 
 // lose takes a source away. What was asked of it is asked of another.
@@ -219,13 +220,14 @@
 			t.failed(Fetch{Source: s, Digest: digest})
 		}
 	}
+	t.sources = slices.DeleteFunc(t.sources, func(s Source) bool { return s == from })
 }
 
 // exhausted reports whether every source has failed to give some missing
 // object.
 func (t *target) exhausted() bool {
 	for digest := range t.wants {
-		if t.tried[digest] >= len(t.sources) {
+		if t.source(digest) == "" {
 			return true
 		}
 	}
@@ -242,19 +244,25 @@
 		if t.asked[digest] != "" {
 			continue
 		}
-		f := Fetch{Source: t.sources[t.turn(digest)], Digest: digest}
+		f := Fetch{Source: t.source(digest), Digest: digest}
 		t.asked[digest] = f.Source
 		out = append(out, f)
 	}
 	return out
 }
 
-// turn picks the source of an object's next try: neighbours first, spread by
-// the digest, the platform last.
-func (t *target) turn(digest config.Digest) int {
-	tried, neighbours := t.tried[digest], len(t.sources)-1
-	if tried >= neighbours {
-		return neighbours
+// source picks the source of an object's next try: neighbours first, spread by
+// the digest, the platform last; empty if all have failed.
+func (t *target) source(digest config.Digest) Source {
+	neighbours := len(t.sources) - 1
+	for i := range neighbours {
+		s := t.sources[(int(digest[0])+int(digest[1])+i)%neighbours]
+		if !slices.Contains(t.failing[digest], s) {
+			return s
+		}
+	}
+	if slices.Contains(t.failing[digest], Platform) {
+		return ""
 	}
-	return (int(digest[0]) + int(digest[1]) + tried) % neighbours
+	return Platform
 }
