--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -125,6 +125,8 @@
 	return ctx.Err()
 }
 
+var commandNames = []string{"validate", "diff", "apply", "drain", "fill", "status", "lookup", "trace", "version", "completion"}
+
 // Help and the completion scripts name every command.
 func TestHelpNamesCommands(t *testing.T) {
 	var out bytes.Buffer
@@ -132,7 +134,7 @@
 	if code := cli.Run(t.Context(), []string{"banyanctl", "--help"}, o); code != cli.ExitOK {
 		t.Fatalf("exit code %d", code)
 	}
-	for _, name := range []string{"validate", "diff", "apply", "drain", "fill", "status", "lookup", "trace", "version", "completion"} {
+	for _, name := range commandNames {
 		if !bytes.Contains(out.Bytes(), []byte("\n   "+name)) {
 			t.Errorf("no command %s in\n%s", name, out.String())
 		}
