shift: ramps from the shares in force to those of a placement

A change of placement must reach callers under a cap per second, slower into cold zones, never beyond zones and links, and must go on when an instance is replaced.

Ruled out: one scalar of progress a service (a held zone would hold the others, and a plan changed in mid-ramp would restart it); making up for missed steps after a pause (two seconds' worth could move in one); counting a zone that gave up share as free at once (callers hold answers for the TTL).

--- a/internal/decide/placement/compute.go
+++ b/internal/decide/placement/compute.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/banyandeal/banyandeal/internal/decide/proportion"
 )
 
 // Matrix holds the flow of each cell (edge region, zone), and of each edge
@@ -50,7 +52,8 @@
 // Plan is the placement of all services. The sum of all services on a link
 // does not exceed the link's cap.
 type Plan struct {
-	Zones    []Zone
+	// Input is what the plan was made of.
+	Input    Input
 	Services []ServicePlan
 }
 
@@ -71,7 +74,7 @@
 	for _, f := range flows {
 		f.augment(g.capsFor(f, flows))
 	}
-	p := &Plan{Zones: in.Zones}
+	p := &Plan{Input: in}
 	for _, f := range flows {
 		spare := g.capsFor(f, flows)
 		p.Services = append(p.Services, ServicePlan{Name: f.service.Name, Flow: f.cells(), Spare: f.spares(spare)})
@@ -128,7 +131,7 @@
 		for e := range g.links {
 			for r, limit := range g.links[e] {
 				if need := used(flows, e, r); need > limit {
-					limit = mulDiv(limit, f.to[e][r], need)
+					limit = proportion.MulDiv(limit, f.to[e][r], need)
 				}
 				shares[i][e][r] = limit
 			}
--- a/internal/decide/placement/flow.go
+++ b/internal/decide/placement/flow.go
@@ -1,6 +1,6 @@
 package placement
 
-import "slices"
+import "github.com/banyandeal/banyandeal/internal/decide/proportion"
 
 // flow is the flow of one service between regions.
 type flow struct {
@@ -46,7 +46,7 @@
 			}
 		}
 		for r := range asked {
-			for e, amount := range divide(f.spare[r], asked[r], asked[r]) {
+			for e, amount := range proportion.Divide(f.spare[r], asked[r], asked[r]) {
 				f.move(e, r, amount)
 			}
 		}
@@ -132,8 +132,8 @@
 		for e := range f.to {
 			inflow[e] = f.to[e][r]
 		}
-		alloc := f.fillZones(zones, sum(inflow))
-		for e, row := range proportional(inflow, alloc) {
+		alloc := f.fillZones(zones, proportion.Sum(inflow))
+		for e, row := range proportion.Table(inflow, alloc) {
 			for i, z := range zones {
 				m.Row(e)[z] = row[i]
 			}
@@ -162,7 +162,7 @@
 			reach := min(caps[e][r]-f.to[e][r], f.spare[r])
 			for i, z := range zones {
 				if f.service.Capacity[z] > 0 && f.g.links[e][r] > 0 {
-					m.Row(e)[z] = max(mulDiv(reach, left[i], max(f.spare[r], 1)), 1)
+					m.Row(e)[z] = max(proportion.MulDiv(reach, left[i], max(f.spare[r], 1)), 1)
 				}
 			}
 		}
@@ -189,85 +189,10 @@
 			weights[i] = Rate(f.service.Weight[z])
 		}
 	}
-	if sum(weights) == 0 {
+	if proportion.Sum(weights) == 0 {
 		copy(weights, limits)
 	}
-	return divide(load, weights, limits)
-}
-
-// divide splits total in proportion to weights, clipped by limits; what a full
-// part can't take goes to the others. The parts add up to total or, if that is
-// less, to the limits.
-func divide(total Rate, weights, limits []Rate) []Rate {
-	parts := make([]Rate, len(weights))
-	weights = slices.Clone(weights)
-	total = min(total, sum(limits))
-	left := total
-	for left > 0 {
-		all, full := sum(weights), false
-		if all == 0 {
-			break
-		}
-		for i, w := range weights {
-			if w > 0 && mulDiv(left, w, all) >= limits[i] {
-				parts[i], weights[i], full = limits[i], 0, true
-			}
-		}
-		left = total - sum(parts)
-		if full {
-			continue
-		}
-		for i, w := range weights {
-			parts[i] += mulDiv(left, w, all)
-		}
-		break
-	}
-	return settle(total, parts, limits)
-}
-
-// settle gives what rounding has left of total to parts that have room, in
-// order.
-func settle(total Rate, parts, limits []Rate) []Rate {
-	left := total - sum(parts)
-	for i := range parts {
-		more := min(left, limits[i]-parts[i])
-		parts[i] += more
-		left -= more
-	}
-	return parts
-}
-
-// proportional returns a matrix whose rows add up to rows and whose columns add
-// up to cols, each value within rounding of rows[i]*cols[j]/total.
-func proportional(rows, cols []Rate) [][]Rate {
-	total := max(sum(rows), 1)
-	m := make([][]Rate, len(rows))
-	left := slices.Clone(cols)
-	for i := range rows {
-		m[i] = make([]Rate, len(cols))
-		for j := range cols {
-			m[i][j] = mulDiv(rows[i], cols[j], total)
-			left[j] -= m[i][j]
-		}
-	}
-	for i := range rows {
-		need := rows[i] - sum(m[i])
-		for j := range cols {
-			more := min(need, left[j])
-			m[i][j] += more
-			left[j] -= more
-			need -= more
-		}
-	}
-	return m
-}
-
-func sum(v []Rate) Rate {
-	var s Rate
-	for _, x := range v {
-		s += x
-	}
-	return s
+	return proportion.Divide(load, weights, limits)
 }
 
 func filled(n, v int) []int {
--- a/internal/decide/placement/input.go
+++ b/internal/decide/placement/input.go
@@ -14,11 +14,11 @@
 import (
 	"fmt"
 	"math"
-	"math/bits"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/proportion"
 	"github.com/banyandeal/banyandeal/internal/estate"
 )
 
@@ -68,6 +68,8 @@
 	// Weight splits a region's flow among its zones, before capacity clips it.
 	// Zones of a region in which all weights are 0 share by capacity.
 	Weight []int64
+	// LookupTTL is how long callers may go on after an answer has changed.
+	LookupTTL time.Duration
 }
 
 // Input is all that a placement depends on.
@@ -134,7 +136,7 @@
 	for i := range in.Services {
 		in.Services[i].Demand = make([]Rate, len(d))
 		for r := range d {
-			in.Services[i].Demand[r] = mulDiv(d[r], sums[i], max(total, 1))
+			in.Services[i].Demand[r] = proportion.MulDiv(d[r], sums[i], max(total, 1))
 		}
 	}
 	in.Links = newLinks(e)
@@ -142,7 +144,7 @@
 }
 
 func newService(e *estate.Estate, s *estate.Service) Service {
-	out := Service{Name: s.Name, Capacity: make([]Rate, len(e.Zones)), Weight: make([]int64, len(e.Zones))}
+	out := Service{Name: s.Name, LookupTTL: s.LookupTTL, Capacity: make([]Rate, len(e.Zones)), Weight: make([]int64, len(e.Zones))}
 	for i, z := range e.Zones {
 		out.Weight[i] = share(s.Weights[z.Name])
 	}
@@ -159,7 +161,7 @@
 		if site, ok := e.SiteOf(b.Site); ok {
 			weight = share(site.Weight)
 		}
-		out.Capacity[z] += mulDiv(perSlot*Rate(b.Slots), Rate(weight), shareUnit)
+		out.Capacity[z] += proportion.MulDiv(perSlot*Rate(b.Slots), Rate(weight), shareUnit)
 	}
 	return out
 }
@@ -169,7 +171,7 @@
 	if s.MeanTime <= 0 {
 		return 0
 	}
-	return mulDiv(mulDiv(PerSecond, Rate(time.Second), Rate(s.MeanTime)), Rate(share(s.MaxUtilisation)), shareUnit)
+	return proportion.MulDiv(proportion.MulDiv(PerSecond, Rate(time.Second), Rate(s.MeanTime)), Rate(share(s.MaxUtilisation)), shareUnit)
 }
 
 // declaredCapacity counts draining backend servers too, so that a drain does
@@ -193,7 +195,7 @@
 		if from < 0 || to < 0 || from == to {
 			continue
 		}
-		inFlight := mulDiv(Rate(l.MaxInFlight)*PerSecond, Rate(time.Second), Rate(longest+linkRoundTrip))
+		inFlight := proportion.MulDiv(Rate(l.MaxInFlight)*PerSecond, Rate(time.Second), Rate(longest+linkRoundTrip))
 		links = append(links, Link{From: from, To: to, Cap: min(rate(l.MaxRate), inFlight)})
 	}
 	slices.SortFunc(links, func(a, b Link) int {
@@ -216,14 +218,3 @@
 func rate(perSecond float64) Rate { return Rate(math.Round(perSecond * float64(PerSecond))) }
 
 func share(s float64) int64 { return int64(math.Round(s * shareUnit)) }
-
-// mulDiv returns a*b/c rounded down, for a, b >= 0 and c > 0 where the result
-// fits a Rate.
-func mulDiv(a, b, c Rate) Rate {
-	hi, lo := bits.Mul64(uint64(a), uint64(b))
-	if hi == 0 {
-		return Rate(lo / uint64(c))
-	}
-	q, _ := bits.Div64(hi, lo, uint64(c))
-	return Rate(q)
-}
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/banyandeal/banyandeal/internal/blocktable"
+	"github.com/banyandeal/banyandeal/internal/decide/proportion"
 	"github.com/banyandeal/banyandeal/internal/estate"
 )
 
@@ -61,7 +62,7 @@
 				require.LessOrEqual(t, load, in.Services[i].Capacity[z], zone.Name)
 			}
 			for e := range in.Regions {
-				require.Equal(t, max(in.Services[i].Demand[e], nominalDemand), sum(s.Flow.Row(e)))
+				require.Equal(t, max(in.Services[i].Demand[e], nominalDemand), proportion.Sum(s.Flow.Row(e)))
 			}
 		}
 		for from := range in.Regions {
@@ -143,7 +144,7 @@
 		for i := range zones {
 			zones[i].Name = fmt.Sprint("z", i)
 		}
-		p := &Plan{Zones: zones, Services: []ServicePlan{{Name: "s", Spare: NewMatrix(1, n)}}}
+		p := &Plan{Input: Input{Zones: zones}, Services: []ServicePlan{{Name: "s", Spare: NewMatrix(1, n)}}}
 		draw := func() (Matrix, []float64) {
 			m := NewMatrix(1, n)
 			for i := range m.V {
@@ -152,7 +153,7 @@
 			m.V[0]++
 			shares := make([]float64, len(m.V))
 			for i, v := range m.V {
-				shares[i] = float64(v) / float64(sum(m.V))
+				shares[i] = float64(v) / float64(proportion.Sum(m.V))
 			}
 			return m, shares
 		}
@@ -168,7 +169,7 @@
 		drained := a.Clone()
 		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
 		drained.V[gone] = 0
-		if sum(drained.V) == 0 {
+		if proportion.Sum(drained.V) == 0 {
 			drained.V[n] = 1
 		}
 		table := func(m Matrix) *Table { return NewTable(p, 0, m, testBlocks(1), Units{Bits4: 32}, 0) }
--- a/internal/decide/placement/table.go
+++ b/internal/decide/placement/table.go
@@ -49,7 +49,7 @@
 		t.fallback = 0
 	}
 	for e := range flows.Edges {
-		t.edges[e] = newEdge(p.Zones, s, flows.Row(e), s.Spare.Row(e))
+		t.edges[e] = newEdge(p.Input.Zones, s, flows.Row(e), s.Spare.Row(e))
 	}
 	return t
 }
--- /dev/null
+++ b/internal/decide/shift/window.go
@@ -0,0 +1,69 @@
+package shift
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
+)
+
+// windowParts is how many parts of the look-up TTL a window tells apart.
+const windowParts = 8
+
+// window holds the largest share that each cell had while callers may still go
+// by it: for the look-up TTL and at most a part of it longer.
+type window struct {
+	// parts holds the largest shares of each part of the time, the newest last.
+	parts []placement.Matrix
+	// peak holds the largest over all parts.
+	peak placement.Matrix
+	// length is the steps of a part; begin is the first step of the newest.
+	length, begin int64
+}
+
+func newWindow(ttl time.Duration, slot int64, shares placement.Matrix) *window {
+	steps := (int64(ttl) + int64(Step) - 1) / int64(Step)
+	return &window{
+		parts:  []placement.Matrix{shares.Clone()},
+		peak:   shares.Clone(),
+		length: max((steps+windowParts-1)/windowParts, 1),
+		begin:  slot,
+	}
+}
+
+// restart holds the shares in force, and peaks from before for another TTL.
+func (w *window) restart(shares, peak placement.Matrix) {
+	w.parts = []placement.Matrix{shares.Clone()}
+	w.peak = shares.Clone()
+	w.raise(peak)
+}
+
+// advance forgets what was longer ago than the TTL. shares are those in force.
+func (w *window) advance(slot int64, shares placement.Matrix) {
+	turns := (slot - w.begin) / w.length
+	if turns <= 0 {
+		return
+	}
+	w.begin += turns * w.length
+	for range min(turns, windowParts+1) {
+		w.parts = append(w.parts, shares.Clone())
+	}
+	if drop := len(w.parts) - windowParts - 1; drop > 0 {
+		w.parts = slices.Delete(w.parts, 0, drop)
+	}
+	copy(w.peak.V, shares.V)
+	for _, p := range w.parts {
+		for i, v := range p.V {
+			w.peak.V[i] = max(w.peak.V[i], v)
+		}
+	}
+}
+
+// raise notes shares in force now.
+func (w *window) raise(shares placement.Matrix) {
+	newest := w.parts[len(w.parts)-1]
+	for i, v := range shares.V {
+		newest.V[i] = max(newest.V[i], v)
+		w.peak.V[i] = max(w.peak.V[i], v)
+	}
+}
