demo: free ports and tokens of its own for each run

Cause: two demos at once shared the backend servers on the declared ports, and sent the same tokens; one run reported 398 requests doubled that each demo had sent once (the keys differ). Ruled out: a lock, which leaves ports that something else holds. Before: a backend server whose port was taken ended, and the demo went on with another process on that port. After: the copy of the estate is moved to free ports, tokens name the process, and a process that ends at its start ends the demo. Conclusion: a demo sees only its own requests.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -16,7 +17,6 @@
 	"github.com/juju/errors"
 
 	"github.com/banyandeal/banyandeal/internal/bench"
-	"github.com/banyandeal/banyandeal/internal/config"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	api "github.com/banyandeal/banyandeal/internal/platform"
 	"github.com/banyandeal/banyandeal/internal/standin/backend"
@@ -120,7 +120,7 @@
 		return nil, errors.Annotatef(err, "copying the estate from %s", opts.Dir)
 	}
 	var err error
-	if d.estate, err = config.Load(d.dir); err != nil {
+	if d.estate, err = movePorts(d.dir); err != nil {
 		return nil, errors.Trace(err)
 	}
 	d.entries = layoutEntries(d.estate)
@@ -158,6 +158,9 @@
 		if err := step(ctx); err != nil {
 			return errors.Trace(err)
 		}
+		if err := d.allRun(); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	d.report.Processes = len(d.procs.all)
 	d.say("%d processes run: the platform, %d entry instances, the backend servers", d.report.Processes, len(d.entries))
@@ -174,6 +177,17 @@
 	return nil
 }
 
+// allRun returns an error if a process has ended. One whose port was taken has,
+// though another process answers on it.
+func (d *demo) allRun() error {
+	for name, p := range d.procs.all {
+		if p.ended() {
+			return errors.Errorf("%s ended at its start; see its log in %s", name, d.work)
+		}
+	}
+	return nil
+}
+
 // ctl runs banyanctl.
 func (d *demo) ctl(ctx context.Context, args ...string) error {
 	ctx, cancel := context.WithTimeout(ctx, ctlLimit)
@@ -220,7 +234,7 @@
 	load, err := bench.NewLoad(bench.Config{
 		Entries: entries, Callers: callers, Workloads: workloadsOf(d.estate, demand*d.opts.LoadShare),
 		Duration: loadLimit, MaxRequests: maxRequests, MaxInFlight: maxInFlight, MaxAttempts: maxAttempts,
-		Patience: patience, OwnKeyShare: ownKeyShare, Seed: d.opts.Seed, Prefix: "demo",
+		Patience: patience, OwnKeyShare: ownKeyShare, Seed: d.opts.Seed, Prefix: tokenPrefix(),
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -234,6 +248,9 @@
 	return errors.Trace(err)
 }
 
+// tokenPrefix keeps the requests of demos that run at once apart.
+func tokenPrefix() string { return "demo" + strconv.Itoa(os.Getpid()) }
+
 // script is what happens to the estate under load.
 func (d *demo) script(ctx context.Context) error {
 	if err := pause(ctx, calmTime); err != nil {
