--- a/internal/cli/lookup.go
+++ b/internal/cli/lookup.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/banyandeal/banyandeal/internal/filter/accept"
+	"github.com/banyandeal/banyandeal/internal/lookup"
 	"github.com/banyandeal/banyandeal/internal/operator/client"
 	"github.com/banyandeal/banyandeal/internal/outcome"
 )
@@ -23,22 +24,6 @@
 	maxLookupBytes = 64 << 10
 )
 
-// lookupAnswer is the answer of GET /v1/lookup.
-type lookupAnswer struct {
-	Service   string        `json:"service"`
-	Version   uint64        `json:"version"`
-	TTLMS     int64         `json:"ttl_ms"`
-	Key       string        `json:"key"`
-	Instances []lookupEntry `json:"instances"`
-}
-
-// lookupEntry is one entry instance that a caller may use.
-type lookupEntry struct {
-	ID      string `json:"id"`
-	Zone    string `json:"zone"`
-	Address string `json:"address"`
-}
-
 func (a *app) lookupCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "lookup",
@@ -81,8 +66,8 @@
 
 // askLookup returns the answer of an entry instance. Errors: UsageError for a
 // question that it refuses, outcome.Error while it can't answer, Unreachable.
-func askLookup(ctx context.Context, entry string, query url.Values) (lookupAnswer, error) {
-	var answer lookupAnswer
+func askLookup(ctx context.Context, entry string, query url.Values) (lookup.Answer, error) {
+	var answer lookup.Answer
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, client.BaseURL(entry)+"/v1/lookup?"+query.Encode(), nil)
 	if err != nil {
 		return answer, usagef("correct --entry", "%v", err)
