control: shifts as ramps under their cap, resumed by new instances

Cause: look-ups followed a new placement at once. The ramp machine now moves the shares step by step; a new instance adopts a neighbour's position, or takes the declared drains for begun with the version in force; zones without any usable instance are planned around.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -141,7 +141,7 @@
 	c.Log.Info().Uint64("version", in.Head.Version).Str("author", in.Head.Author).
 		Int("changed_parts", len(in.Changed)).Msg("config_in_force")
 	c.Metrics.Count("config.installed")
-	c.replan(now)
+	c.retarget(now)
 	c.installBackends(now)
 	c.installHealth(now)
 	c.sendHeartbeats()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,6 +55,7 @@
 	records *records
 	config  *configState
 	steer   *steerState
+	ramp    *rampState
 	owners  *ownerState
 	health  *healthState
 	timers  timers
@@ -77,7 +78,7 @@
 	c := &Control{
 		Deps: d, started: now, events: make(chan func(time.Time), eventQueue),
 		members: membership.New(membership.Config{Self: d.Self}, now),
-		records: newRecords(d.Self.Identity), steer: newSteerState(), owners: newOwnerState(d.Self, now),
+		records: newRecords(d.Self.Identity), steer: newSteerState(), ramp: newRampState(), owners: newOwnerState(d.Self, now),
 		health: newHealthState(),
 		fatal:  make(chan error, 1),
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -161,17 +160,10 @@
 	}
 	var reports []membership.Instance
 	for _, rec := range c.records.merge(append(recs, self)) {
-		switch rec.Name {
-		case recordInstance:
-			if in, ok := decodeInstance(rec); ok {
-				reports = append(reports, in)
-			}
-		case recordLoad:
-			c.takeLoad(now, rec)
-		default:
-			if strings.HasPrefix(rec.Name, recordMoved) {
-				c.takeMoved(rec)
-			}
+		if rec.Name != recordInstance {
+			c.takeSteering(now, rec)
+		} else if in, ok := decodeInstance(rec); ok {
+			reports = append(reports, in)
 		}
 	}
 	c.members.Reports(now, reports)
--- /dev/null
+++ b/internal/control/ramp.go
@@ -0,0 +1,262 @@
+package control
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/load"
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
+	"github.com/banyandeal/banyandeal/internal/decide/shift"
+	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	"github.com/banyandeal/banyandeal/internal/snapshot"
+)
+
+const (
+	// recordRamp names the record that tells where shifts stand.
+	recordRamp = "ramp"
+	// adoptWait is how long a new instance waits for a neighbour's ramp before
+	// it goes on by itself.
+	adoptWait = 2 * time.Second
+	// zoneGrace is how long after its start an instance does not take a zone
+	// whose instances it has not heard of for lost.
+	zoneGrace = 5 * time.Second
+)
+
+// believe says how far reports of load are believed: a report is fresh for
+// three heartbeats, and after some more says nothing but the configured share.
+var believe = load.Policy{Fresh: 2 * time.Second, Stale: 10 * time.Second, Share: 700, RefusalHold: time.Second}
+
+// rampState is where shifts stand.
+type rampState struct {
+	ramp *shift.Ramp
+	// startedAt is when the ramp was started; it ticks only after adoptWait, or
+	// once a neighbour's position was adopted.
+	startedAt time.Time
+	ticking   bool
+	// position is the furthest that a neighbour told of before the ramp began.
+	position shift.Position
+	// lost holds the zones without any instance that can be given work.
+	lost map[string]bool
+}
+
+func newRampState() *rampState { return &rampState{lost: map[string]bool{}} }
+
+// retarget gives the ramp the placement of the configuration in force, without
+// the zones that are lost.
+func (c *Control) retarget(now time.Time) {
+	s, r := c.steer, c.ramp
+	plan, err := placement.Compute(c.planInput(s.estate))
+	if err != nil {
+		c.Log.Error().Err(err).Msg("placement_failed")
+		return
+	}
+	s.plan = plan
+	if r.ramp != nil {
+		r.ramp.SetTarget(now, plan)
+		c.rebuildTables(allServices(plan))
+		return
+	}
+	r.ramp = shift.New(shift.NewSettings(s.estate.Shift, believe))
+	r.startedAt = now
+	c.startRamp(now, plan)
+	c.rebuildTables(allServices(plan))
+}
+
+// startRamp begins the ramp of a new instance: from a neighbour's position, or
+// else from before the drains that are declared, as if they had begun with the
+// version in force.
+func (c *Control) startRamp(now time.Time, plan *placement.Plan) {
+	before, drains := withoutDrains(c.steer.estate)
+	if !drains {
+		c.ramp.ramp.Start(now, plan)
+		return
+	}
+	old, err := placement.Compute(c.planInput(before))
+	if err != nil {
+		c.ramp.ramp.Start(now, plan)
+		return
+	}
+	c.ramp.ramp.StartFrom(now, old, plan, c.config.receiver.Current().Head.Time)
+}
+
+// withoutDrains returns a copy of the estate in which nothing but single
+// backend servers drains, and whether that differs from the estate.
+func withoutDrains(e *estate.Estate) (*estate.Estate, bool) {
+	c := *e
+	c.Regions = append([]estate.Region(nil), e.Regions...)
+	c.Zones = append([]estate.Zone(nil), e.Zones...)
+	c.Sites = append([]estate.Site(nil), e.Sites...)
+	drains := false
+	clear := func(s *estate.State) {
+		if s.IsDraining() {
+			*s, drains = estate.Active, true
+		}
+	}
+	for i := range c.Regions {
+		clear(&c.Regions[i].State)
+	}
+	for i := range c.Zones {
+		clear(&c.Zones[i].State)
+	}
+	for i := range c.Sites {
+		clear(&c.Sites[i].State)
+	}
+	return &c, drains
+}
+
+func (c *Control) planInput(e *estate.Estate) placement.Input {
+	in := placement.NewInput(e, c.steer.demand)
+	for i := range in.Services {
+		for z := range in.Zones {
+			if c.ramp.lost[in.Zones[z].Name] {
+				in.Services[i].Capacity[z] = 0
+			}
+		}
+	}
+	return in
+}
+
+func allServices(p *placement.Plan) []int {
+	all := make([]int, len(p.Services))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// rebuildTables makes the look-up tables of services anew from the shares in
+// force.
+func (c *Control) rebuildTables(services []int) {
+	s := c.steer
+	tables := make(map[string]*placement.Table, len(s.plan.Services))
+	for _, sp := range s.plan.Services {
+		if t := s.tables[sp.Name]; t != nil {
+			tables[sp.Name] = t
+		}
+	}
+	for _, i := range services {
+		name := s.plan.Services[i].Name
+		tables[name] = placement.NewTable(s.plan, i, c.ramp.ramp.Shares(i), s.blocks, steerUnits, c.ownRegion())
+	}
+	s.tables = tables
+	c.dirty = true
+}
+
+// tickSteer moves shifts on.
+func (c *Control) tickSteer(now time.Time) {
+	r := c.ramp
+	if r.ramp == nil {
+		return
+	}
+	if !r.ticking {
+		if !r.position.At.IsZero() && r.ramp.Adopt(now, r.position) {
+			c.Log.Info().Time("at", r.position.At).Msg("ramp_adopted")
+			c.rebuildTables(allServices(c.steer.plan))
+			r.ticking = true
+		}
+		r.ticking = r.ticking || now.Sub(r.startedAt) >= adoptWait
+		if !r.ticking {
+			return
+		}
+	}
+	c.judgeZones(now)
+	c.reportLoads()
+	r.ramp.Tick(now)
+	status := r.ramp.Ready()
+	if len(status.Changed) > 0 {
+		c.rebuildTables(status.Changed)
+	}
+	c.publishRamp(status)
+}
+
+// judgeZones marks zones without any instance that can be given work as lost,
+// and plans anew when that changes.
+func (c *Control) judgeZones(now time.Time) {
+	if now.Sub(c.started) < zoneGrace {
+		return
+	}
+	changed := false
+	for _, z := range c.steer.estate.Zones {
+		lost := z.Name != c.Self.Zone && len(c.members.View().Zone(z.Name).Usable()) == 0
+		if lost == c.ramp.lost[z.Name] {
+			continue
+		}
+		c.ramp.lost[z.Name] = lost
+		c.ramp.ramp.Lost(z.Name, lost)
+		c.Log.Warn().Str("zone", z.Name).Bool("lost", lost).Msg("zone_lost")
+		changed = true
+	}
+	if changed {
+		c.retarget(now)
+	}
+}
+
+// reportLoads tells the ramp the load of each zone.
+func (c *Control) reportLoads() {
+	for _, z := range c.steer.estate.Zones {
+		for _, s := range c.steer.estate.Services {
+			if rep, ok := c.zoneLoad(z.Name, s.Name); ok {
+				c.ramp.ramp.Report(s.Name, z.Name, rep)
+			}
+		}
+	}
+}
+
+// zoneLoad sums the reports of a zone's instances; it is as old as the oldest.
+func (c *Control) zoneLoad(zone, service string) (load.Report, bool) {
+	var rep load.Report
+	for _, in := range c.members.View().Zone(zone).Usable() {
+		l, ok := c.steer.loads[in.Identity][service]
+		if !ok {
+			continue
+		}
+		rep.Slots += l.Slots
+		rep.Busy += load.Milli(l.Slots-l.Free) * load.Slot
+		if rep.At.IsZero() || l.At.Before(rep.At) {
+			rep.At = l.At
+		}
+	}
+	return rep, rep.Slots > 0
+}
+
+// publishRamp tells others where shifts stand, while they move. One instance
+// of each zone is enough.
+func (c *Control) publishRamp(status shift.Status) {
+	relays := c.members.View().Zone(c.Self.Zone).Relays
+	if len(relays) == 0 || relays[0] != c.Self.Identity || len(status.Changed) == 0 {
+		return
+	}
+	c.logError("ramp_record_failed", c.records.set(recordRamp, c.ramp.ramp.Position()))
+}
+
+func (c *Control) takeRamp(rec *peerpb.Record) {
+	var p shift.Position
+	if c.ramp.ticking || json.Unmarshal(rec.Value, &p) != nil || !p.At.After(c.ramp.position.At) {
+		return
+	}
+	c.ramp.position = p
+}
+
+// takeSteering takes a record that concerns steering.
+func (c *Control) takeSteering(now time.Time, rec *peerpb.Record) {
+	switch {
+	case rec.Name == recordLoad:
+		c.takeLoad(now, rec)
+	case rec.Name == recordRamp:
+		c.takeRamp(rec)
+	case strings.HasPrefix(rec.Name, recordMoved):
+		c.takeMoved(rec)
+	}
+}
+
+// ownLoad is this instance's part of the zone's load.
+func (c *Control) ownLoad(now time.Time) map[string]snapshot.Load {
+	loads := make(map[string]snapshot.Load, len(c.steer.estate.Services))
+	for _, s := range c.steer.estate.Services {
+		free, slots := c.Pool.Free(s.Name)
+		loads[s.Name] = snapshot.Load{Free: free, Slots: slots, At: now}
+	}
+	return loads
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
+	"github.com/banyandeal/banyandeal/internal/decide/shift"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/operator"
 	"github.com/banyandeal/banyandeal/internal/pool"
@@ -55,9 +56,9 @@
 	var out []operator.ServiceStatus
 	for i, sp := range c.steer.plan.Services {
 		st := operator.ServiceStatus{Name: sp.Name}
-		now, total := columns(c.steer.flows[sp.Name])
+		now, total := columns(flowOf(c.ramp.ramp.Shares(i), sp.Flow))
 		target, _ := columns(sp.Flow)
-		for zi, z := range c.steer.plan.Zones {
+		for zi, z := range c.steer.plan.Input.Zones {
 			st.Zones = append(st.Zones, operator.ServiceZoneStatus{
 				Zone: z.Name, Weight: share(now[zi], total), Target: share(target[zi], total),
 				Slots: c.zoneSlots(i, z.Name), Free: c.zoneFree(sp.Name, z.Name),
@@ -69,6 +70,22 @@
 	return out
 }
 
+// flowOf returns shares in force as flows: each edge region's share of the
+// demand that the target has for it.
+func flowOf(shares, target placement.Matrix) placement.Matrix {
+	out := shares.Clone()
+	for e := range out.Edges {
+		var demand placement.Rate
+		for _, v := range target.Row(e) {
+			demand += v
+		}
+		for z, v := range shares.Row(e) {
+			out.Row(e)[z] = placement.Rate(float64(v) / float64(shift.Unit) * float64(demand))
+		}
+	}
+	return out
+}
+
 // columns sums a matrix by zone, the overflow last.
 func columns(m placement.Matrix) (sums []placement.Rate, total placement.Rate) {
 	sums = make([]placement.Rate, m.Zones+1)
--- a/internal/control/steer.go
+++ b/internal/control/steer.go
@@ -23,8 +23,6 @@
 	demand placement.Demand
 	plan   *placement.Plan
 	tables map[string]*placement.Table
-	// flows holds the flows that are in force, by service.
-	flows map[string]placement.Matrix
 	// loads holds what each incarnation last reported, by service.
 	loads map[membership.Identity]map[string]snapshot.Load
 }
@@ -127,23 +125,6 @@
 // steerUnits are the pieces in which blocks are steered.
 var steerUnits = placement.Units{Bits4: 24, Bits6: 56}
 
-// replan computes the placement of the configuration in force.
-func (c *Control) replan(time.Time) {
-	s := c.steer
-	plan, err := placement.Compute(placement.NewInput(s.estate, s.demand))
-	if err != nil {
-		c.Log.Error().Err(err).Msg("placement_failed")
-		return
-	}
-	s.plan = plan
-	s.tables, s.flows = map[string]*placement.Table{}, map[string]placement.Matrix{}
-	for i, sp := range plan.Services {
-		s.flows[sp.Name] = sp.Flow
-		s.tables[sp.Name] = placement.NewTable(plan, i, sp.Flow, s.blocks, steerUnits, c.ownRegion())
-	}
-	c.dirty = true
-}
-
 // ownRegion returns the index of this instance's region, which stands for
 // callers that no block contains.
 func (c *Control) ownRegion() int {
@@ -151,28 +132,26 @@
 	return regionIndex(c.steer.estate, z.Region)
 }
 
-func (c *Control) tickSteer(time.Time) {}
-
 // loadReport is the value of a load record, by service.
-type loadReport map[string]struct {
+type loadReport map[string]reportedLoad
+
+type reportedLoad struct {
 	Free  int `json:"free"`
 	Slots int `json:"slots"`
 }
 
 // publishLoad writes this instance's load record.
-func (c *Control) publishLoad(time.Time) {
+func (c *Control) publishLoad(now time.Time) {
 	if c.steer.estate == nil {
 		return
 	}
+	loads := c.ownLoad(now)
+	c.steer.loads[c.Self.Identity] = loads
 	report := loadReport{}
-	for _, s := range c.steer.estate.Services {
-		entry := report[s.Name]
-		entry.Free, entry.Slots = c.Pool.Free(s.Name)
-		report[s.Name] = entry
-	}
-	if err := c.records.set(recordLoad, report); err != nil {
-		c.Log.Error().Err(err).Msg("load_record_failed")
+	for name, l := range loads {
+		report[name] = reportedLoad{Free: l.Free, Slots: l.Slots}
 	}
+	c.logError("load_record_failed", c.records.set(recordLoad, report))
 }
 
 func (c *Control) takeLoad(now time.Time, rec *peerpb.Record) {
