--- a/internal/decide/once/handover.go
+++ b/internal/decide/once/handover.go
@@ -250,13 +250,17 @@
 }
 
 // returnWaiting passes the attempts of a key that was withdrawn on to the
-// successor, which may run it.
+// successor, which may run it, or ends them when the authority has run out.
 func (m *Machine) returnWaiting(r *record) {
 	waiting := r.waiting
 	r.waiting = nil
 	m.rest(r)
 	for _, a := range waiting {
 		delete(m.attempts, a)
+		if m.leaving == nil {
+			m.answer(a, lost(outcome.KindHomeGone, "the key has expired"))
+			continue
+		}
 		m.passOn(Arrive{Attempt: a, Key: r.key, Fingerprint: r.fingerprint})
 	}
 }
--- a/internal/decide/once/machine.go
+++ b/internal/decide/once/machine.go
@@ -52,7 +52,7 @@
 	// attempts holds the records whose waiting list has the attempt.
 	attempts map[AttemptID]*record
 	// forwards holds the attempts that another instance is to answer.
-	forwards map[AttemptID]Arrive
+	forwards map[AttemptID]forwarded
 	claims   claims
 	// held holds the homes whose keys this instance may run. It has Self until
 	// a handover, and then is empty.
@@ -63,6 +63,12 @@
 	out     []Action
 }
 
+// forwarded is an attempt that another instance is to answer.
+type forwarded struct {
+	Arrive
+	to Home
+}
+
 // authority is the right to run one home's keys.
 type authority struct {
 	// floor only rises; see Authority.
@@ -88,7 +94,7 @@
 		store:    newStore(cfg.MaxBytes),
 		runs:     map[RunID]*record{},
 		attempts: map[AttemptID]*record{},
-		forwards: map[AttemptID]Arrive{},
+		forwards: map[AttemptID]forwarded{},
 		claims:   newClaims(cfg.ClaimShards),
 		held:     map[Home]*authority{cfg.Self: {}},
 		peers:    newPeers(),
@@ -394,23 +400,24 @@
 }
 
 func (m *Machine) forward(a Arrive, to Home) {
-	m.forwards[a.Attempt] = a
+	m.forwards[a.Attempt] = forwarded{Arrive: a, to: to}
 	m.emit(Forward{Attempt: a.Attempt, Key: a.Key, To: to})
 }
 
 func (m *Machine) forwardResult(e ForwardResult) {
-	a, ok := m.forwards[e.Attempt]
+	f, ok := m.forwards[e.Attempt]
 	if !ok {
 		return
 	}
 	delete(m.forwards, e.Attempt)
+	to, alive := m.peers.authority(f.to, m.cfg.Self)
 	switch {
 	case e.Replied:
 		m.answer(e.Attempt, e.Result)
-	case e.NotSent && a.Hops < m.cfg.MaxHops:
-		// Authority may have moved or ended since; each try counts as a hop.
-		a.Hops++
-		m.arrive(a)
+	case e.NotSent && (!alive || to != f.to) && f.Hops < m.cfg.MaxHops:
+		// The authority has moved or ended since; each try counts as a hop.
+		f.Hops++
+		m.arrive(f.Arrive)
 	default:
 		m.answer(e.Attempt, resumable(outcome.KindPeerLost, "the key's authority could not be reached"))
 	}
