--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -61,7 +61,7 @@
 	if fresh {
 		return l.Instances, nil
 	}
-	l, err := c.lookup(ctx)
+	l, err := c.lookup(ctx, false)
 	return l.Instances, err
 }
 
@@ -70,13 +70,8 @@
 	if k := c.takeKey(); k != "" {
 		return k, nil
 	}
-	if _, err := c.lookup(ctx); err != nil {
-		return "", err
-	}
-	if k := c.takeKey(); k != "" {
-		return k, nil
-	}
-	return c.key(ctx) // another request of this caller took it
+	l, err := c.lookup(ctx, true)
+	return l.Key, err
 }
 
 func (c *caller) takeKey() string {
@@ -97,8 +92,9 @@
 	c.expires = time.Time{}
 }
 
-// lookup asks the entries in random order until one answers.
-func (c *caller) lookup(ctx context.Context) (Lookup, error) {
+// lookup asks the entries in random order until one answers. useKey keeps the
+// answer's key for who asked.
+func (c *caller) lookup(ctx context.Context, useKey bool) (Lookup, error) {
 	c.mu.Lock()
 	order := c.rng.Perm(len(c.entries))
 	c.mu.Unlock()
@@ -111,16 +107,16 @@
 			continue
 		}
 		c.lookups.record(time.Since(start))
-		c.keep(l, start)
+		c.keep(l, start, useKey)
 		return l, nil
 	}
 	return Lookup{}, errors.Annotate(last, "no entry instance answered a look-up")
 }
 
-func (c *caller) keep(l Lookup, asked time.Time) {
+func (c *caller) keep(l Lookup, asked time.Time, keyUsed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cached, c.keyUsed = l, false
+	c.cached, c.keyUsed = l, keyUsed
 	c.expires = asked.Add(time.Duration(l.TTLMS) * time.Millisecond)
 }
 
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -135,31 +135,28 @@
 	if r.op.BodySize > 0 {
 		r.body = bodyOf(r.token, r.op.BodySize)
 	}
-	rec, err := l.withKey(ctx, c, &r, ownKey)
-	if err == nil {
-		rec = l.send.send(ctx, c, r)
-	}
+	rec := l.keyAndSend(ctx, c, r, ownKey)
 	l.mu.Lock()
 	l.records = append(l.records, rec)
 	l.mu.Unlock()
 }
 
-// withKey gives a non-idempotent request its key. On an error the request ends
-// with the returned record.
-func (l *Load) withKey(ctx context.Context, c *caller, r *request, ownKey bool) (Record, error) {
-	if r.op.Idempotent {
-		return Record{}, nil
-	}
-	if ownKey {
+// keyAndSend gives a non-idempotent request its key and sends it.
+func (l *Load) keyAndSend(ctx context.Context, c *caller, r request, ownKey bool) Record {
+	var err error
+	switch {
+	case r.op.Idempotent:
+	case ownKey:
 		r.key = "own-" + r.token
-		return Record{}, nil
+	default:
+		r.key, err = c.key(ctx)
+	}
+	if err == nil {
+		return l.send.send(ctx, c, r)
 	}
-	key, err := c.key(ctx)
-	r.key = key
-	return Record{
-		Token: r.token, Service: r.service, Op: r.op.Name, Method: r.op.Method, End: Unanswered,
-		Detail: fmt.Sprint(err), Start: r.due, Latency: time.Since(r.due),
-	}, err
+	rec := r.record()
+	rec.Detail, rec.Latency = err.Error(), time.Since(r.due)
+	return rec
 }
 
 // bodyOf returns a body of n bytes that differs from request to request.
--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -40,6 +40,8 @@
 	Detail string
 	// Answer is what a backend server said, if Done.
 	Answer backend.Answer
+	// Entry is the ID of the entry instance of the last sending.
+	Entry string
 	// Attempts counts the sendings. Uncertain is set when one of them may have
 	// been run without the caller learning of it.
 	Attempts  int
--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -44,6 +44,14 @@
 	return "/" + r.service + r.op.Path + "?" + q.Encode()
 }
 
+// record returns the record of a request that has got no answer yet.
+func (r request) record() Record {
+	return Record{
+		Token: r.token, Service: r.service, Op: r.op.Name, Key: r.key, Method: r.op.Method,
+		Idempotent: r.op.Idempotent, BodySum: sumOf(r.body), Start: r.due, End: Unanswered,
+	}
+}
+
 // sender sends requests and applies the rules for callers.
 type sender struct {
 	http        *http.Client
@@ -53,10 +61,7 @@
 
 // send sends a request until it has ended.
 func (s *sender) send(ctx context.Context, c *caller, r request) Record {
-	rec := Record{
-		Token: r.token, Service: r.service, Op: r.op.Name, Key: r.key, Method: r.op.Method,
-		Idempotent: r.op.Idempotent, BodySum: sumOf(r.body), Start: r.due, End: Unanswered,
-	}
+	rec := r.record()
 	last := s.attempts(ctx, c, r, &rec)
 	rec.Latency = time.Since(r.due)
 	rec.End, rec.Status, rec.Answer, rec.Detail = last.end(), last.status, last.answer, last.detail
@@ -75,7 +80,9 @@
 		if err != nil {
 			return reply{err: err, unsent: rec.Attempts == 0}
 		}
-		last = s.attempt(ctx, instances[at%len(instances)], r)
+		to := instances[at%len(instances)]
+		last = s.attempt(ctx, to, r)
+		rec.Entry = to.ID
 		rec.Attempts++
 		rec.Uncertain = rec.Uncertain || last.uncertain()
 		step, wait := last.next(r.op.Idempotent, r.key)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -380,6 +381,9 @@
 // check compares what callers were told with the run logs, and the headroom
 // with the caps.
 func (d *demo) check() error {
+	if err := d.writeRecords(); err != nil {
+		return errors.Trace(err)
+	}
 	var runs []backend.Run
 	for _, s := range d.estate.Services {
 		for _, b := range s.Backends {
@@ -396,6 +400,12 @@
 			d.breaks("%s: %d more than the capacity of %d", h.Name, -h.Least, h.Capacity)
 		}
 	}
+	d.report.Links = d.linkUses(runs)
+	for _, l := range d.report.Links {
+		if l.MostInFlight > l.MaxInFlight {
+			d.breaks("link %s: %d in flight at once by the run logs, its cap is %d", l.Name, l.MostInFlight, l.MaxInFlight)
+		}
+	}
 	d.measureDrain(runs)
 	return nil
 }
@@ -439,6 +449,22 @@
 	return slices.ContainsFunc(d.entries, func(e entrySpec) bool { return e.id == name })
 }
 
+// writeRecords keeps what callers saw next to the logs, a JSON line each.
+func (d *demo) writeRecords() error {
+	f, err := os.Create(filepath.Join(d.work, "records.jsonl"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	out := json.NewEncoder(f)
+	for _, r := range d.report.Load.Records {
+		if err := out.Encode(r); err != nil {
+			_ = f.Close()
+			return errors.Trace(err)
+		}
+	}
+	return errors.Trace(f.Close())
+}
+
 func (d *demo) readRuns(name string) ([]backend.Run, error) {
 	f, err := os.Open(d.runsFile(name))
 	if err != nil {
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -34,6 +34,7 @@
 	Violations []bench.Violation
 	Measures   []Measure
 	Headrooms  []Headroom
+	Links      []LinkUse
 	Samples    int
 	// Broken lists promises that did not hold, apart from the violations.
 	Broken []string
@@ -54,6 +55,7 @@
 	}
 	r.printMeasures(w)
 	r.printHeadroom(w)
+	r.printLinks(w)
 	r.printBroken(w)
 }
 
@@ -100,6 +102,16 @@
 	fmt.Fprintln(out)
 }
 
+func (r *Report) printLinks(out io.Writer) {
+	w := newTable(out)
+	fmt.Fprintln(w, "LINK BY RUN LOGS\tREQUESTS\tMOST IN FLIGHT\tCAP\tMOST STARTED IN 1 s\tCAP")
+	for _, l := range r.Links {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.0f\n", l.Name, l.Requests, l.MostInFlight, l.MaxInFlight, l.MostStarted, l.MaxRate)
+	}
+	_ = w.Flush()
+	fmt.Fprintln(out)
+}
+
 func (r *Report) printBroken(w io.Writer) {
 	for _, b := range r.Broken {
 		fmt.Fprintf(w, "BROKEN: %s\n", b)
--- a/internal/demo/report_test.go
+++ b/internal/demo/report_test.go
@@ -41,6 +41,7 @@
 		}}},
 		Violations: []bench.Violation{{Fault: bench.Doubled, Record: bench.Record{Service: "casework", Op: "booking", Token: "t", Key: "k", End: bench.Done}, Detail: "run 2 times"}},
 		Measures:   []Measure{{Name: "drain", Took: 2500 * time.Millisecond, Limit: 20 * time.Second}, {Name: "stop", Limit: time.Second}},
+		Links:      []LinkUse{{Name: "pos to sfo", Requests: 9, MaxInFlight: 10, MostInFlight: 3, MaxRate: 60, MostStarted: 7}},
 		Broken:     []string{"a cap"},
 	}
 	r.Headrooms, r.Samples = w.headrooms()
