--- a/internal/cli/fakes_test.go
+++ b/internal/cli/fakes_test.go
@@ -1,6 +1,7 @@
 package cli_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -95,9 +96,12 @@
 	Lookup json.RawMessage `json:"lookup"`
 	// Fault is "refuse", "garbage" or "empty" instead of answers.
 	Fault string `json:"fault"`
-	// Believed is the state that others hold it to be in, live by default.
-	Believed string `json:"believed"`
+	// Believed is the state that others hold it to be in, live by default; it
+	// is gone to one whose status was read more than GoneAfter times, if set.
+	Believed  string `json:"believed"`
+	GoneAfter int64  `json:"gone_after"`
 
+	fleet  []*fakeInstance
 	server *httptest.Server
 	reads  atomic.Int64
 }
@@ -108,7 +112,6 @@
 	}
 	var fakes []*fakeInstance
 	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[0])), &fakes))
-	var list []operator.InstanceStatus
 	for i, f := range fakes {
 		f.server = httptest.NewUnstartedServer(f)
 		ts.Defer(f.server.Close)
@@ -118,13 +121,9 @@
 		if i == 0 {
 			ts.Setenv("BANYAN_OPERATOR", addr)
 		}
-		if f.Believed == "" {
-			f.Believed = "live"
-		}
-		list = append(list, operator.InstanceStatus{ID: f.Status.Instance, Zone: f.Status.Zone, State: f.Believed, Operator: addr})
+		f.fleet = fakes
 	}
 	for _, f := range fakes {
-		f.Status.Instances = list
 		f.server.Start()
 		if f.Fault == "refuse" {
 			f.server.Close()
@@ -143,9 +142,9 @@
 	}
 	switch id, one := strings.CutPrefix(r.URL.Path, "/v1/trace/"); {
 	case r.URL.Path == "/v1/status":
-		s := f.Status
-		if n := len(f.Versions); n > 0 {
-			s.Version = f.Versions[min(int(f.reads.Add(1)), n)-1]
+		s := f.status(f.reads.Add(1))
+		if r.FormValue("only") == "self" {
+			s = s.Self()
 		}
 		_ = json.NewEncoder(w).Encode(s)
 	case one:
@@ -159,6 +158,24 @@
 	}
 }
 
+// status is what the read of the given number sees.
+func (f *fakeInstance) status(read int64) operator.Status {
+	s := f.Status
+	if n := len(f.Versions); n > 0 {
+		s.Version = f.Versions[min(int(read), n)-1]
+	}
+	for _, g := range f.fleet {
+		in := operator.InstanceStatus{
+			ID: g.Status.Instance, Zone: g.Status.Zone, State: cmp.Or(g.Believed, "live"), Operator: g.server.Listener.Addr().String(),
+		}
+		if g.GoneAfter > 0 && read > g.GoneAfter {
+			in.State = "gone"
+		}
+		s.Instances = append(s.Instances, in)
+	}
+	return s
+}
+
 func (f *fakeInstance) lookup(w http.ResponseWriter, service string) {
 	switch {
 	case f.Lookup == nil:
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -2,7 +2,7 @@
 //
 //	GET /v1/live         200 while the process runs
 //	GET /v1/ready        200 once a configuration is in force and the instance is not leaving, else 503
-//	GET /v1/status       200 Status
+//	GET /v1/status       200 Status; ?only=self leaves the lists out
 //	GET /v1/trace        200 []trace.Span, the last root spans
 //	GET /v1/trace/{id}   200 []trace.Span of one trace, as far as this instance has them
 //	GET /debug/vars      expvar
@@ -42,6 +42,13 @@
 	Latency map[string]telemetry.Quantiles `json:"latency"`
 }
 
+// Self returns the status without its lists: what is small and the same at any
+// size of the estate.
+func (s Status) Self() Status {
+	s.Instances, s.Services, s.Links, s.Backends, s.Drains, s.Latency = nil, nil, nil, nil, nil, nil
+	return s
+}
+
 // InstanceStatus is what is believed of an instance.
 type InstanceStatus struct {
 	ID          string `json:"id"`
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -44,7 +44,7 @@
 
 // New returns a client that gives an instance so long for one answer.
 func New(timeout time.Duration) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{}}, timeout: timeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConns: maxConcurrent}}, timeout: timeout}
 }
 
 // Close closes the idle connections.
@@ -53,8 +53,17 @@
 // Status asks the instance at the operator address, host:port or a base URL.
 // Errors: Unreachable.
 func (c *Client) Status(ctx context.Context, addr string) (operator.Status, error) {
+	return c.status(ctx, addr, "/v1/status")
+}
+
+// Self asks for the status without its lists. Errors: Unreachable.
+func (c *Client) Self(ctx context.Context, addr string) (operator.Status, error) {
+	return c.status(ctx, addr, "/v1/status?only=self")
+}
+
+func (c *Client) status(ctx context.Context, addr, path string) (operator.Status, error) {
 	var s operator.Status
-	if err := c.get(ctx, addr, "/v1/status", &s); err != nil {
+	if err := c.get(ctx, addr, path, &s); err != nil {
 		return s, err
 	}
 	if s.Instance == "" { // it answers, and its control state does not
--- a/internal/operator/client/fleet.go
+++ b/internal/operator/client/fleet.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// maxConcurrent is the most instances asked at once.
-	maxConcurrent = 32
+	// maxConcurrent is the most instances asked at once. It hides the delay
+	// between regions when there are thousands of instances.
+	maxConcurrent = 256
 	// maxInstances bounds how many instances a gathering follows.
 	maxInstances = 16384
 	// stateGone is the state of an instance that is no longer asked.
@@ -112,7 +113,8 @@
 	return out
 }
 
-// result drops second answers of an instance that was asked at two addresses.
+// result drops second answers of an instance that was asked at two addresses,
+// and silent endpoints that the others believe gone.
 func (g *gathering) result() ([]Answer, error) {
 	slices.SortFunc(g.answers, func(a, b Answer) int { return strings.Compare(a.Addr, b.Addr) })
 	seen := map[string]bool{}
@@ -133,13 +135,31 @@
 	if len(seen) == 0 && failed != nil {
 		return nil, errors.Trace(failed)
 	}
-	out = slices.DeleteFunc(out, func(a Answer) bool { return a.Err != nil && seen[a.Believed.ID] })
+	out = slices.DeleteFunc(out, func(a Answer) bool {
+		return a.Err != nil && (seen[a.Believed.ID] || a.Believed.State == stateGone)
+	})
 	slices.SortStableFunc(out, func(a, b Answer) int {
 		return cmp.Or(strings.Compare(a.Zone(), b.Zone()), strings.Compare(a.ID(), b.ID()))
 	})
 	return out, nil
 }
 
+// Refresh asks the instances of answers again, without the lists of their
+// status, where want says so.
+func (c *Client) Refresh(ctx context.Context, answers []Answer, want func(Answer) bool) {
+	var group errgroup.Group
+	group.SetLimit(maxConcurrent)
+	for i := range answers {
+		if a := &answers[i]; want(*a) {
+			group.Go(func() error {
+				a.Status, a.Err = c.Self(ctx, a.Addr)
+				return nil
+			})
+		}
+	}
+	_ = group.Wait() // failures are kept in the answers
+}
+
 // Trace gathers the spans of one trace from all instances that the endpoints
 // lead to. silent are the addresses that gave no answer, so that the trace may
 // lack spans. Errors: Unreachable, when no instance answered.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -24,7 +24,13 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, status()) })
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
+		s := status()
+		if r.URL.Query().Get("only") == "self" {
+			s = s.Self()
+		}
+		writeJSON(w, s)
+	})
 	mux.HandleFunc("GET /v1/trace", func(w http.ResponseWriter, r *http.Request) {
 		n, err := strconv.Atoi(r.URL.Query().Get("n"))
 		if err != nil || n <= 0 || n > maxTraces {
