route: places by the balance machine, from reports that age

Cause: the filter ranked neighbours by its own rule, which took a quarter of the slots of an old report for free. It now asks balance.Forward for each try, with what was sent and refused since the report as evidence.

Ruled out: keeping the ranking and only ageing it; two rules for one decision.

--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
+	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/snapshot"
 )
 
@@ -19,7 +21,7 @@
 		z, _ := e.ZoneOf(c.Self.Zone)
 		s.Region = z.Region
 		for _, z := range e.Zones {
-			s.Zones = append(s.Zones, snapshot.Zone{Name: z.Name, Region: z.Region, Instances: c.usable(z.Name)})
+			s.Zones = append(s.Zones, c.zoneView(z))
 		}
 	}
 	c.applyOwners(now)
@@ -27,6 +29,19 @@
 	c.snap.Store(s)
 }
 
+func (c *Control) zoneView(z estate.Zone) snapshot.Zone {
+	v := snapshot.Zone{
+		Name: z.Name, Region: z.Region, Instances: c.usable(z.Name), Slots: c.steer.slots[z.Name],
+		Loads: map[string]load.Report{}, Closed: c.steer.estate.ZoneDraining(z.Name),
+	}
+	for _, s := range c.steer.estate.Services {
+		if rep, ok := c.zoneLoad(z.Name, s.Name); ok {
+			v.Loads[s.Name] = rep
+		}
+	}
+	return v
+}
+
 func (c *Control) usable(zone string) []snapshot.Instance {
 	var out []snapshot.Instance
 	for _, in := range c.members.View().Zone(zone).Usable() {
--- a/internal/control/ramp.go
+++ b/internal/control/ramp.go
@@ -10,7 +10,6 @@
 	"github.com/banyandeal/banyandeal/internal/decide/shift"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
-	"github.com/banyandeal/banyandeal/internal/snapshot"
 )
 
 const (
@@ -24,10 +23,6 @@
 	zoneGrace = 5 * time.Second
 )
 
-// believe says how far reports of load are believed: a report is fresh for
-// three heartbeats, and after some more says nothing but the configured share.
-var believe = load.Policy{Fresh: 2 * time.Second, Stale: 10 * time.Second, Share: 700, RefusalHold: time.Second}
-
 // rampState is where shifts stand.
 type rampState struct {
 	ramp *shift.Ramp
@@ -58,7 +53,7 @@
 		c.rebuildTables(allServices(plan))
 		return
 	}
-	r.ramp = shift.New(shift.NewSettings(s.estate.Shift, believe))
+	r.ramp = shift.New(shift.NewSettings(s.estate.Shift, load.Believe))
 	r.startedAt = now
 	c.startRamp(now, plan)
 	c.rebuildTables(allServices(plan))
@@ -213,7 +208,7 @@
 			continue
 		}
 		rep.Slots += l.Slots
-		rep.Busy += load.Milli(l.Slots-l.Free) * load.Slot
+		rep.Busy += l.Busy
 		if rep.At.IsZero() || l.At.Before(rep.At) {
 			rep.At = l.At
 		}
@@ -252,11 +247,11 @@
 }
 
 // ownLoad is this instance's part of the zone's load.
-func (c *Control) ownLoad(now time.Time) map[string]snapshot.Load {
-	loads := make(map[string]snapshot.Load, len(c.steer.estate.Services))
+func (c *Control) ownLoad(now time.Time) map[string]load.Report {
+	loads := make(map[string]load.Report, len(c.steer.estate.Services))
 	for _, s := range c.steer.estate.Services {
 		free, slots := c.Pool.Free(s.Name)
-		loads[s.Name] = snapshot.Load{Free: free, Slots: slots, At: now}
+		loads[s.Name] = load.Report{Busy: load.Milli(slots-free) * load.Slot, Slots: slots, At: now}
 	}
 	return loads
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/decide/shift"
 	"github.com/banyandeal/banyandeal/internal/estate"
@@ -61,7 +62,7 @@
 		for zi, z := range c.steer.plan.Input.Zones {
 			st.Zones = append(st.Zones, operator.ServiceZoneStatus{
 				Zone: z.Name, Weight: share(now[zi], total), Target: share(target[zi], total),
-				Slots: c.zoneSlots(i, z.Name), Free: c.zoneFree(sp.Name, z.Name),
+				Slots: c.steer.slots[z.Name][sp.Name], Free: c.zoneFree(sp.Name, z.Name),
 			})
 		}
 		st.Overflow = share(now[len(now)-1], total)
@@ -105,27 +106,9 @@
 	return float64(part) / float64(total)
 }
 
-func (c *Control) zoneSlots(service int, zone string) int {
-	n := 0
-	for _, b := range c.steer.estate.Services[service].Backends {
-		if b.Zone == zone && !c.steer.estate.BackendDraining(b) {
-			n += b.Slots
-		}
-	}
-	return n
-}
-
 func (c *Control) zoneFree(service, zone string) int {
-	free := 0
-	for _, in := range c.members.View().Zone(zone).Usable() {
-		if in.Identity == c.Self.Identity {
-			own, _ := c.Pool.Free(service)
-			free += own
-			continue
-		}
-		free += c.steer.loads[in.Identity][service].Free
-	}
-	return free
+	rep, _ := c.zoneLoad(zone, service)
+	return rep.Slots - int(rep.Busy/load.Slot)
 }
 
 func (c *Control) linkStatus(region string) []operator.LinkStatus {
--- a/internal/control/steer.go
+++ b/internal/control/steer.go
@@ -7,11 +7,11 @@
 	"github.com/banyandeal/banyandeal/internal/blocktable"
 	"github.com/banyandeal/banyandeal/internal/config"
 	"github.com/banyandeal/banyandeal/internal/config/publish"
+	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
-	"github.com/banyandeal/banyandeal/internal/snapshot"
 )
 
 // steerState is where requests are steered.
@@ -23,13 +23,15 @@
 	demand placement.Demand
 	plan   *placement.Plan
 	tables map[string]*placement.Table
+	// slots counts the declared slots that take work, by zone and service.
+	slots map[string]map[string]int
 	// loads holds what each incarnation last reported, by service.
-	loads map[membership.Identity]map[string]snapshot.Load
+	loads map[membership.Identity]map[string]load.Report
 }
 
 func newSteerState() *steerState {
 	return &steerState{
-		blocks: &blocktable.Table{}, tables: map[string]*placement.Table{}, loads: map[membership.Identity]map[string]snapshot.Load{},
+		blocks: &blocktable.Table{}, tables: map[string]*placement.Table{}, loads: map[membership.Identity]map[string]load.Report{},
 	}
 }
 
@@ -72,7 +74,7 @@
 			demand.Add(skeleton, b)
 		}
 	}
-	s.assembly, s.estate, s.blocks, s.demand = in.Assembly, skeleton, blocks, demand
+	s.assembly, s.estate, s.blocks, s.demand, s.slots = in.Assembly, skeleton, blocks, demand, slotsOf(skeleton)
 	return nil
 }
 
@@ -93,10 +95,26 @@
 	if err != nil {
 		return err
 	}
-	s.assembly, s.estate, s.blocks, s.demand = a, skeleton, blocks, demand
+	s.assembly, s.estate, s.blocks, s.demand, s.slots = a, skeleton, blocks, demand, slotsOf(skeleton)
 	return nil
 }
 
+// slotsOf counts the declared slots that take work, by zone and service.
+func slotsOf(e *estate.Estate) map[string]map[string]int {
+	out := make(map[string]map[string]int, len(e.Zones))
+	for _, z := range e.Zones {
+		out[z.Name] = map[string]int{}
+	}
+	for i := range e.Services {
+		for _, b := range e.Services[i].Backends {
+			if zone := out[b.Zone]; zone != nil && !e.BackendDraining(b) {
+				zone[e.Services[i].Name] += b.Slots
+			}
+		}
+	}
+	return out
+}
+
 func sameRegions(a, b *estate.Estate) bool {
 	if len(a.Regions) != len(b.Regions) {
 		return false
@@ -135,9 +153,10 @@
 // loadReport is the value of a load record, by service.
 type loadReport map[string]reportedLoad
 
+// reportedLoad is what one instance has of a service.
 type reportedLoad struct {
-	Free  int `json:"free"`
-	Slots int `json:"slots"`
+	Busy  load.Milli `json:"busy"`
+	Slots int        `json:"slots"`
 }
 
 // publishLoad writes this instance's load record.
@@ -149,7 +168,7 @@
 	c.steer.loads[c.Self.Identity] = loads
 	report := loadReport{}
 	for name, l := range loads {
-		report[name] = reportedLoad{Free: l.Free, Slots: l.Slots}
+		report[name] = reportedLoad{Busy: l.Busy, Slots: l.Slots}
 	}
 	c.logError("load_record_failed", c.records.set(recordLoad, report))
 }
@@ -159,9 +178,9 @@
 	if json.Unmarshal(rec.Value, &report) != nil {
 		return
 	}
-	loads := make(map[string]snapshot.Load, len(report))
+	loads := make(map[string]load.Report, len(report))
 	for name, l := range report {
-		loads[name] = snapshot.Load{Free: l.Free, Slots: l.Slots, At: now}
+		loads[name] = load.Report{Busy: l.Busy, Slots: l.Slots, At: now}
 	}
 	c.steer.loads[membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}] = loads
 	c.dirty = true
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -66,7 +66,8 @@
 			return own.Serve(ctx, r)
 		}
 		f.Budget.First(r.Service.Name)
-		t := &tries{Filter: f, own: own, snap: f.Snapshot(), r: r, left: max(r.Service.Retry.MaxAttempts, 1)}
+		t := &tries{Filter: f, own: own, snap: f.Snapshot(), r: r, left: max(r.Service.Retry.MaxAttempts, 1),
+			seen: visited{instances: map[string]bool{}, zones: map[string]int{}, full: map[string]bool{}}}
 		if after := r.Service.HedgeAfter; after > 0 && r.Idempotent && r.Stage != filter.StageZone {
 			return t.hedged(ctx, after)
 		}
@@ -74,25 +75,15 @@
 	})
 }
 
-// place is somewhere a request can be sent.
-type place struct {
-	kind string
-	// to is nil for the backend servers owned here.
-	to     *snapshot.Instance
-	region string
-	stage  filter.Stage
-}
-
 // tries walks the places for one request until one of them ends it.
 type tries struct {
 	Filter
-	own    filter.Handler
-	snap   *snapshot.Snapshot
-	r      *filter.Request
-	places []place
-	built  bool
-	left   int
-	last   *outcome.Error
+	own  filter.Handler
+	snap *snapshot.Snapshot
+	r    *filter.Request
+	seen visited
+	left int
+	last *outcome.Error
 }
 
 // serve tries places in order. Only a try that left the request not run, or
@@ -141,21 +132,14 @@
 // next returns the next place that has room and, for another region, a right
 // on the link to it.
 func (t *tries) next() (place, func(), bool) {
-	if !t.built {
-		t.places, t.built = t.list(), true
-	}
-	for t.left > 0 && len(t.places) > 0 {
-		p := t.places[0]
-		t.places = t.places[1:]
-		if p.to == nil {
-			if free, _ := t.Slots.Free(t.r.Service.Name); free == 0 {
-				continue
-			}
-			t.left--
-			return p, func() {}, true
+	for t.left > 0 {
+		p, ok := t.choose(time.Now())
+		if !ok {
+			break
 		}
 		release, ok := t.Links.Acquire(p.region)
 		if !ok {
+			t.seen.full[p.region] = true
 			t.last = outcome.NotRunError(outcome.KindLinkFull, retryAfter, "the link to %s is full", p.region)
 			continue
 		}
@@ -172,15 +156,15 @@
 		return t.own.Serve(ctx, t.r)
 	}
 	ctx, span := t.Recorder.Start(ctx, "forward", attribute.String("to", p.to.ID), attribute.String("zone", p.to.Zone))
-	done := t.Outbox.add(p.to.ID, t.r.Service.Name)
+	done := t.Outbox.add(p.to, t.r.Service.Name)
 	answer, err := t.Sender.Send(ctx, forward.Target{Address: p.to.Peer, ID: p.to.ID}, t.r, p.stage)
 	if err != nil {
-		done()
+		done(outcome.AsError(err).Kind == outcome.KindNoCapacity)
 		release()
 		trace.End(span, err)
 		return nil, err
 	}
-	end := func() { done(); release(); trace.End(span, nil) }
+	end := func() { done(false); release(); trace.End(span, nil) }
 	if answer.Stream == nil {
 		end()
 		return answer, nil
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/estate"
@@ -40,6 +41,12 @@
 	// Instances may be given work, sorted by id; a leaving or suspect instance
 	// is not among them.
 	Instances []Instance
+	// Slots counts the declared slots that take work, Loads sums what the
+	// instances reported; both by service.
+	Slots map[string]int
+	Loads map[string]load.Report
+	// Closed is set for a zone that drains: it gets no new work from others.
+	Closed bool
 }
 
 // Instance is an entry instance that may be given work.
@@ -50,18 +57,9 @@
 	// Caller and Peer are its addresses, host:port.
 	Caller string
 	Peer   string
-	// Loads is what it last reported, by service.
-	Loads map[string]Load
-}
-
-// Load is what an instance can take of one service in its zone.
-type Load struct {
-	// Free counts the free slots of the backend servers it owns, Slots all
-	// that take work.
-	Free  int
-	Slots int
-	// At is when the report was made, by the receiver's clock.
-	At time.Time
+	// Loads is what it last reported of the backend servers that it owns, by
+	// service.
+	Loads map[string]load.Report
 }
 
 // Ready reports whether requests may be taken.
