operator/client: ask a few instances of a zone for their lists

Ruled out: one instance for the list of all: no instance knows all. Conclusion: the bytes of one gathering grow with the instances by what each of them has to say. /v1/status takes ?part=self and ?part=work in place of ?only=self.

--- a/internal/cli/fakes_test.go
+++ b/internal/cli/fakes_test.go
@@ -143,8 +143,11 @@
 	switch id, one := strings.CutPrefix(r.URL.Path, "/v1/trace/"); {
 	case r.URL.Path == "/v1/status":
 		s := f.status(f.reads.Add(1))
-		if r.FormValue("only") == "self" {
+		switch r.FormValue("part") {
+		case operator.PartSelf:
 			s = s.Self()
+		case operator.PartWork:
+			s.Instances = nil
 		}
 		_ = json.NewEncoder(w).Encode(s)
 	case one:
--- a/internal/cli/wait.go
+++ b/internal/cli/wait.go
@@ -13,9 +13,9 @@
 const (
 	// waitPoll is the time between two polls of --wait.
 	waitPoll = 200 * time.Millisecond
-	// gatherEvery is the number of polls from one that looks for instances
+	// findEvery is the number of polls from one that looks for instances
 	// that joined or died to the next.
-	gatherEvery = 10
+	findEvery = 10
 	// waitCallTimeout bounds one call of a poll, so that an instance that is
 	// silent does not hold up the others.
 	waitCallTimeout = 500 * time.Millisecond
@@ -62,15 +62,15 @@
 	}
 }
 
-// poll asks the instances that are behind again. At times it gathers all
+// poll asks the instances that are behind again. At times it finds all
 // instances anew, since some may have joined or died. While no endpoint
 // answers, what is known stays.
 func (w *waiter) poll(ctx context.Context, round int, answers []client.Answer, behind func(client.Answer) bool) []client.Answer {
-	if len(answers) > 0 && round%gatherEvery != 0 {
+	if len(answers) > 0 && round%findEvery != 0 {
 		w.operators.Refresh(ctx, answers, behind)
 		return answers
 	}
-	fresh, err := w.operators.Gather(ctx, w.endpoints)
+	fresh, err := w.operators.Find(ctx, w.endpoints)
 	if err != nil {
 		return answers
 	}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -2,7 +2,7 @@
 //
 //	GET /v1/live         200 while the process runs
 //	GET /v1/ready        200 once a configuration is in force and the instance is not leaving, else 503
-//	GET /v1/status       200 Status; ?only=self leaves the lists out
+//	GET /v1/status       200 Status; ?part=work leaves out its instances, ?part=self all its lists
 //	GET /v1/trace        200 []trace.Span, the last root spans
 //	GET /v1/trace/{id}   200 []trace.Span of one trace, as far as this instance has them
 //	GET /debug/vars      expvar
@@ -14,6 +14,12 @@
 	"github.com/banyandeal/banyandeal/internal/telemetry"
 )
 
+// Values of the query part of GET /v1/status.
+const (
+	PartSelf = "self"
+	PartWork = "work"
+)
+
 // Status is what one instance knows.
 type Status struct {
 	Instance    string `json:"instance"`
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -50,18 +50,14 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Status asks the instance at the operator address, host:port or a base URL.
-// Errors: Unreachable.
-func (c *Client) Status(ctx context.Context, addr string) (operator.Status, error) {
-	return c.status(ctx, addr, "/v1/status")
-}
-
-// Self asks for the status without its lists. Errors: Unreachable.
-func (c *Client) Self(ctx context.Context, addr string) (operator.Status, error) {
-	return c.status(ctx, addr, "/v1/status?only=self")
-}
-
-func (c *Client) status(ctx context.Context, addr, path string) (operator.Status, error) {
+// Status asks the instance at the operator address, host:port or a base URL,
+// for a part of its status: operator.PartSelf, PartWork, or all of it if part is
+// empty. Errors: Unreachable.
+func (c *Client) Status(ctx context.Context, addr, part string) (operator.Status, error) {
+	path := "/v1/status"
+	if part != "" {
+		path += "?part=" + part
+	}
 	var s operator.Status
 	if err := c.get(ctx, addr, path, &s); err != nil {
 		return s, err
--- a/internal/operator/client/fleet.go
+++ b/internal/operator/client/fleet.go
@@ -20,6 +20,9 @@
 	maxConcurrent = 256
 	// maxInstances bounds how many instances a gathering follows.
 	maxInstances = 16384
+	// fullPerZone is how many instances of a zone are asked for the others that
+	// they know: each knows all of its zone and the relays of the others.
+	fullPerZone = 3
 	// stateGone is the state of an instance that is no longer asked.
 	stateGone = "gone"
 )
@@ -44,10 +47,23 @@
 func (a Answer) Zone() string { return cmp.Or(a.Status.Zone, a.Believed.Zone) }
 
 // Gather asks the instances at the endpoints and all others that they know of,
-// directly or not, except those believed gone. Answers are by zone and ID. The
-// error, Unreachable, is that of an endpoint when no instance answered.
+// directly or not, except those believed gone. Answers are by zone and ID. Only
+// a few of a zone are asked for the instances that they know: all others answer
+// operator.PartWork. The error, Unreachable, is that of an endpoint when no
+// instance answered.
 func (c *Client) Gather(ctx context.Context, endpoints []string) ([]Answer, error) {
-	g := gathering{client: c, known: map[string]operator.InstanceStatus{}, asked: map[string]bool{}}
+	return c.gather(ctx, endpoints, operator.PartWork)
+}
+
+// Find is Gather with operator.PartSelf.
+func (c *Client) Find(ctx context.Context, endpoints []string) ([]Answer, error) {
+	return c.gather(ctx, endpoints, operator.PartSelf)
+}
+
+func (c *Client) gather(ctx context.Context, endpoints []string, part string) ([]Answer, error) {
+	g := gathering{
+		client: c, part: part, known: map[string]operator.InstanceStatus{}, asked: map[string]bool{}, full: map[string]int{},
+	}
 	todo := endpoints
 	for len(todo) > 0 {
 		g.ask(ctx, todo)
@@ -56,11 +72,15 @@
 	return g.result()
 }
 
-// gathering is one run of Gather.
+// gathering is one run of Gather or Find.
 type gathering struct {
-	client  *Client
-	known   map[string]operator.InstanceStatus
-	asked   map[string]bool
+	client *Client
+	// part is what most instances are asked for.
+	part  string
+	known map[string]operator.InstanceStatus
+	asked map[string]bool
+	// full counts by zone the instances asked for all of their status.
+	full    map[string]int
 	answers []Answer
 }
 
@@ -70,13 +90,15 @@
 		group errgroup.Group
 	)
 	group.SetLimit(maxConcurrent)
+	before := len(g.answers)
 	for _, addr := range addrs {
 		if g.asked[addr] || len(g.asked) >= maxInstances {
 			continue
 		}
 		g.asked[addr] = true
+		part := g.partFor(addr)
 		group.Go(func() error {
-			s, err := g.client.Status(ctx, addr)
+			s, err := g.client.Status(ctx, addr, part)
 			mu.Lock()
 			defer mu.Unlock()
 			g.answers = append(g.answers, Answer{Addr: addr, Status: s, Err: err})
@@ -84,11 +106,22 @@
 		})
 	}
 	_ = group.Wait() // failures are kept in the answers
-	for _, a := range g.answers {
+	for _, a := range g.answers[before:] {
 		g.learn(a)
 	}
 }
 
+// partFor asks the first instances of each zone, and all of an unknown zone,
+// for everything.
+func (g *gathering) partFor(addr string) string {
+	zone := g.known[addr].Zone
+	if zone != "" && g.full[zone] >= fullPerZone {
+		return g.part
+	}
+	g.full[zone]++
+	return ""
+}
+
 // learn notes the instances that an answer names. One that anybody believes
 // to be there is asked.
 func (g *gathering) learn(a Answer) {
@@ -152,7 +185,7 @@
 	for i := range answers {
 		if a := &answers[i]; want(*a) {
 			group.Go(func() error {
-				a.Status, a.Err = c.Self(ctx, a.Addr)
+				a.Status, a.Err = c.Status(ctx, a.Addr, operator.PartSelf)
 				return nil
 			})
 		}
@@ -180,7 +213,7 @@
 }
 
 func (c *Client) collect(ctx context.Context, endpoints []string, read func(context.Context, string) ([]trace.Span, error)) ([]trace.Span, []string, error) {
-	answers, err := c.Gather(ctx, endpoints)
+	answers, err := c.Find(ctx, endpoints)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -25,11 +25,7 @@
 		}
 	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
-		s := status()
-		if r.URL.Query().Get("only") == "self" {
-			s = s.Self()
-		}
-		writeJSON(w, s)
+		writeJSON(w, statusFor(r.URL.Query().Get("part"), status()))
 	})
 	mux.HandleFunc("GET /v1/trace", func(w http.ResponseWriter, r *http.Request) {
 		n, err := strconv.Atoi(r.URL.Query().Get("n"))
@@ -45,6 +41,17 @@
 	return mux
 }
 
+// statusFor leaves out what the reader does not ask for.
+func statusFor(part string, s Status) Status {
+	switch part {
+	case PartSelf:
+		return s.Self()
+	case PartWork:
+		s.Instances = nil
+	}
+	return s
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	// The reader is gone if this fails.
