--- a/internal/decide/placement/compute.go
+++ b/internal/decide/placement/compute.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/banyandeal/banyandeal/internal/decide/proportion"
 )
 
 // Matrix holds the flow of each cell (edge region, zone), and of each edge
@@ -50,7 +52,8 @@
 // Plan is the placement of all services. The sum of all services on a link
 // does not exceed the link's cap.
 type Plan struct {
-	Zones    []Zone
+	// Input is what the plan was made of.
+	Input    Input
 	Services []ServicePlan
 }
 
@@ -71,7 +74,7 @@
 	for _, f := range flows {
 		f.augment(g.capsFor(f, flows))
 	}
-	p := &Plan{Zones: in.Zones}
+	p := &Plan{Input: in}
 	for _, f := range flows {
 		spare := g.capsFor(f, flows)
 		p.Services = append(p.Services, ServicePlan{Name: f.service.Name, Flow: f.cells(), Spare: f.spares(spare)})
@@ -111,7 +114,8 @@
 }
 
 // splitLinks shares each link's cap among services in proportion to what each
-// would send over it if no link had a cap.
+// would send over it if no link had a cap. What that leaves is shared evenly:
+// caps of other links may turn more flow to this one.
 func (g *graph) splitLinks(flows []*flow) [][][]Rate {
 	open := square(g.regions)
 	for e, order := range g.prefer {
@@ -127,10 +131,12 @@
 		shares[i] = square(g.regions)
 		for e := range g.links {
 			for r, limit := range g.links[e] {
-				if need := used(flows, e, r); need > limit {
-					limit = mulDiv(limit, f.to[e][r], need)
+				need := used(flows, e, r)
+				if need > limit {
+					shares[i][e][r] = proportion.MulDiv(limit, f.to[e][r], need)
+				} else {
+					shares[i][e][r] = f.to[e][r] + (limit-need)/Rate(len(flows))
 				}
-				shares[i][e][r] = limit
 			}
 		}
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -16,7 +18,6 @@
 	"github.com/juju/errors"
 
 	"github.com/banyandeal/banyandeal/internal/bench"
-	"github.com/banyandeal/banyandeal/internal/config"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	api "github.com/banyandeal/banyandeal/internal/platform"
 	"github.com/banyandeal/banyandeal/internal/standin/backend"
@@ -120,7 +121,7 @@
 		return nil, errors.Annotatef(err, "copying the estate from %s", opts.Dir)
 	}
 	var err error
-	if d.estate, err = config.Load(d.dir); err != nil {
+	if d.estate, err = movePorts(d.dir); err != nil {
 		return nil, errors.Trace(err)
 	}
 	d.entries = layoutEntries(d.estate)
@@ -158,6 +159,9 @@
 		if err := step(ctx); err != nil {
 			return errors.Trace(err)
 		}
+		if err := d.allRun(); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	d.report.Processes = len(d.procs.all)
 	d.say("%d processes run: the platform, %d entry instances, the backend servers", d.report.Processes, len(d.entries))
@@ -174,6 +178,17 @@
 	return nil
 }
 
+// allRun returns an error if a process has ended. One whose port was taken has,
+// though another process answers on it.
+func (d *demo) allRun() error {
+	for name, p := range d.procs.all {
+		if p.ended() {
+			return errors.Errorf("%s ended at its start; see its log in %s", name, d.work)
+		}
+	}
+	return nil
+}
+
 // ctl runs banyanctl.
 func (d *demo) ctl(ctx context.Context, args ...string) error {
 	ctx, cancel := context.WithTimeout(ctx, ctlLimit)
@@ -220,7 +235,7 @@
 	load, err := bench.NewLoad(bench.Config{
 		Entries: entries, Callers: callers, Workloads: workloadsOf(d.estate, demand*d.opts.LoadShare),
 		Duration: loadLimit, MaxRequests: maxRequests, MaxInFlight: maxInFlight, MaxAttempts: maxAttempts,
-		Patience: patience, OwnKeyShare: ownKeyShare, Seed: d.opts.Seed, Prefix: "demo",
+		Patience: patience, OwnKeyShare: ownKeyShare, Seed: d.opts.Seed, Prefix: tokenPrefix(),
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -234,6 +249,9 @@
 	return errors.Trace(err)
 }
 
+// tokenPrefix keeps the requests of demos that run at once apart.
+func tokenPrefix() string { return "demo" + strconv.Itoa(os.Getpid()) }
+
 // script is what happens to the estate under load.
 func (d *demo) script(ctx context.Context) error {
 	if err := pause(ctx, calmTime); err != nil {
@@ -363,6 +381,9 @@
 // check compares what callers were told with the run logs, and the headroom
 // with the caps.
 func (d *demo) check() error {
+	if err := d.writeRecords(); err != nil {
+		return errors.Trace(err)
+	}
 	var runs []backend.Run
 	for _, s := range d.estate.Services {
 		for _, b := range s.Backends {
@@ -379,6 +400,12 @@
 			d.breaks("%s: %d more than the capacity of %d", h.Name, -h.Least, h.Capacity)
 		}
 	}
+	d.report.Links = d.linkUses(runs)
+	for _, l := range d.report.Links {
+		if l.MostInFlight > l.MaxInFlight {
+			d.breaks("link %s: %d in flight at once by the run logs, its cap is %d", l.Name, l.MostInFlight, l.MaxInFlight)
+		}
+	}
 	d.measureDrain(runs)
 	return nil
 }
@@ -422,6 +449,22 @@
 	return slices.ContainsFunc(d.entries, func(e entrySpec) bool { return e.id == name })
 }
 
+// writeRecords keeps what callers saw next to the logs, a JSON line each.
+func (d *demo) writeRecords() error {
+	f, err := os.Create(filepath.Join(d.work, "records.jsonl"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	out := json.NewEncoder(f)
+	for _, r := range d.report.Load.Records {
+		if err := out.Encode(r); err != nil {
+			_ = f.Close()
+			return errors.Trace(err)
+		}
+	}
+	return errors.Trace(f.Close())
+}
+
 func (d *demo) readRuns(name string) ([]backend.Run, error) {
 	f, err := os.Open(d.runsFile(name))
 	if err != nil {
