bench, control: a key that never left is renewed; refused exchanges are evidence

Cause: after an instance was killed, look-ups named it as a key's home until silence made it suspect, and callers resent keys that nobody could run. An exchange that is refused now tells at once that the process is dead, as does a request that could not be sent; a refusal remembered from an earlier dial is no evidence, since a new process may have begun since (test saw it taken for one). Callers renew a key that never left them.

--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -149,6 +149,7 @@
 	case ownKey:
 		r.key = "own-" + r.token
 	default:
+		r.issued = true
 		r.key, err = c.key(ctx)
 	}
 	if err == nil {
--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -26,10 +26,12 @@
 
 // request is one request to be sent, the same at each attempt.
 type request struct {
-	op       Op
-	service  string
-	token    string
-	key      string
+	op      Op
+	service string
+	token   string
+	key     string
+	// issued is set if the key came with a look-up's answer.
+	issued   bool
 	body     []byte
 	deadline time.Duration
 	due      time.Time
@@ -75,6 +77,7 @@
 // it, and returns the last reply.
 func (s *sender) attempts(ctx context.Context, c *caller, r request, rec *Record) reply {
 	var last reply
+	sent := false
 	for at := 0; rec.Attempts < s.maxAttempts; {
 		instances, err := c.instances(ctx)
 		if err != nil {
@@ -85,6 +88,7 @@
 		rec.Entry = to.ID
 		rec.Attempts++
 		rec.Uncertain = rec.Uncertain || last.uncertain()
+		sent = sent || !last.unsent
 		step, wait := last.next(r.op.Idempotent, r.key)
 		switch step {
 		case finish:
@@ -94,6 +98,11 @@
 			if at%len(instances) == 0 {
 				c.forget()
 			}
+			if r.issued && last.unsent && !sent {
+				if err := s.renew(ctx, c, &r, rec); err != nil {
+					return last
+				}
+			}
 		case resendLater:
 		}
 		if time.Now().Add(wait).After(r.due.Add(s.patience)) || !sleep(ctx, wait) {
@@ -103,6 +112,18 @@
 	return last
 }
 
+// renew takes a fresh key for a request whose key has never been sent: the
+// home that the key names can't be reached, so nobody else could run it.
+func (s *sender) renew(ctx context.Context, c *caller, r *request, rec *Record) error {
+	c.forget()
+	key, err := c.key(ctx)
+	if err != nil {
+		return err
+	}
+	r.key, rec.Key = key, key
+	return nil
+}
+
 // sleep reports whether the time passed before the context ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if ctx.Err() != nil {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -70,7 +70,7 @@
 	targets := c.members.Targets()
 	for _, id := range targets {
 		if in, ok := c.members.View().Instance(id); ok {
-			c.exchange(in.Peer, nil)
+			c.exchange(in.Peer, probeOf(in))
 		}
 	}
 	if len(targets) == 0 {
@@ -82,6 +82,25 @@
 	}
 }
 
+// probeOf makes an exchange with an instance tell about it: an address that
+// refuses the connection shows at once that the process is dead.
+func probeOf(in membership.Instance) *membership.Probe {
+	return &membership.Probe{About: in.Identity, Zone: in.Zone, Peer: in.Peer}
+}
+
+// Suspect probes the instance at an address that could not be reached.
+func (c *Control) Suspect(addr string) {
+	c.post(func(time.Time) {
+		for _, z := range c.members.View().Zones {
+			for _, in := range z.Instances {
+				if in.Peer == addr && in.State != membership.Gone {
+					c.exchange(addr, probeOf(in))
+				}
+			}
+		}
+	})
+}
+
 // exchange sends this instance's records to an address and takes those of the
 // reply. A non-nil probe gets the outcome as evidence.
 func (c *Control) exchange(addr string, probe *membership.Probe) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -130,7 +130,7 @@
 		Caller: s.Advertise.Caller, Peer: s.Advertise.Peer, Operator: s.Advertise.Operator,
 	}
 	d.home = once.Home{Zone: s.Zone, ID: s.ID, Incarnation: self.Incarnation}
-	d.sender = &forward.Sender{Client: d.peers, Recorder: d.recorder, Region: d.region}
+	d.sender = &forward.Sender{Client: d.peers, Recorder: d.recorder, Region: d.region, Unreachable: func(addr string) { d.control.Suspect(addr) }}
 	t := &transport{sender: d.sender, peers: d.peers, platform: d.platform, self: d.home}
 	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: maxKeyTTL, ClaimTTL: claimTTL}, t)
 	d.pool = pool.New(balance.LeastLoaded, func(r pool.Result) { d.control.BackendResult(r) })
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,6 +36,8 @@
 	Recorder *trace.Recorder
 	// Region is the region of this instance.
 	Region func() string
+	// Unreachable is told of an address that a request could not be sent to.
+	Unreachable func(addr string)
 }
 
 // Target names the instance that a request goes to.
@@ -63,7 +65,11 @@
 	}}}
 	reply, body, err := s.Client.Call(ctx, to.Address, call, bodyOf(r.Body))
 	if err != nil {
-		return nil, callFailure(to, err)
+		failed := callFailure(to, err)
+		if !failed.Sent {
+			s.Unreachable(to.Address)
+		}
+		return nil, failed
 	}
 	answer, err := s.answer(r, to, reply, body)
 	if err != nil {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -44,8 +44,9 @@
 type CallError struct {
 	Address string
 	Sent    SentState
-	// Refused is set when the address refused the connection: no process
-	// listens there, which is evidence that the old one is dead.
+	// Refused is set when the address refused a connection that this call
+	// tried: no process listens there, which is evidence that the old one is
+	// dead.
 	Refused bool
 	Err     error
 }
@@ -71,7 +72,6 @@
 	mu      sync.Mutex
 	ses     *yamux.Session
 	failed  error
-	refused bool
 	retryAt time.Time
 }
 
@@ -152,8 +152,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ses == nil || s.ses.IsClosed() {
-		if err := s.dial(addr); err != nil {
-			return nil, &CallError{Address: addr, Sent: NotSent, Refused: s.refused, Err: err}
+		if refused, err := s.dial(addr); err != nil {
+			return nil, &CallError{Address: addr, Sent: NotSent, Refused: refused, Err: err}
 		}
 	}
 	stream, err := s.ses.OpenStream()
@@ -179,24 +179,25 @@
 	return s, nil
 }
 
-func (s *session) dial(addr string) error {
+// dial opens the session. refused is set only by a dial that was made now: the
+// memory of an earlier one says nothing of a process that began since.
+func (s *session) dial(addr string) (refused bool, err error) {
 	now := time.Now()
 	if s.failed != nil && now.Before(s.retryAt) {
-		return s.failed
+		return false, s.failed
 	}
 	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
 	if err != nil {
-		s.failed, s.refused = errors.Trace(err), errors.Is(err, syscall.ECONNREFUSED)
-		s.retryAt = now.Add(redialPause)
-		return s.failed
+		s.failed, s.retryAt = errors.Trace(err), now.Add(redialPause)
+		return errors.Is(err, syscall.ECONNREFUSED), s.failed
 	}
 	ses, err := yamux.Client(conn, sessionConfig())
 	if err != nil {
 		conn.Close()
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
-	s.ses, s.failed, s.refused = ses, nil, false
-	return nil
+	s.ses, s.failed = ses, nil
+	return false, nil
 }
 
 // Forget closes the session to an address that is no longer used.
