once: tell callers when to come back for the outcome of a claimed key

The answer said to send it again with the same key, but not when. It now has Retry-After, and callers send the same key again when an unknown outcome says so. The rule of the test for callers said that unknown ends any request with a key; it is replaced by three cases, with and without Retry-After, and without a key, which still ends.

--- a/internal/bench/check_test.go
+++ b/internal/bench/check_test.go
@@ -67,7 +67,9 @@
 		{"lookup, connection lost", reply{err: io.EOF}, true, "", resendNext, Unanswered},
 		{"not run, come back", later, false, "k", resendLater, NotRun},
 		{"not run, don't come back", reply{status: 422, outcome: "not-run"}, false, "k", finish, NotRun},
-		{"unknown", reply{status: 502, outcome: "unknown", retryAfter: time.Second}, false, "k", finish, Unknown},
+		{"unknown", reply{status: 502, outcome: "unknown"}, false, "k", finish, Unknown},
+		{"unknown, ask again", reply{status: 503, outcome: "unknown", retryAfter: time.Second}, false, "k", resendLater, Unknown},
+		{"unknown, ask again, without key", reply{status: 503, outcome: "unknown", retryAfter: time.Second}, false, "", finish, Unknown},
 		{"lookup unknown", reply{status: 502, outcome: "unknown"}, true, "", resendLater, Unknown},
 		{"no outcome", reply{status: 500}, false, "k", finish, Unknown},
 	} {
--- a/internal/bench/rules.go
+++ b/internal/bench/rules.go
@@ -44,8 +44,8 @@
 
 // next applies the rules for callers: the same key, or an idempotent request,
 // may be sent again after a connection error, and after not-run once
-// Retry-After has passed. After unknown only an idempotent request is sent
-// again.
+// Retry-After has passed. After unknown an idempotent request is sent again,
+// and any other with its key if the answer says when.
 func (r reply) next(idempotent bool, key string) (step, time.Duration) {
 	switch {
 	case r.err != nil && (r.unsent || idempotent || key != ""):
@@ -56,7 +56,7 @@
 		return resendLater, r.retryAfter
 	case r.outcome == outcome.NotRun.String():
 		return finish, 0
-	case idempotent:
+	case idempotent, r.retryAfter > 0 && key != "":
 		return resendLater, max(r.retryAfter, minResendWait)
 	}
 	return finish, 0
--- a/internal/decide/once/refuse.go
+++ b/internal/decide/once/refuse.go
@@ -1,6 +1,8 @@
 package once
 
 import (
+	"time"
+
 	"github.com/banyandeal/banyandeal/internal/outcome"
 )
 
@@ -10,10 +12,15 @@
 	remedyAsk     = "ask the service whether it was run before sending it with a new key"
 )
 
+// resumeAfter is when a caller comes back with the same key.
+const resumeAfter = time.Second
+
 // resumable returns an unknown outcome that a resend with the same key can
 // clear up.
 func resumable(kind outcome.Kind, message string) Result {
-	return failed(&outcome.Error{Outcome: outcome.Unknown, Kind: kind, Message: message, Remedy: remedySameKey})
+	return failed(&outcome.Error{
+		Outcome: outcome.Unknown, Kind: kind, Message: message, Remedy: remedySameKey, RetryAfter: resumeAfter,
+	})
 }
 
 // lost returns an unknown outcome that nothing can clear up.
