shift: adopt positions of clocks that differ, and bound what they say

Cause: a neighbour whose clock was a quarter of a second ahead was not believed, so a replaced instance fell back to the slow pace in mid-ramp. Ruled out: taking any time, since one wrong clock would then win over all others. Before: the new test failed on a clock one second ahead. After: a minute of skew is taken, the cold time is bounded, and shares handed out before are not written to.

Conclusion: only the order of positions rests on clocks.

--- a/internal/decide/shift/position.go
+++ b/internal/decide/shift/position.go
@@ -72,27 +72,32 @@
 	return out
 }
 
+// maxSkew is how far in the future a neighbour's position may be by this
+// instance's clock.
+const maxSkew = time.Minute
+
 // Adopt takes a neighbour's position over, if it is further in time than any
 // taken before, and reports whether it did. It does so only before the first
 // Tick: an instance that has answered look-ups by its own shares goes on by
 // steps, so that nothing jumps.
 func (r *Ramp) Adopt(now time.Time, p Position) bool {
-	if r.anchored || r.plan == nil || !p.At.After(r.adopted) || p.At.After(now.Add(Step)) {
+	if r.anchored || r.plan == nil || !p.At.After(r.adopted) || p.At.After(now.Add(maxSkew)) {
 		return false
 	}
 	r.adopted = p.At
 	for i := range r.services {
 		for k := range p.Services {
 			if p.Services[k].Name == r.services[i].name {
-				r.adoptService(i, &p.Services[k])
+				r.adoptService(i, &p.Services[k], now)
 			}
 		}
 	}
 	return true
 }
 
-func (r *Ramp) adoptService(i int, p *ServicePosition) {
+func (r *Ramp) adoptService(i int, p *ServicePosition, now time.Time) {
 	s := &r.services[i]
+	s.shares = s.shares.Clone()
 	zones, edges := map[string]int{"": s.shares.Zones}, map[string]int{}
 	for z := range r.plan.Input.Zones {
 		zones[r.plan.Input.Zones[z].Name] = z
@@ -121,6 +126,9 @@
 	for _, c := range p.Cold {
 		if z, ok := zones[c.Zone]; ok && z < len(s.zones) {
 			s.zones[z].coldUntil = c.Until
+			if latest := now.Add(r.set.ColdTime); c.Until.After(latest) {
+				s.zones[z].coldUntil = latest
+			}
 		}
 	}
 }
--- a/internal/decide/shift/shift_test.go
+++ b/internal/decide/shift/shift_test.go
@@ -393,6 +393,30 @@
 	}
 }
 
+// TestAdoptTakesTheFurthestSoundPosition offers positions of clocks that differ
+// and positions that make no sense.
+func TestAdoptTakesTheFurthestSoundPosition(t *testing.T) {
+	plan := parsePlan(t, "zone a r 100\nzone b r 100\ndemand r 50")
+	r := New(settings)
+	r.Start(epoch, plan)
+	position := func(age time.Duration, a, b placement.Rate) Position {
+		return Position{At: epoch.Add(-age), Services: []ServicePosition{{
+			Name: "s", Cells: []CellPosition{{Edge: "r", Zone: "a", Share: a}, {Edge: "r", Zone: "b", Share: b}, {Edge: "?", Zone: "?", Share: 1}},
+			Cold: []ColdZone{{Zone: "a", Until: epoch.Add(time.Hour)}},
+		}}}
+	}
+	shown := r.Shares(0)
+	require.True(t, r.Adopt(epoch, position(2*time.Second, Unit/4, Unit*3/4)))
+	require.False(t, r.Adopt(epoch, position(3*time.Second, Unit, 0)), "one further back")
+	require.True(t, r.Adopt(epoch, position(-time.Second, Unit/5, Unit*4/5)), "a clock that is a second ahead")
+	require.False(t, r.Adopt(epoch, position(-time.Hour, Unit, 0)), "a clock that is wrong")
+	require.Equal(t, []placement.Rate{Unit / 5, Unit * 4 / 5, 0}, r.Shares(0).Row(0))
+	require.True(t, r.Adopt(epoch, position(-2*time.Second, Unit, Unit)))
+	require.Equal(t, []placement.Rate{Unit / 5, Unit * 4 / 5, 0}, r.Shares(0).Row(0), "shares beyond the whole are left")
+	require.Equal(t, []placement.Rate{Unit / 2, Unit / 2, 0}, shown.Row(0), "shares that were handed out do not change")
+	require.False(t, r.services[0].zones[0].coldUntil.After(epoch.Add(settings.ColdTime)))
+}
+
 // largePlans are two plans of 8 regions, 26 zones and 2 services, the second
 // without one of the zones.
 func largePlans() (a, b *placement.Plan) {
