linkcap: rights on a link, by ledger and by transfers between partners

Cause: what all instances of a region start over a link must stay under its cap without a word between them per request. Ruled out: transfers as single amounts with ids (a repeated or late one needs a memory of ids without bound; totals need none); lending on what was borrowed (the chain cannot be settled when its middle dies); a token bucket with a burst (a window of one second can hold rate plus burst).

--- /dev/null
+++ b/internal/decide/linkcap/ledger.go
@@ -0,0 +1,98 @@
+package linkcap
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
+)
+
+// clone returns a copy that shares nothing with l.
+func (l *Ledger) clone() *Ledger {
+	out := &Ledger{Caps: slices.Clone(l.Caps), Holders: slices.Clone(l.Holders)}
+	for i := range out.Holders {
+		out.Holders[i].Links = slices.Clone(out.Holders[i].Links)
+		out.Holders[i].Partners = slices.Clone(out.Holders[i].Partners)
+	}
+	return out
+}
+
+// holder returns the entry of id, or nil.
+func (l *Ledger) holder(id membership.Identity) *Holder {
+	i, ok := slices.BinarySearchFunc(l.Holders, id, func(h Holder, d membership.Identity) int { return h.Compare(d) })
+	if !ok {
+		return nil
+	}
+	return &l.Holders[i]
+}
+
+// join adds an entry without rights.
+func (l *Ledger) join(id membership.Identity, peer string) {
+	i, ok := slices.BinarySearchFunc(l.Holders, id, func(h Holder, d membership.Identity) int { return h.Compare(d) })
+	if !ok {
+		l.Holders = slices.Insert(l.Holders, i, Holder{Identity: id, Peer: peer})
+	}
+}
+
+// remove deletes the entry of id and its partnerships.
+func (l *Ledger) remove(id membership.Identity) {
+	for _, p := range slices.Clone(l.holder(id).Partners) {
+		l.unpair(id, p)
+	}
+	l.Holders = slices.DeleteFunc(l.Holders, func(h Holder) bool { return h.Identity == id })
+}
+
+// pair makes two holders partners.
+func (l *Ledger) pair(a, b membership.Identity) {
+	for _, e := range [][2]membership.Identity{{a, b}, {b, a}} {
+		if h := l.holder(e[0]); h != nil && !slices.Contains(h.Partners, e[1]) {
+			h.Partners = append(h.Partners, e[1])
+			slices.SortFunc(h.Partners, membership.Identity.Compare)
+		}
+	}
+}
+
+// unpair ends a partnership.
+func (l *Ledger) unpair(a, b membership.Identity) {
+	for _, e := range [][2]membership.Identity{{a, b}, {b, a}} {
+		if h := l.holder(e[0]); h != nil {
+			h.Partners = slices.DeleteFunc(h.Partners, func(p membership.Identity) bool { return p == e[1] })
+		}
+	}
+}
+
+// total returns the sum of all holders' rights on a link.
+func (l *Ledger) total(to string) Rights {
+	var sum Rights
+	for _, h := range l.Holders {
+		sum = sum.add(h.rights(to))
+	}
+	return sum
+}
+
+// cap returns the granted cap of a link.
+func (l *Ledger) cap(to string) Rights { return find(l.Caps, to) }
+
+func (l *Ledger) setCap(to string, r Rights) { l.Caps = set(l.Caps, to, r) }
+
+// rights returns the holder's rights on a link.
+func (h *Holder) rights(to string) Rights { return find(h.Links, to) }
+
+func (h *Holder) setRights(to string, r Rights) { h.Links = set(h.Links, to, r) }
+
+func find(links []LinkRights, to string) Rights {
+	i, ok := slices.BinarySearchFunc(links, to, func(l LinkRights, n string) int { return cmp.Compare(l.To, n) })
+	if !ok {
+		return Rights{}
+	}
+	return links[i].Rights
+}
+
+func set(links []LinkRights, to string, r Rights) []LinkRights {
+	i, ok := slices.BinarySearchFunc(links, to, func(l LinkRights, n string) int { return cmp.Compare(l.To, n) })
+	if ok {
+		links[i].Rights = r
+		return links
+	}
+	return slices.Insert(links, i, LinkRights{To: to, Rights: r})
+}
