platform: an absent row proves nothing about a lost reply

Ruled out: a fault of the stand-in; the row's history shows the write. Before: Conflict, though it was written (the new case of TestJudge fails). Commit's comment names the one case in which a sending again may take effect twice. Conclusion: only a row expected to exist can prove that nothing was written.

--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -13,9 +13,11 @@
 // its own. Errors: Conflict and Unavailable (nothing was written), ReplyLost
 // (the outcome is unknown), BadReply.
 //
-// A transaction whose reply was lost is sent again: compare-and-set lets it
-// take effect once at most, and the conflict of the second sending reads the
-// change ids back. A read of the row would not do, since it may be stale.
+// A transaction whose reply was lost is sent again, and the conflict of the
+// second sending reads the change ids back. A read of the row would not do,
+// since it may be stale. Compare-and-set lets the transaction take effect once
+// at most, but for one case: all its rows are expected to be absent, and others
+// delete every one of them between the sendings.
 func (c *Client) Commit(ctx context.Context, txn Txn) ([]Row, error) {
 	c.commits.Add(1)
 	body, err := json.Marshal(txn)
@@ -125,8 +127,10 @@
 
 // judge reads the change ids back. A row's version rises by one with each
 // write and never goes back, so another's id at the version that this
-// transaction would have written, or a row still at the expected version,
-// proves that it was not written. A row that has moved on proves nothing.
+// transaction would have written, or a row that still has the expected version,
+// proves that it was not written. A row that has moved on proves nothing, and
+// neither does one that is absent as expected: it may have been written and
+// deleted since.
 func judge(txn Txn, conflicting []Row) verdict {
 	byName := make(map[string]Row, len(conflicting))
 	for _, r := range conflicting {
@@ -137,10 +141,10 @@
 	}
 	for _, w := range txn.Writes {
 		r, conflicts := byName[w.Row]
-		if !conflicts {
+		if !conflicts && w.Expect > 0 {
 			return wasNotWritten
 		}
-		if r.Version == w.Expect+1 {
+		if conflicts && r.Version == w.Expect+1 {
 			return wasNotWritten
 		}
 	}
