route, limit, quarantine: retries under a budget, crashing requests stopped

Cause: retries had no budget, a shedding backend server was tried anew without one, and nothing stopped a request that brings down each backend server that runs it. The route filter is now the driver of the retry machine; an attempt is a walk over places until one takes the request, so that a stale report costs no token. A lost connection is checked by a dial before a further attempt begins, which is judged by what the check found.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -37,6 +37,9 @@
 	case *peerpb.Call_KeyMoved:
 		c.Keeper.Step(once.Moved{From: keys.DecodeHome(m.KeyMoved.From), To: keys.DecodeHome(m.KeyMoved.To)})
 		return ack(true, nil), nil
+	case *peerpb.Call_Quarantine:
+		c.Guard.Hear(decodeNotices(m.Quarantine.Entries))
+		return ack(true, nil), nil
 	}
 	return &peerpb.Reply{Error: "unknown call; this instance runs an older version"}, nil
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,6 +21,7 @@
 	"github.com/banyandeal/banyandeal/internal/peer"
 	"github.com/banyandeal/banyandeal/internal/platform"
 	"github.com/banyandeal/banyandeal/internal/pool"
+	"github.com/banyandeal/banyandeal/internal/quarantine"
 	"github.com/banyandeal/banyandeal/internal/snapshot"
 	"github.com/banyandeal/banyandeal/internal/telemetry"
 )
@@ -37,6 +38,7 @@
 	Pool     *pool.Pool
 	Links    *links.Gate
 	Keeper   *keys.Keeper
+	Guard    *quarantine.Guard
 	Metrics  *telemetry.Metrics
 	Log      zerolog.Logger
 }
@@ -177,6 +179,7 @@
 	if due(&c.timers.heartbeat, now, t.Heartbeat) {
 		c.publishLoad(now)
 		c.followDrains(now)
+		c.publishQuarantine()
 		c.sendHeartbeats()
 	}
 }
--- a/internal/control/ramp.go
+++ b/internal/control/ramp.go
@@ -241,6 +241,8 @@
 		c.takeLoad(now, rec)
 	case rec.Name == recordRamp:
 		c.takeRamp(rec)
+	case rec.Name == recordQuarantine:
+		c.takeQuarantine(rec)
 	case strings.HasPrefix(rec.Name, recordMoved):
 		c.takeMoved(rec)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,12 +20,14 @@
 	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
+	decidequarantine "github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/filter"
 	"github.com/banyandeal/banyandeal/internal/filter/accept"
 	"github.com/banyandeal/banyandeal/internal/filter/identify"
 	"github.com/banyandeal/banyandeal/internal/filter/limit"
 	filteronce "github.com/banyandeal/banyandeal/internal/filter/once"
+	filterquarantine "github.com/banyandeal/banyandeal/internal/filter/quarantine"
 	"github.com/banyandeal/banyandeal/internal/filter/route"
 	"github.com/banyandeal/banyandeal/internal/forward"
 	"github.com/banyandeal/banyandeal/internal/keys"
@@ -35,6 +37,7 @@
 	"github.com/banyandeal/banyandeal/internal/peer"
 	"github.com/banyandeal/banyandeal/internal/platform"
 	"github.com/banyandeal/banyandeal/internal/pool"
+	"github.com/banyandeal/banyandeal/internal/quarantine"
 	"github.com/banyandeal/banyandeal/internal/telemetry"
 	"github.com/banyandeal/banyandeal/internal/trace"
 )
@@ -58,6 +61,7 @@
 	recorder *trace.Recorder
 	control  *control.Control
 	keeper   *keys.Keeper
+	guard    *quarantine.Guard
 	pool     *pool.Pool
 	links    *links.Gate
 	peers    *peer.Client
@@ -134,9 +138,10 @@
 	t := &transport{sender: d.sender, peers: d.peers, platform: d.platform, self: d.home}
 	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: maxKeyTTL, ClaimTTL: claimTTL}, t)
 	d.pool = pool.New(balance.LeastLoaded, func(r pool.Result) { d.control.BackendResult(r) })
+	d.guard = quarantine.NewGuard(s.ID, func(ns []decidequarantine.Notice) { d.control.TellQuarantine(ns) })
 	d.control = control.New(control.Deps{
 		Settings: s, Self: self, Platform: d.platform, Peers: d.peers, Pool: d.pool, Links: d.links,
-		Keeper: d.keeper, Metrics: d.metrics, Log: d.log,
+		Keeper: d.keeper, Guard: d.guard, Metrics: d.metrics, Log: d.log,
 	}, now)
 	t.control = d.control
 }
@@ -147,12 +152,12 @@
 // requests, home for those sent to the authority of their key, run for those
 // that run in this zone.
 func (d *Daemon) pipeline() (enter, home, run filter.Handler) {
-	attempt := limit.Handler{Pool: d.pool, Recorder: d.recorder}
+	attempt := limit.Handler{Pool: d.pool, Guard: d.guard, Recorder: d.recorder}
 	router := route.Filter{
-		Snapshot: d.control.Snapshot, Sender: d.sender, Slots: d.pool, Links: d.links, Budget: unlimited{},
+		Snapshot: d.control.Snapshot, Sender: d.sender, Slots: d.pool, Links: d.links, Budgets: route.NewBudgets(),
 		Outbox: route.NewOutbox(), Metrics: d.metrics, Recorder: d.recorder,
 	}
-	run = filter.Chain(attempt, router)
+	run = filter.Chain(attempt, filterquarantine.Filter{Guard: d.guard}, router)
 	home = filter.Chain(run, filteronce.Filter{Keeper: d.keeper})
 	enter = filter.Chain(home, identify.Filter{Issue: func(r *filter.Request) (string, error) {
 		return keys.Issue(d.home, time.Now(), r.Service.KeyTTL)
@@ -160,11 +165,6 @@
 	return enter, home, run
 }
 
-type unlimited struct{}
-
-func (unlimited) First(string)      {}
-func (unlimited) Retry(string) bool { return true }
-
 // Run serves until ctx ends, hands over and returns.
 func (d *Daemon) Run(ctx context.Context) error {
 	enter, home, run := d.pipeline()
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/estate"
@@ -67,8 +69,44 @@
 	Hops int
 	// FromRegion is the region that the last hop came from.
 	FromRegion string
+	// Avoid holds the backend servers that earlier attempts used; nil before
+	// the first.
+	Avoid *Avoid
 }
 
+// Avoid is a set of backend servers that further attempts leave out. It is
+// safe for concurrent use; a nil one is empty.
+type Avoid struct {
+	mu    sync.Mutex
+	names []string
+}
+
+// NewAvoid returns an empty set.
+func NewAvoid() *Avoid { return &Avoid{} }
+
+// Add puts a backend server into the set.
+func (a *Avoid) Add(name string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.names = append(a.names, name)
+}
+
+// Names returns the backend servers in the set.
+func (a *Avoid) Names() []string {
+	if a == nil {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.names)
+}
+
+// Len returns the number of backend servers in the set.
+func (a *Avoid) Len() int { return len(a.Names()) }
+
 // Answer is a backend server's whole answer.
 type Answer struct {
 	Status int
--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -1,6 +1,6 @@
-// Package limit takes a slot of a backend server for a request and gives it
-// back when the answer has been read. A request that finds none is answered at
-// once as not run.
+// Package limit takes a slot of a backend server for a request, sends it there
+// once, and gives the slot back when the answer has been read. A request that
+// finds no slot is answered at once as not run.
 //
 // What an operator sees: the kind no_capacity among request.kind.*, and each
 // backend server's in_flight and peak in the status.
@@ -15,9 +15,11 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/banyandeal/banyandeal/internal/attempt"
+	decide "github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/filter"
 	"github.com/banyandeal/banyandeal/internal/outcome"
 	"github.com/banyandeal/banyandeal/internal/pool"
+	"github.com/banyandeal/banyandeal/internal/quarantine"
 	"github.com/banyandeal/banyandeal/internal/trace"
 )
 
@@ -28,61 +30,77 @@
 // backend servers.
 type Handler struct {
 	Pool     *pool.Pool
+	Guard    *quarantine.Guard
 	Recorder *trace.Recorder
-	// Crashed is told of a backend server lost while it ran a request.
-	Crashed func(r *filter.Request, backend string)
 }
 
-// Serve implements filter.Handler: it makes one attempt, and further ones only
-// while backend servers refuse the request.
+// Serve implements filter.Handler.
 func (h Handler) Serve(ctx context.Context, r *filter.Request) (*filter.Answer, error) {
-	var tried []string
-	last := outcome.NotRunError(outcome.KindNoCapacity, retryAfter, "no backend server of %s owned here has a free slot", r.Service.Name)
-	for range max(r.Service.Retry.MaxAttempts, 1) {
-		lease, ok := h.Pool.Acquire(r.Service.Name, tried)
+	fp := quarantine.Fingerprint(r)
+	avoid := r.Avoid.Names()
+	for {
+		lease, ok := h.Pool.Acquire(r.Service.Name, avoid)
 		if !ok {
-			return nil, last
+			return nil, outcome.NotRunError(outcome.KindNoCapacity, retryAfter, "no backend server of %s owned here has a free slot", r.Service.Name)
 		}
-		answer, err := h.try(ctx, r, lease)
-		if err == nil {
-			return answer, nil
+		use, ok := h.Guard.Enter(lease.Name(), fp)
+		if ok {
+			r.Avoid.Add(lease.Name())
+			return h.send(ctx, r, lease, use)
 		}
-		if err.Outcome != outcome.NotRun || !filter.Permitted(ctx) {
-			return nil, err
+		lease.Cancel()
+		if h.Guard.Quarantined(fp) {
+			return nil, decide.Refusal()
 		}
-		tried, last = append(tried, lease.Name()), err
+		// A suspect keeps apart from other suspects.
+		avoid = append(avoid, lease.Name())
 	}
-	return nil, last
 }
 
-func (h Handler) try(ctx context.Context, r *filter.Request, lease *pool.Lease) (*filter.Answer, *outcome.Error) {
+func (h Handler) send(ctx context.Context, r *filter.Request, lease *pool.Lease, use *quarantine.Use) (*filter.Answer, error) {
 	ctx, span := h.Recorder.Start(ctx, "attempt", attribute.String("backend", lease.Name()))
-	header := r.Header.Clone()
-	header.Set(filter.HeaderRequestID, r.ID)
-	if r.Key != "" {
-		header.Set(filter.HeaderKey, r.Key)
-	}
-	header.Set(trace.HeaderTraceParent, h.Recorder.Inject(ctx))
-	rep := lease.Do(ctx, &attempt.Request{Method: r.Method, Path: r.Path, Header: header, Body: r.Body, Idempotent: r.Idempotent})
+	rep := lease.Do(ctx, &attempt.Request{
+		Method: r.Method, Path: r.Path, Header: h.header(ctx, r), Body: r.Body, Idempotent: r.Idempotent,
+	})
 	if rep.Outcome != outcome.Done {
+		h.failed(ctx, rep, lease, use)
 		lease.Release(rep)
-		if rep.Lost && h.Crashed != nil {
-			h.Crashed(r, lease.Name())
-		}
 		trace.End(span, rep.Err)
 		return nil, rep.Err
 	}
 	a := &filter.Answer{Status: rep.Status, Header: rep.Header, Body: rep.Body, Length: int64(len(rep.Body)), Backend: lease.Name()}
-	if rep.Stream == nil {
+	end := func() {
+		h.Guard.Done(use)
 		lease.Release(rep)
 		trace.End(span, nil)
+	}
+	if rep.Stream == nil {
+		end()
 		return a, nil
 	}
 	a.Length = -1
-	a.Stream = &leasedStream{ReadCloser: rep.Stream, end: func() { lease.Release(rep); trace.End(span, nil) }}
+	a.Stream = &leasedStream{ReadCloser: rep.Stream, end: end}
 	return a, nil
 }
 
+func (h Handler) failed(ctx context.Context, rep *attempt.Reply, lease *pool.Lease, use *quarantine.Use) {
+	if rep.Lost {
+		h.Guard.Lost(ctx, use, lease.Address())
+		return
+	}
+	h.Guard.Left(use)
+}
+
+func (h Handler) header(ctx context.Context, r *filter.Request) map[string][]string {
+	header := r.Header.Clone()
+	header.Set(filter.HeaderRequestID, r.ID)
+	if r.Key != "" {
+		header.Set(filter.HeaderKey, r.Key)
+	}
+	header.Set(trace.HeaderTraceParent, h.Recorder.Inject(ctx))
+	return header
+}
+
 // leasedStream holds the slot until the stream is closed.
 type leasedStream struct {
 	io.ReadCloser
--- a/internal/filter/route/places.go
+++ b/internal/filter/route/places.go
@@ -13,8 +13,12 @@
 	"github.com/banyandeal/banyandeal/internal/snapshot"
 )
 
-// perZone is how many instances of another zone are tried.
-const perZone = 2
+const (
+	// perZone is how many instances of another zone are tried.
+	perZone = 2
+	// ownAttempts is how many own backend servers are tried before others.
+	ownAttempts = 2
+)
 
 // place is somewhere a request can be sent.
 type place struct {
@@ -25,8 +29,10 @@
 	stage  filter.Stage
 }
 
-// visited is what a request has tried so far.
+// visited is what a request has tried so far. Attempts that run side by side
+// share it.
 type visited struct {
+	mu        sync.Mutex
 	own       bool
 	instances map[string]bool
 	zones     map[string]int
@@ -34,50 +40,75 @@
 	full map[string]bool
 }
 
+func newVisited() *visited {
+	return &visited{instances: map[string]bool{}, zones: map[string]int{}, full: map[string]bool{}}
+}
+
+// leaveOwn leaves out the backend servers owned here.
+func (v *visited) leaveOwn() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.own = true
+}
+
+// closeLink leaves out the zones of a region whose link has no room.
+func (v *visited) closeLink(region string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.full[region] = true
+}
+
 // choose returns the next place for the request: the backend servers owned
 // here, a neighbour in the zone, or the first of the other zones in the
 // caller's order that can have a free slot.
-func (t *tries) choose(now time.Time) (place, bool) {
-	if !t.seen.own {
-		t.seen.own = true
-		if free, _ := t.Slots.Free(t.r.Service.Name); free > 0 {
-			return place{kind: "own", region: t.snap.Region, stage: filter.StageOwn}, true
+func (s *search) choose(now time.Time) (place, bool) {
+	s.seen.mu.Lock()
+	defer s.seen.mu.Unlock()
+	if !s.seen.own {
+		if free, _ := s.Slots.Free(s.r.Service.Name); free > 0 && s.r.Avoid.Len() < ownAttempts {
+			return place{kind: "own", region: s.snap.Region, stage: filter.StageOwn}, true
 		}
+		s.seen.own = true
 	}
-	if t.snap.Estate == nil {
+	return s.elsewhere(now)
+}
+
+// elsewhere returns the next place outside this instance.
+func (s *search) elsewhere(now time.Time) (place, bool) {
+	if s.snap.Estate == nil {
 		return place{}, false
 	}
-	home, _ := t.snap.ZoneOf(t.snap.Zone)
-	neighbours := t.neighbours(home)
+	home, _ := s.snap.ZoneOf(s.snap.Zone)
+	neighbours := s.neighbours(home)
 	var zones []balance.Peer
-	if t.r.Stage != filter.StageZone {
-		zones = t.zones()
+	if s.r.Stage != filter.StageZone {
+		zones = s.zones()
 	}
 	name, ok := balance.Forward(now, load.Believe, neighbours, zones, rand.Uint64())
 	if !ok {
 		return place{}, false
 	}
 	if in := find(home, name); in != nil {
-		t.seen.instances[in.ID] = true
-		return place{kind: "neighbour", to: in, region: t.snap.Region, stage: filter.StageOwn}, true
+		s.seen.instances[in.ID] = true
+		return place{kind: "neighbour", to: in, region: s.snap.Region, stage: filter.StageOwn}, true
 	}
-	z, _ := t.snap.ZoneOf(name)
-	in := t.instance(now, z)
+	z, _ := s.snap.ZoneOf(name)
+	in := s.instance(now, z)
 	if in == nil {
-		t.seen.zones[name] = perZone
-		return t.choose(now)
+		s.seen.zones[name] = perZone
+		return s.elsewhere(now)
 	}
-	t.seen.zones[name]++
-	t.seen.instances[in.ID] = true
+	s.seen.zones[name]++
+	s.seen.instances[in.ID] = true
 	return place{kind: "zone", to: in, region: z.Region, stage: filter.StageZone}, true
 }
 
 // neighbours returns the other instances of the zone.
-func (t *tries) neighbours(z snapshot.Zone) []balance.Peer {
+func (s *search) neighbours(z snapshot.Zone) []balance.Peer {
 	var out []balance.Peer
 	for _, in := range z.Instances {
-		if in.ID != t.snap.Self.ID && !t.seen.instances[in.ID] {
-			out = append(out, t.peer(in.ID, in.Loads[t.r.Service.Name].Slots, in.Loads[t.r.Service.Name]))
+		if in.ID != s.snap.Self.ID && !s.seen.instances[in.ID] {
+			out = append(out, s.peer(in.ID, in.Loads[s.r.Service.Name].Slots, in.Loads[s.r.Service.Name]))
 		}
 	}
 	return out
@@ -85,32 +116,32 @@
 
 // zones returns the other zones in the caller's order. A zone that drains gets
 // no new work from elsewhere, but serves what its own callers still send.
-func (t *tries) zones() []balance.Peer {
+func (s *search) zones() []balance.Peer {
 	var out []balance.Peer
-	for _, i := range t.order() {
-		z := &t.snap.Zones[i]
-		if z.Name == t.snap.Zone || z.Closed || len(z.Instances) == 0 || t.seen.zones[z.Name] >= perZone || t.seen.full[z.Region] {
+	for _, i := range s.order() {
+		z := &s.snap.Zones[i]
+		if z.Name == s.snap.Zone || z.Closed || len(z.Instances) == 0 || s.seen.zones[z.Name] >= perZone || s.seen.full[z.Region] {
 			continue
 		}
-		out = append(out, t.peer(z.Name, z.Slots[t.r.Service.Name], z.Loads[t.r.Service.Name]))
+		out = append(out, s.peer(z.Name, z.Slots[s.r.Service.Name], z.Loads[s.r.Service.Name]))
 	}
 	return out
 }
 
-func (t *tries) peer(name string, slots int, rep load.Report) balance.Peer {
-	return balance.Peer{Name: name, Slots: slots, Report: rep, Evidence: t.Outbox.evidence(name, t.r.Service.Name)}
+func (s *search) peer(name string, slots int, rep load.Report) balance.Peer {
+	return balance.Peer{Name: name, Slots: slots, Report: rep, Evidence: s.Outbox.evidence(name, s.r.Service.Name)}
 }
 
 // order returns the zones for the caller. One whose share fits nowhere is
 // still served while there is room.
-func (t *tries) order() []placement.ZoneIndex {
-	table := t.snap.Tables[t.r.Service.Name]
+func (s *search) order() []placement.ZoneIndex {
+	table := s.snap.Tables[s.r.Service.Name]
 	if table == nil {
 		return nil
 	}
-	order := table.Order(t.r.Caller, make([]placement.ZoneIndex, 0, len(t.snap.Zones)))
+	order := table.Order(s.r.Caller, make([]placement.ZoneIndex, 0, len(s.snap.Zones)))
 	if len(order) == 0 {
-		for i := range t.snap.Zones {
+		for i := range s.snap.Zones {
 			order = append(order, placement.ZoneIndex(i))
 		}
 	}
@@ -119,16 +150,16 @@
 
 // instance returns the instance of another zone that reported most free slots.
 // Any of them can pass the request on within its zone.
-func (t *tries) instance(now time.Time, z snapshot.Zone) *snapshot.Instance {
+func (s *search) instance(now time.Time, z snapshot.Zone) *snapshot.Instance {
 	var best *snapshot.Instance
 	var most load.Milli
 	for i := range z.Instances {
 		in := &z.Instances[i]
-		if t.seen.instances[in.ID] {
+		if s.seen.instances[in.ID] {
 			continue
 		}
-		rep := in.Loads[t.r.Service.Name]
-		busy := load.Believe.Busy(now, rep.Slots, rep, t.Outbox.evidence(in.ID, t.r.Service.Name))
+		rep := in.Loads[s.r.Service.Name]
+		busy := load.Believe.Busy(now, rep.Slots, rep, s.Outbox.evidence(in.ID, s.r.Service.Name))
 		if free := load.Milli(rep.Slots)*load.Slot - busy; best == nil || free > most {
 			best, most = in, free
 		}
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -1,18 +1,22 @@
 // Package route chooses where a request runs: on a backend server owned here,
 // by a neighbour in the zone that has room, or in another zone under the cap of
 // the link to it. When no place takes the request it is answered at once as
-// not run, with a time to come back.
+// not run, with a time to come back. Further attempts follow the rules and the
+// budget of the retry package.
 //
-// What an operator sees: the counters route.own, route.neighbour, route.zone
-// and route.retry, and a span for each place tried.
+// What an operator sees: the counters route.own, route.neighbour, route.zone,
+// route.retry and route.hedge, and a span for each place tried.
 package route
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/juju/errors"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/banyandeal/banyandeal/internal/decide/retry"
 	"github.com/banyandeal/banyandeal/internal/filter"
 	"github.com/banyandeal/banyandeal/internal/forward"
 	"github.com/banyandeal/banyandeal/internal/outcome"
@@ -21,8 +25,13 @@
 	"github.com/banyandeal/banyandeal/internal/trace"
 )
 
-// retryAfter is when a caller comes back for whom no place had room.
-const retryAfter = time.Second
+const (
+	// hedgeHeadroom is the least share of own slots that must be free for a
+	// second attempt of a request that is still running.
+	hedgeHeadroom = 0.5
+	// minAttemptTime is the least time left for another attempt.
+	minAttemptTime = 2 * time.Millisecond
+)
 
 // Links guards the caps of the links out of this instance's region.
 type Links interface {
@@ -31,14 +40,6 @@
 	Acquire(region string) (release func(), ok bool)
 }
 
-// Budget bounds retries.
-type Budget interface {
-	// First counts a request of the service.
-	First(service string)
-	// Retry reports whether one more try is allowed now.
-	Retry(service string) bool
-}
-
 // Slots tells what the owned backend servers can take.
 type Slots interface {
 	Free(service string) (free, slots int)
@@ -50,7 +51,7 @@
 	Sender   *forward.Sender
 	Slots    Slots
 	Links    Links
-	Budget   Budget
+	Budgets  *Budgets
 	Outbox   *Outbox
 	Metrics  *telemetry.Metrics
 	Recorder *trace.Recorder
@@ -65,99 +66,88 @@
 		if r.Stage == filter.StageOwn {
 			return own.Serve(ctx, r)
 		}
-		f.Budget.First(r.Service.Name)
-		t := &tries{Filter: f, own: own, snap: f.Snapshot(), r: r, left: max(r.Service.Retry.MaxAttempts, 1),
-			seen: visited{instances: map[string]bool{}, zones: map[string]int{}, full: map[string]bool{}}}
-		if after := r.Service.HedgeAfter; after > 0 && r.Idempotent && r.Stage != filter.StageZone {
-			return t.hedged(ctx, after)
+		c := *r
+		c.Avoid = filter.NewAvoid()
+		s := &search{Filter: f, own: own, snap: f.Snapshot(), r: &c, seen: newVisited()}
+		if r.Stage == filter.StageZone {
+			// The instance that passed the request on decides on retries.
+			return s.attempt(ctx)
 		}
-		return t.serve(ctx)
+		return f.attempts(ctx, s)
 	})
 }
 
-// tries walks the places for one request until one of them ends it.
-type tries struct {
+// search walks the places for one request. One attempt goes to the first place
+// that takes the request: a place that turns it away unseen costs nothing.
+type search struct {
 	Filter
 	own  filter.Handler
 	snap *snapshot.Snapshot
 	r    *filter.Request
-	seen visited
-	left int
-	last *outcome.Error
+	seen *visited
 }
 
-// serve tries places in order. Only a try that left the request not run, or
-// one of an idempotent request, is followed by another.
-func (t *tries) serve(ctx context.Context) (*filter.Answer, error) {
-	for first := true; ; first = false {
-		p, release, ok := t.next()
+// attempt tries places until one of them has taken the request.
+func (s *search) attempt(ctx context.Context) (*filter.Answer, error) {
+	last := s.noCapacity()
+	for {
+		if !filter.Permitted(ctx) {
+			return nil, outcome.NotRunError(outcome.KindCancelled, 0, "the request was withdrawn before it was sent")
+		}
+		p, ok := s.choose(time.Now())
 		if !ok {
-			return nil, t.failure()
+			return nil, last
 		}
-		if !first && !t.mayRetry(ctx) {
-			release()
-			return nil, t.failure()
+		release, ok := s.Links.Acquire(p.region)
+		if !ok {
+			s.seen.closeLink(p.region)
+			last = outcome.NotRunError(outcome.KindLinkFull, s.retryAfter(), "the link to %s is full", p.region)
+			continue
 		}
-		answer, err := t.try(ctx, p, release)
+		answer, err := s.try(ctx, p, release)
 		if err == nil {
 			return answer, nil
 		}
-		t.last = outcome.AsError(err)
-		if t.last.Outcome != outcome.NotRun && !t.r.Idempotent {
-			return nil, t.last
+		e := outcome.AsError(err)
+		if !unseen(e) {
+			return nil, err
+		}
+		if p.to == nil {
+			s.seen.leaveOwn()
 		}
+		last = e
 	}
 }
 
-func (t *tries) mayRetry(ctx context.Context) bool {
-	if ctx.Err() != nil || !filter.Permitted(ctx) {
-		return false
-	}
-	// A place that refused at once cost nobody anything; only work that was
-	// begun elsewhere is charged to the budget.
-	if t.last.Kind != outcome.KindNoCapacity && t.last.Kind != outcome.KindPeerLost && !t.Budget.Retry(t.r.Service.Name) {
-		return false
-	}
-	t.Metrics.Count("route.retry")
-	return true
+// unseen reports whether a place turned the request away before any backend
+// server saw it.
+func unseen(e *outcome.Error) bool {
+	return e.Outcome == outcome.NotRun && (e.Kind == outcome.KindNoCapacity || e.Kind == outcome.KindPeerLost || e.Kind == outcome.KindNotReady)
 }
 
-func (t *tries) failure() *outcome.Error {
-	if t.last != nil {
-		return t.last
-	}
-	return outcome.NotRunError(outcome.KindNoCapacity, retryAfter, "no zone in reach has a free slot for %s", t.r.Service.Name)
+func (s *search) noCapacity() *outcome.Error {
+	return outcome.NotRunError(outcome.KindNoCapacity, s.retryAfter(), "no zone in reach has a free slot for %s", s.r.Service.Name)
 }
 
-// next returns the next place that has room and, for another region, a right
-// on the link to it.
-func (t *tries) next() (place, func(), bool) {
-	for t.left > 0 {
-		p, ok := t.choose(time.Now())
-		if !ok {
-			break
-		}
-		release, ok := t.Links.Acquire(p.region)
-		if !ok {
-			t.seen.full[p.region] = true
-			t.last = outcome.NotRunError(outcome.KindLinkFull, retryAfter, "the link to %s is full", p.region)
-			continue
-		}
-		t.left--
-		return p, release, true
+// retryAfter is when the work ahead of a request that finds no place is done.
+func (s *search) retryAfter() time.Duration {
+	l := retry.Load{MeanTime: s.r.Service.MeanTime}
+	if z, ok := s.snap.ZoneOf(s.snap.Zone); ok {
+		l.Slots = z.Slots[s.r.Service.Name]
+		l.Ahead = l.Slots
 	}
-	return place{}, nil, false
+	return retry.RetryAfter(l, rand.Float64())
 }
 
-func (t *tries) try(ctx context.Context, p place, release func()) (*filter.Answer, error) {
-	t.Metrics.Count("route." + p.kind)
+func (s *search) try(ctx context.Context, p place, release func()) (*filter.Answer, error) {
+	s.Metrics.Count("route." + p.kind)
 	if p.to == nil {
 		defer release()
-		return t.own.Serve(ctx, t.r)
+		return s.own.Serve(ctx, s.r)
 	}
-	ctx, span := t.Recorder.Start(ctx, "forward", attribute.String("to", p.to.ID), attribute.String("zone", p.to.Zone))
-	done := t.Outbox.add(p.to, t.r.Service.Name)
-	answer, err := t.Sender.Send(ctx, forward.Target{Address: p.to.Peer, ID: p.to.ID}, t.r, p.stage)
+	ctx, span := s.Recorder.Start(ctx, "forward", attribute.String("to", p.to.ID), attribute.String("zone", p.to.Zone))
+	done := s.Outbox.add(p.to, s.r.Service.Name)
+	answer, err := s.Sender.Send(ctx, forward.Target{Address: p.to.Peer, ID: p.to.ID}, s.r, p.stage)
 	if err != nil {
 		done(outcome.AsError(err).Kind == outcome.KindNoCapacity)
 		release()
@@ -172,3 +162,22 @@
 	answer.Stream = &endStream{ReadCloser: answer.Stream, end: end}
 	return answer, nil
 }
+
+// endOf classifies the error of an attempt for the rules of retries.
+func endOf(err error) retry.End {
+	e := outcome.AsError(err)
+	var failed *forward.Failed
+	switch {
+	case e.Kind == outcome.KindQuarantined, e.Kind == outcome.KindCancelled && e.Outcome == outcome.NotRun:
+		return retry.Stopped
+	case errors.As(err, &failed) && !failed.Sent:
+		return retry.NotSent
+	case e.Outcome == outcome.NotRun:
+		return retry.Refused
+	case e.Kind == outcome.KindCutAnswer:
+		return retry.Cut
+	case e.Kind == outcome.KindDeadline:
+		return retry.Expired
+	}
+	return retry.Lost
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -161,6 +161,18 @@
 // Name returns the backend server's name.
 func (l *Lease) Name() string { return l.m.Name }
 
+// Address returns the backend server's address.
+func (l *Lease) Address() string { return l.m.Address }
+
+// Cancel gives the slot back unused.
+func (l *Lease) Cancel() {
+	l.once.Do(func() {
+		l.pool.mu.Lock()
+		defer l.pool.mu.Unlock()
+		l.pool.services[l.m.Service].End(l.m.Name, 0, false)
+	})
+}
+
 // Do sends the request to the backend server.
 func (l *Lease) Do(ctx context.Context, r *attempt.Request) *attempt.Reply {
 	return l.m.client.Do(ctx, r)
