--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -39,6 +41,45 @@
 	}
 }
 
+// Every event that the failure table of docs/OPERATIONS.md names is logged
+// somewhere.
+func TestOperationsPageEvents(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	logged := map[string]bool{}
+	for _, dir := range []string{"../control", "../daemon"} {
+		files, err := filepath.Glob(dir + "/*.go")
+		require.NoError(t, err)
+		for _, name := range files {
+			source, err := os.ReadFile(name)
+			require.NoError(t, err)
+			for _, m := range logCall.FindAllSubmatch(source, -1) {
+				logged[string(m[1])] = true
+			}
+		}
+	}
+	_, rest, _ := strings.Cut(string(page), "\n| failure | log line |")
+	rows, _, _ := strings.Cut(rest, "\n\n")
+	named := 0
+	for row := range strings.Lines(rows) {
+		cells := strings.Split(row, " | ")
+		if len(cells) < 2 {
+			continue
+		}
+		for _, m := range event.FindAllStringSubmatch(cells[1], -1) {
+			require.True(t, logged[m[1]], "nothing logs %s, which the page names", m[1])
+			named++
+		}
+	}
+	require.NotZero(t, named)
+}
+
+var (
+	logCall = regexp.MustCompile(`Msg\("([a-z_]+)"\)`)
+	// event is the first word of a log line.
+	event = regexp.MustCompile("`([a-z_]+)[ `]")
+)
+
 // eachSetting calls f with the path and the default of every setting; "none"
 // stands for an empty one.
 func eachSetting(prefix string, v reflect.Value, f func(name, value string)) {
