--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -169,7 +169,17 @@
 	if len(endpoints) == 0 {
 		return nil, nil, usagef("give --operator IP:PORT or set "+envOperator, "no operator endpoint is known")
 	}
-	return endpoints, client.New(c.Duration(flagTimeout)), nil
+	timeout, err := callTimeout(c)
+	return endpoints, client.New(timeout), err
+}
+
+// callTimeout is how long one call may take.
+func callTimeout(c *cli.Command) (time.Duration, error) {
+	timeout := c.Duration(flagTimeout)
+	if timeout <= 0 {
+		return 0, usagef("give a time such as 2s", "--%s is %s", flagTimeout, timeout)
+	}
+	return timeout, nil
 }
 
 // platformClient returns a client of the platform.
@@ -178,7 +188,11 @@
 	if len(endpoints) == 0 {
 		return nil, usagef("give --platform URL or set "+envPlatform, "no platform endpoint is known")
 	}
-	p, err := platform.New(endpoints, platform.Options{Timeout: c.Duration(flagTimeout)})
+	timeout, err := callTimeout(c)
+	if err != nil {
+		return nil, err
+	}
+	p, err := platform.New(endpoints, platform.Options{Timeout: timeout})
 	if err != nil {
 		return nil, usagef("correct --platform or "+envPlatform, "%v", err)
 	}
--- a/internal/cli/lookup.go
+++ b/internal/cli/lookup.go
@@ -48,7 +48,11 @@
 	if entry == "" {
 		return usagef("give --entry IP:PORT or set "+envEntry, "no entry instance is known")
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.Duration(flagTimeout))
+	timeout, err := callTimeout(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	query := url.Values{"service": {c.String("service")}, "caller": {c.String("caller")}}
 	answer, err := askLookup(ctx, entry, query)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -56,15 +56,22 @@
 		return err
 	}
 	defer operators.Close()
+	watch, interval := c.Bool("watch"), c.Duration("interval")
+	if interval <= 0 {
+		return usagef("give a time such as 2s", "--interval is %s", interval)
+	}
 	for {
+		if watch && c.String("output") == outputTable {
+			a.printf("-- %s\n", a.Clock.Now().UTC().Format(time.RFC3339))
+		}
 		err := a.statusOnce(ctx, operators, endpoints, show)
-		if !c.Bool("watch") {
+		if !watch {
 			return err
 		}
 		if err != nil && ctx.Err() == nil {
 			fmt.Fprintf(a.Stderr, "banyanctl: %v\n", err)
 		}
-		if a.Clock.Sleep(ctx, c.Duration("interval")) != nil {
+		if a.Clock.Sleep(ctx, interval) != nil {
 			return nil // an interrupt is how watching ends
 		}
 	}
