control, links: link rights by ledger and transfers

Cause: rights on a link were an equal share by each instance's own view, so views that differ could add up to more than the cap. The linkcap machine holds them now, shared between traffic and control under one lock; exchanges carry the versions of the rows, so that few instances need to read them.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -37,6 +37,10 @@
 	case *peerpb.Call_KeyMoved:
 		c.Keeper.Step(once.Moved{From: keys.DecodeHome(m.KeyMoved.From), To: keys.DecodeHome(m.KeyMoved.To)})
 		return ack(true, nil), nil
+	case *peerpb.Call_RightsTransfer:
+		return c.serveRightsTransfer(m.RightsTransfer), nil
+	case *peerpb.Call_RightsWanted:
+		return c.serveRightsWanted(m.RightsWanted), nil
 	case *peerpb.Call_Quarantine:
 		c.Guard.Hear(decodeNotices(m.Quarantine.Entries))
 		return ack(true, nil), nil
@@ -52,8 +56,11 @@
 	reply := &peerpb.Reply{Error: "the instance is stopping"}
 	c.ask(ctx, func(now time.Time) {
 		c.takeExchange(now, ex.From, ex.ConfigVersion, ex.Self, ex.Records)
+		c.hintRows(now, ex.Zone, ex.Region, ex.OwnersVersion, ex.LinksVersion)
 		reply = &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: &peerpb.ExchangeReply{
-			From: c.exchangeMessage().From, ConfigVersion: c.config.receiver.Version(), Self: c.selfRecord(), Records: c.records.list(),
+			From: c.identity(), Zone: c.Self.Zone, Region: c.links.region, ConfigVersion: c.config.receiver.Version(),
+			OwnersVersion: c.owners.machine.Version(), LinksVersion: c.linkVersion(),
+			Self: c.selfRecord(), Records: c.records.list(),
 		}}}
 	})
 	return reply, nil
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -144,6 +144,7 @@
 	c.retarget(now)
 	c.installBackends(now)
 	c.installHealth(now)
+	c.installLinks(now)
 	c.sendHeartbeats()
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -60,6 +60,7 @@
 	ramp    *rampState
 	owners  *ownerState
 	health  *healthState
+	links   linkState
 	timers  timers
 	// dirty is set when the snapshot no longer matches the state.
 	dirty   bool
@@ -174,6 +175,7 @@
 	c.tickHealth(now)
 	c.tickSteer(now)
 	c.tickOwners(now)
+	c.tickLinks(now)
 	c.tickLeaving(now)
 	c.Keeper.Step(once.Tick{})
 	if due(&c.timers.heartbeat, now, t.Heartbeat) {
@@ -190,6 +192,7 @@
 	c.settleMembers(now)
 	c.settleOwners(now)
 	c.settleHealth()
+	c.settleLinks()
 	c.settleConfig(now)
 	if c.dirty {
 		c.dirty = false
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/banyandeal/banyandeal/internal/decide/linkcap"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
 )
@@ -36,6 +37,7 @@
 		c.leaving = &leavingState{servedUntil: now.Add(c.longestTTL() + c.Settings.Timing.StopMargin), done: done}
 		c.members.Leave(now)
 		c.owners.machine.Leave(now)
+		c.Links.With(func(m *linkcap.Machine) { m.Leave(now) })
 		c.dirty = true
 		c.Log.Info().Time("served_until", c.leaving.servedUntil).Msg("leaving")
 	})
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -1,25 +1,196 @@
 package control
 
-import "github.com/banyandeal/banyandeal/internal/links"
+import (
+	"context"
+	"time"
 
-// applyLinks gives the gate this instance's rights: an equal part of each cap
-// for every instance of the region.
-func (c *Control) applyLinks(region string) {
+	"github.com/banyandeal/banyandeal/internal/decide/linkcap"
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	"github.com/banyandeal/banyandeal/internal/platform"
+)
+
+// linkState is this instance's part in the caps of its region's links.
+type linkState struct {
+	// region is set once a configuration tells it.
+	region string
+	// view is the membership view that the machine saw last.
+	view *membership.View
+}
+
+// installLinks gives the machine the declared caps of the region's links.
+func (c *Control) installLinks(now time.Time) {
 	e := c.steer.estate
-	if e == nil {
+	z, ok := e.ZoneOf(c.Self.Zone)
+	if !ok {
 		return
 	}
-	holders := 0
-	for _, z := range e.Zones {
-		if z.Region == region {
-			holders += len(c.members.View().Zone(z.Name).Instances)
-		}
+	if c.links.region != z.Region {
+		c.links.region, c.links.view = z.Region, nil
+		c.Links.Use(z.Region, linkcap.New(linkcap.Config{Self: c.Self.Identity, Peer: c.Self.Peer, Region: z.Region}, now))
 	}
-	rights := map[string]links.Rights{}
+	caps := map[string]linkcap.Rights{}
 	for _, l := range e.Links {
-		if l.From == region && holders > 0 {
-			rights[l.To] = links.Rights{InFlight: l.MaxInFlight / holders, Rate: l.MaxRate / float64(holders)}
+		if l.From == z.Region {
+			caps[l.To] = linkcap.Rights{InFlight: int64(l.MaxInFlight), Rate: int64(l.MaxRate)}
+		}
+	}
+	var hold time.Duration
+	for i := range e.Services {
+		hold = max(hold, e.Services[i].Deadline)
+	}
+	c.Links.With(func(m *linkcap.Machine) { m.SetCaps(now, caps, hold) })
+}
+
+func (c *Control) tickLinks(now time.Time) {
+	v := c.members.View()
+	changed := v != c.links.view
+	c.links.view = v
+	c.Links.With(func(m *linkcap.Machine) {
+		if changed {
+			m.SetMembers(now, c.regionMembers())
+		}
+		m.Tick(now)
+	})
+}
+
+// regionMembers returns the instances of all zones of the region.
+func (c *Control) regionMembers() []membership.Instance {
+	var out []membership.Instance
+	for _, z := range c.steer.estate.Zones {
+		if z.Region == c.links.region {
+			out = append(out, c.members.View().Zone(z.Name).Instances...)
+		}
+	}
+	return out
+}
+
+// settleLinks carries out what the machine wants done.
+func (c *Control) settleLinks() {
+	var ready linkcap.Ready
+	c.Links.With(func(m *linkcap.Machine) { ready = m.Ready() })
+	if ready.Read {
+		c.readLinks()
+	}
+	if ready.Write != nil {
+		c.writeLinks(*ready.Write)
+	}
+	for _, t := range ready.Transfers {
+		c.transferRights(t)
+	}
+	for _, w := range ready.Wants {
+		if addr, ok := c.peerOf(w.To); ok {
+			c.tell(addr, &peerpb.Call{Call: &peerpb.Call_RightsWanted{RightsWanted: &peerpb.RightsWanted{
+				From: c.identity(), Link: w.Link, InFlight: w.InFlight, Rate: w.Rate,
+			}}})
+		}
+	}
+	for _, p := range ready.Probes {
+		c.exchange(p.Peer, &p)
+	}
+	if ready.Lost {
+		c.Log.Error().Msg("link_rights_lost")
+	}
+}
+
+func (c *Control) identity() *peerpb.Identity {
+	return &peerpb.Identity{Id: c.Self.ID, Incarnation: c.Self.Incarnation}
+}
+
+func (c *Control) peerOf(id membership.Identity) (addr string, ok bool) {
+	in, ok := c.members.View().Instance(id)
+	return in.Peer, ok && in.Peer != ""
+}
+
+func (c *Control) readLinks() {
+	name := linkcap.RowPrefix + c.links.region
+	c.start(func(ctx context.Context) {
+		row, err := readRow(ctx, c.Platform, name)
+		c.platformCall(err)
+		c.post(func(now time.Time) {
+			c.Links.With(func(m *linkcap.Machine) {
+				if err != nil {
+					m.ReadFailed(now)
+					return
+				}
+				c.logError("links_row_unusable", m.Row(now, row))
+			})
+		})
+	})
+}
+
+func (c *Control) writeLinks(txn platform.Txn) {
+	c.start(func(ctx context.Context) {
+		reply, err := commit(ctx, c.Platform, txn)
+		c.platformCall(err)
+		c.post(func(now time.Time) {
+			c.Links.With(func(m *linkcap.Machine) {
+				if err != nil {
+					m.WriteFailed(now, txn.ID)
+					return
+				}
+				c.logError("links_row_unusable", m.Written(now, txn.ID, reply))
+			})
+		})
+	})
+}
+
+// transferRights sends rights to a partner. The rights were lowered here
+// before, so a lost message loses them until it is sent again and never
+// doubles them.
+func (c *Control) transferRights(t linkcap.Transfer) {
+	addr, ok := c.peerOf(t.To)
+	if !ok {
+		return
+	}
+	call := &peerpb.Call{Call: &peerpb.Call_RightsTransfer{RightsTransfer: &peerpb.RightsTransfer{
+		From: c.identity(), To: &peerpb.Identity{Id: t.To.ID, Incarnation: t.To.Incarnation},
+		Link: t.Link, InFlight: t.Total.InFlight, Rate: t.Total.Rate,
+	}}}
+	c.start(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		defer cancel()
+		reply, body, err := c.Peers.Call(ctx, addr, call, nil)
+		if err != nil {
+			return
 		}
+		body.Close()
+		if reply.GetAck().GetAccepted() {
+			c.post(func(time.Time) { c.Links.With(func(m *linkcap.Machine) { m.Acked(t) }) })
+		}
+	})
+}
+
+func (c *Control) serveRightsTransfer(t *peerpb.RightsTransfer) *peerpb.Reply {
+	accepted := false
+	if identityOf(t.To) == c.Self.Identity {
+		c.Links.With(func(m *linkcap.Machine) {
+			accepted = m.Transferred(time.Now(), identityOf(t.From), t.Link, linkcap.Rights{InFlight: t.InFlight, Rate: t.Rate})
+		})
+	}
+	return ack(accepted, nil)
+}
+
+func (c *Control) serveRightsWanted(w *peerpb.RightsWanted) *peerpb.Reply {
+	c.Links.With(func(m *linkcap.Machine) {
+		m.Wanted(time.Now(), identityOf(w.From), w.Link, linkcap.Rights{InFlight: w.InFlight, Rate: w.Rate})
+	})
+	return ack(true, nil)
+}
+
+// linkVersion returns the version of the region's row, to be told to others.
+func (c *Control) linkVersion() (v uint64) {
+	c.Links.With(func(m *linkcap.Machine) { v = m.Version() })
+	return v
+}
+
+// hintRows takes notice of the versions of rows that another instance has
+// seen.
+func (c *Control) hintRows(now time.Time, zone, region string, owners, links uint64) {
+	if zone == c.Self.Zone {
+		c.owners.machine.Hint(now, owners)
+	}
+	if region != "" && region == c.links.region {
+		c.Links.With(func(m *linkcap.Machine) { m.Hint(now, links) })
 	}
-	c.Links.Set(region, rights)
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -118,8 +118,9 @@
 
 func (c *Control) exchangeMessage() *peerpb.Exchange {
 	return &peerpb.Exchange{
-		From: &peerpb.Identity{Id: c.Self.ID, Incarnation: c.Self.Incarnation}, Zone: c.Self.Zone,
+		From: c.identity(), Zone: c.Self.Zone,
 		ConfigVersion: c.config.receiver.Version(), Self: c.selfRecord(), Records: c.records.list(),
+		Region: c.links.region, OwnersVersion: c.owners.machine.Version(), LinksVersion: c.linkVersion(),
 	}
 }
 
@@ -153,6 +154,7 @@
 		})
 	}
 	c.takeExchange(now, ex.From, ex.ConfigVersion, ex.Self, ex.Records)
+	c.hintRows(now, ex.Zone, ex.Region, ex.OwnersVersion, ex.LinksVersion)
 }
 
 func (c *Control) failedExchange(now time.Time, err error, probe *membership.Probe) {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -25,7 +25,6 @@
 		}
 	}
 	c.applyOwners(now)
-	c.applyLinks(s.Region)
 	c.snap.Store(s)
 }
 
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -112,12 +112,20 @@
 }
 
 func (c *Control) linkStatus(region string) []operator.LinkStatus {
+	caps := map[string]estate.Link{}
+	var to []string
+	for _, l := range c.steer.estate.Links {
+		if l.From == region {
+			caps[l.To] = l
+			to = append(to, l.To)
+		}
+	}
 	var out []operator.LinkStatus
-	for _, u := range c.Links.Usage() {
-		l, _ := c.steer.estate.LinkOf(region, u.To)
+	for _, u := range c.Links.Usage(to) {
 		out = append(out, operator.LinkStatus{
-			From: region, To: u.To, MaxInFlight: l.MaxInFlight, MaxRate: l.MaxRate,
-			RightsInFlight: u.Rights.InFlight, RightsRate: u.Rights.Rate, InFlight: u.InFlight, Peak: u.Peak,
+			From: region, To: u.To, MaxInFlight: caps[u.To].MaxInFlight, MaxRate: caps[u.To].MaxRate,
+			RightsInFlight: int(u.Rights.InFlight), RightsRate: float64(u.Rights.Rate),
+			InFlight: int(u.Used.InFlight), Peak: int(u.Peak),
 		})
 	}
 	return out
--- a/internal/links/gate.go
+++ b/internal/links/gate.go
@@ -1,6 +1,6 @@
 // Package links guards the caps of links between regions at one instance: it
-// counts what is in flight on each link and paces what is started, both within
-// the rights that control gives it.
+// shares the linkcap machine between the traffic, which takes rights for each
+// request, and control, which brings it events.
 package links
 
 import (
@@ -8,98 +8,77 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
+	"github.com/banyandeal/banyandeal/internal/decide/linkcap"
 )
 
-// burstTime bounds how much unused rate a link may save up.
-const burstTime = 50 * time.Millisecond
-
-// Rights is this instance's part of a link's caps.
-type Rights struct {
-	InFlight int
-	// Rate is in requests started per second.
-	Rate float64
-}
-
 // Gate is safe for concurrent use.
 type Gate struct {
 	mu sync.Mutex
 	// region is that of this instance; requests inside it pass.
-	region string
-	links  map[string]*link
-}
-
-type link struct {
-	rights   Rights
-	inFlight int
-	peak     int
-	limiter  *rate.Limiter
+	region  string
+	machine *linkcap.Machine
+	// peaks is the most that was in flight on each link.
+	peaks map[string]int64
 }
 
 // New returns a gate without rights.
-func New() *Gate { return &Gate{links: map[string]*link{}} }
+func New() *Gate { return &Gate{peaks: map[string]int64{}} }
 
-// Set replaces the rights on the links from region, by the region they lead
-// to. Lower rights take effect at once for what is started from now on.
-func (g *Gate) Set(region string, rights map[string]Rights) {
+// Use sets the machine that holds the rights of this instance, and its region.
+func (g *Gate) Use(region string, m *linkcap.Machine) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.region = region
-	for to, l := range g.links {
-		if _, ok := rights[to]; !ok {
-			l.rights = Rights{}
-			l.limiter.SetLimit(0)
-		}
-	}
-	for to, r := range rights {
-		l := g.links[to]
-		if l == nil {
-			l = &link{limiter: rate.NewLimiter(0, 0)}
-			g.links[to] = l
-		}
-		if l.rights != r {
-			l.rights = r
-			l.limiter.SetLimit(rate.Limit(r.Rate))
-			l.limiter.SetBurst(max(int(r.Rate*burstTime.Seconds()), 1))
-		}
+	g.region, g.machine = region, m
+}
+
+// With calls f with the machine, unless there is none yet.
+func (g *Gate) With(f func(m *linkcap.Machine)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.machine != nil {
+		f(g.machine)
 	}
 }
 
 // Acquire takes the right to send one request to the region. release must be
-// called when its answer has been received.
+// called once, when its answer has been received.
 func (g *Gate) Acquire(region string) (release func(), ok bool) {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if region == g.region {
 		return func() {}, true
 	}
-	l := g.links[region]
-	if l == nil || l.inFlight >= l.rights.InFlight || !l.limiter.Allow() {
+	if g.machine == nil || !g.machine.TryAcquire(region, now) {
 		return nil, false
 	}
-	l.inFlight++
-	l.peak = max(l.peak, l.inFlight)
+	g.peaks[region] = max(g.peaks[region], g.machine.Used(region, now).InFlight)
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		l.inFlight--
+		g.machine.Release(region)
 	}, true
 }
 
 // Usage is the state of one link at this instance.
 type Usage struct {
-	To             string
-	Rights         Rights
-	InFlight, Peak int
+	To string
+	// Rights is what this instance may use, Used what it does.
+	Rights, Used linkcap.Rights
+	Peak         int64
 }
 
-// Usage returns all links by the region they lead to.
-func (g *Gate) Usage() []Usage {
+// Usage returns the named links by the region they lead to.
+func (g *Gate) Usage(to []string) []Usage {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := make([]Usage, 0, len(g.links))
-	for to, l := range g.links {
-		out = append(out, Usage{to, l.rights, l.inFlight, l.peak})
+	if g.machine == nil {
+		return nil
+	}
+	out := make([]Usage, 0, len(to))
+	for _, region := range to {
+		out = append(out, Usage{region, g.machine.Usable(region), g.machine.Used(region, now), g.peaks[region]})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].To < out[j].To })
 	return out
