route, daemon: a plain baseline as a policy of its own

Cause: what the daemon's decisions are worth could not be measured: there was nothing to run the same load against. Ruled out: a second binary, and tests for the policy's name where requests pass. The choices stand behind an interface in route, a placement function in control and the balancer's policy; the daemon picks the three at its start. Link caps and the guards of keys are no policy and hold for both. Before: policy is no setting. After: policy: baseline places by fixed weights and takes a random backend server of the zone, full or not, without a budget. Peer sessions are dialled from the peer listener's address, so that the other end, and what lies between, can tell who calls.

--- a/internal/config/static/static.go
+++ b/internal/config/static/static.go
@@ -32,6 +32,16 @@
 	DefaultReadTimeout       = 10 * time.Second
 	DefaultTraceSpans        = 4096
 	DefaultLogLevel          = "info"
+	DefaultPolicy            = PolicySteered
+)
+
+// Policies of a daemon.
+const (
+	// PolicySteered places by capacity, balances by load and bounds retries.
+	PolicySteered = "steered"
+	// PolicyBaseline is what the other is measured against: fixed weights, a
+	// random backend server, retries without a budget. Caps are kept by both.
+	PolicyBaseline = "baseline"
 )
 
 // Settings are the settings of one daemon.
@@ -47,10 +57,13 @@
 	Platform  Platform  `yaml:"platform"`
 	// Neighbours are peer addresses to ask when the platform does not answer.
 	Neighbours []string `yaml:"neighbours"`
-	Limits     Limits   `yaml:"limits"`
-	Timing     Timing   `yaml:"timing"`
-	Trace      Trace    `yaml:"trace"`
-	Log        Log      `yaml:"log"`
+	// Policy is PolicySteered or, for measurements only, PolicyBaseline. All
+	// instances of an estate have the same.
+	Policy string `yaml:"policy"`
+	Limits Limits `yaml:"limits"`
+	Timing Timing `yaml:"timing"`
+	Trace  Trace  `yaml:"trace"`
+	Log    Log    `yaml:"log"`
 }
 
 // Addresses are host:port pairs with an IP host.
@@ -116,6 +129,7 @@
 func Default() Settings {
 	return Settings{
 		Platform: Platform{Timeout: DefaultPlatformTimeout},
+		Policy:   DefaultPolicy,
 		Limits: Limits{
 			MaxInFlight: DefaultMaxInFlight, MaxHeaderBytes: DefaultMaxHeaderBytes, BodyMemory: DefaultBodyMemory,
 			ReadHeaderTimeout: DefaultReadHeaderTimeout, ReadTimeout: DefaultReadTimeout,
@@ -187,6 +201,9 @@
 		}
 	}
 	s.validateNumbers(bad)
+	if s.Policy != PolicySteered && s.Policy != PolicyBaseline {
+		bad("policy", strconv.Quote(s.Policy)+" is no policy", "use steered, or baseline for measurements")
+	}
 	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil {
 		bad("log.level", strconv.Quote(s.Log.Level)+" is no level", "use debug, info, warn or error")
 	}
--- a/internal/config/static/static_test.go
+++ b/internal/config/static/static_test.go
@@ -30,6 +30,7 @@
 
 func TestFaultsNameFieldAndRemedy(t *testing.T) {
 	for doc, want := range map[string]string{
+		valid + "policy: quick":             `policy: "quick" is no policy; use steered`,
 		"":                                  "id: is empty; name the instance",
 		valid + "log: {level: loud}":        `log.level: "loud" is no level; use debug`,
 		valid + "limits: {body_memory: 0}":  "limits.body_memory: 0 is not positive",
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,6 +16,7 @@
 	"github.com/banyandeal/banyandeal/internal/config/static"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/keys"
 	"github.com/banyandeal/banyandeal/internal/links"
 	"github.com/banyandeal/banyandeal/internal/peer"
@@ -37,10 +38,12 @@
 	Peers    *peer.Client
 	Pool     *pool.Pool
 	Links    *links.Gate
-	Keeper   *keys.Keeper
-	Guard    *quarantine.Guard
-	Metrics  *telemetry.Metrics
-	Log      zerolog.Logger
+	// Place spreads the demand over zones.
+	Place   func(placement.Input) (*placement.Plan, error)
+	Keeper  *keys.Keeper
+	Guard   *quarantine.Guard
+	Metrics *telemetry.Metrics
+	Log     zerolog.Logger
 }
 
 // Control is the control state of one instance. All fields below events are
--- a/internal/control/ramp.go
+++ b/internal/control/ramp.go
@@ -42,7 +42,7 @@
 // the zones that are lost.
 func (c *Control) retarget(now time.Time) {
 	s, r := c.steer, c.ramp
-	plan, err := placement.Compute(c.planInput(s.estate))
+	plan, err := c.Place(c.planInput(s.estate))
 	if err != nil {
 		c.Log.Error().Err(err).Msg("placement_failed")
 		return
@@ -68,7 +68,7 @@
 		c.ramp.ramp.Start(now, plan)
 		return
 	}
-	old, err := placement.Compute(c.planInput(before))
+	old, err := c.Place(c.planInput(before))
 	if err != nil {
 		c.ramp.ramp.Start(now, plan)
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,6 @@
 
 	"github.com/banyandeal/banyandeal/internal/config/static"
 	"github.com/banyandeal/banyandeal/internal/control"
-	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
 	decidequarantine "github.com/banyandeal/banyandeal/internal/decide/quarantine"
@@ -68,6 +67,7 @@
 	platform *platform.Client
 	sender   *forward.Sender
 	home     once.Home
+	policy   policy
 
 	callerListener, peerListener, operatorListener net.Listener
 }
@@ -85,7 +85,10 @@
 
 // New binds the listeners and puts the parts together.
 func New(s static.Settings, logs io.Writer) (*Daemon, error) {
-	d := &Daemon{settings: s, log: telemetry.NewLogger(logs, s.Log.Level, s.ID), metrics: telemetry.NewMetrics(), links: links.New(), peers: peer.NewClient()}
+	d := &Daemon{
+		settings: s, log: telemetry.NewLogger(logs, s.Log.Level, s.ID), metrics: telemetry.NewMetrics(), links: links.New(),
+		peers: peer.NewClient(localIP(s)), policy: policyOf(s.Policy),
+	}
 	var spans io.Writer
 	if s.Trace.File != "" {
 		f, err := os.OpenFile(s.Trace.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
@@ -107,6 +110,16 @@
 	return d, nil
 }
 
+// localIP is the address that sessions to other instances are dialled from:
+// that of the peer listener, since the advertised one need not be bound here.
+func localIP(s static.Settings) net.IP {
+	host, _, err := net.SplitHostPort(s.Listen.Peer)
+	if err != nil {
+		return nil
+	}
+	return net.ParseIP(host)
+}
+
 // listen binds the peer listener last, since an instance that can be reached
 // there counts as alive.
 func (d *Daemon) listen() error {
@@ -137,11 +150,11 @@
 	d.sender = &forward.Sender{Client: d.peers, Recorder: d.recorder, Region: d.region, Unreachable: func(addr string) { d.control.Suspect(addr) }}
 	t := &transport{sender: d.sender, peers: d.peers, platform: d.platform, self: d.home}
 	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: maxKeyTTL, ClaimTTL: claimTTL}, t)
-	d.pool = pool.New(balance.LeastLoaded, func(r pool.Result) { d.control.BackendResult(r) })
+	d.pool = pool.New(d.policy.balance, func(r pool.Result) { d.control.BackendResult(r) })
 	d.guard = quarantine.NewGuard(s.ID, func(ns []decidequarantine.Notice) { d.control.TellQuarantine(ns) })
 	d.control = control.New(control.Deps{
 		Settings: s, Self: self, Platform: d.platform, Peers: d.peers, Pool: d.pool, Links: d.links,
-		Keeper: d.keeper, Guard: d.guard, Metrics: d.metrics, Log: d.log,
+		Place: d.policy.place, Keeper: d.keeper, Guard: d.guard, Metrics: d.metrics, Log: d.log,
 	}, now)
 	t.control = d.control
 }
@@ -154,7 +167,7 @@
 func (d *Daemon) pipeline() (enter, home, run filter.Handler) {
 	attempt := limit.Handler{Pool: d.pool, Guard: d.guard, Recorder: d.recorder}
 	router := route.Filter{
-		Snapshot: d.control.Snapshot, Sender: d.sender, Slots: d.pool, Links: d.links, Budgets: route.NewBudgets(),
+		Policy: d.policy.route, Snapshot: d.control.Snapshot, Sender: d.sender, Slots: d.pool, Links: d.links, Budgets: route.NewBudgets(),
 		Outbox: route.NewOutbox(), Metrics: d.metrics, Recorder: d.recorder,
 	}
 	run = filter.Chain(attempt, filterquarantine.Filter{Guard: d.guard}, router)
--- a/internal/filter/route/attempts.go
+++ b/internal/filter/route/attempts.go
@@ -7,18 +7,10 @@
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/retry"
-	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/filter"
 	"github.com/banyandeal/banyandeal/internal/outcome"
 )
 
-// Limits of the budget of retries of one service at one instance.
-const (
-	// budgetMinRate is in tokens per second.
-	budgetMinRate = 1
-	budgetBurst   = 10
-)
-
 // Budgets holds the budget of retries of each service. It is safe for
 // concurrent use.
 type Budgets struct {
@@ -30,20 +22,19 @@
 type budget struct {
 	mu     sync.Mutex
 	tokens *retry.Budget
-	share  float64
+	cfg    retry.BudgetConfig
 }
 
 // NewBudgets returns full budgets.
 func NewBudgets() *Budgets { return &Budgets{all: map[string]*budget{}} }
 
-func (b *Budgets) of(s *estate.Service) *budget {
+func (b *Budgets) of(service string, cfg retry.BudgetConfig) *budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	one := b.all[s.Name]
-	if one == nil || one.share != s.Retry.BudgetShare {
-		cfg := retry.BudgetConfig{Share: s.Retry.BudgetShare, MinRate: budgetMinRate, Burst: budgetBurst}
-		one = &budget{tokens: retry.NewBudget(cfg, time.Now()), share: s.Retry.BudgetShare}
-		b.all[s.Name] = one
+	one := b.all[service]
+	if one == nil || one.cfg != cfg {
+		one = &budget{tokens: retry.NewBudget(cfg, time.Now()), cfg: cfg}
+		b.all[service] = one
 	}
 	return one
 }
@@ -72,13 +63,14 @@
 func (f Filter) attempts(ctx context.Context, s *search) (*filter.Answer, error) {
 	svc := s.r.Service
 	most := max(svc.Retry.MaxAttempts, 1)
+	bounds, hedgeAfter := f.Policy.retries(svc)
 	a := &attempts{
-		search: s, budget: f.Budgets.of(svc), results: make(chan result, most),
+		search: s, budget: f.Budgets.of(svc.Name, bounds), results: make(chan result, most),
 		cancels: map[int]context.CancelFunc{}, answers: map[int]*filter.Answer{}, timer: time.NewTimer(time.Hour),
 	}
 	a.machine = retry.New(retry.Config{
 		Idempotent: s.r.Idempotent, MaxAttempts: most, Deadline: s.r.Deadline, MinTime: minAttemptTime,
-		HedgeAfter: svc.HedgeAfter, MinHedgeHeadroom: hedgeHeadroom,
+		HedgeAfter: hedgeAfter, MinHedgeHeadroom: hedgeHeadroom,
 	}, a.budget.tokens)
 	defer a.timer.Stop()
 	return a.run(ctx)
--- a/internal/filter/route/places.go
+++ b/internal/filter/route/places.go
@@ -58,19 +58,29 @@
 	v.full[region] = true
 }
 
-// choose returns the next place for the request: the backend servers owned
-// here, a neighbour in the zone, or the first of the other zones in the
-// caller's order that can have a free slot.
+// choose returns the next place for the request.
 func (s *search) choose(now time.Time) (place, bool) {
 	s.seen.mu.Lock()
 	defer s.seen.mu.Unlock()
-	if !s.seen.own {
-		if free, _ := s.Slots.Free(s.r.Service.Name); free > 0 && s.r.Avoid.Len() < ownAttempts {
-			return place{kind: "own", region: s.snap.Region, stage: filter.StageOwn}, true
-		}
-		s.seen.own = true
-	}
-	return s.elsewhere(now)
+	return s.Policy.choose(s, now)
+}
+
+// here is the place of the backend servers owned by this instance.
+func (s *search) here() place {
+	return place{kind: "own", region: s.snap.Region, stage: filter.StageOwn}
+}
+
+// neighbour is the place of another instance of the zone.
+func (s *search) neighbour(in *snapshot.Instance) place {
+	s.seen.instances[in.ID] = true
+	return place{kind: "neighbour", to: in, region: s.snap.Region, stage: filter.StageOwn}
+}
+
+// zone is the place of an instance of another zone.
+func (s *search) zone(z snapshot.Zone, in *snapshot.Instance) place {
+	s.seen.zones[z.Name]++
+	s.seen.instances[in.ID] = true
+	return place{kind: "zone", to: in, region: z.Region, stage: filter.StageZone}
 }
 
 // elsewhere returns the next place outside this instance.
@@ -89,8 +99,7 @@
 		return place{}, false
 	}
 	if in := find(home, name); in != nil {
-		s.seen.instances[in.ID] = true
-		return place{kind: "neighbour", to: in, region: s.snap.Region, stage: filter.StageOwn}, true
+		return s.neighbour(in), true
 	}
 	z, _ := s.snap.ZoneOf(name)
 	in := s.instance(now, z)
@@ -98,9 +107,7 @@
 		s.seen.zones[name] = perZone
 		return s.elsewhere(now)
 	}
-	s.seen.zones[name]++
-	s.seen.instances[in.ID] = true
-	return place{kind: "zone", to: in, region: z.Region, stage: filter.StageZone}, true
+	return s.zone(z, in), true
 }
 
 // neighbours returns the other instances of the zone.
@@ -120,7 +127,7 @@
 	var out []balance.Peer
 	for _, i := range s.order() {
 		z := &s.snap.Zones[i]
-		if z.Name == s.snap.Zone || z.Closed || len(z.Instances) == 0 || s.seen.zones[z.Name] >= perZone || s.seen.full[z.Region] {
+		if !s.open(z) {
 			continue
 		}
 		out = append(out, s.peer(z.Name, z.Slots[s.r.Service.Name], z.Loads[s.r.Service.Name]))
@@ -128,6 +135,11 @@
 	return out
 }
 
+// open reports whether the request may be sent to another zone.
+func (s *search) open(z *snapshot.Zone) bool {
+	return z.Name != s.snap.Zone && !z.Closed && len(z.Instances) > 0 && s.seen.zones[z.Name] < perZone && !s.seen.full[z.Region]
+}
+
 func (s *search) peer(name string, slots int, rep load.Report) balance.Peer {
 	return balance.Peer{Name: name, Slots: slots, Report: rep, Evidence: s.Outbox.evidence(name, s.r.Service.Name)}
 }
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -47,6 +47,7 @@
 
 // Filter routes requests.
 type Filter struct {
+	Policy   Policy
 	Snapshot func() *snapshot.Snapshot
 	Sender   *forward.Sender
 	Slots    Slots
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -61,6 +61,8 @@
 
 // Client keeps a session to each address it has called.
 type Client struct {
+	dialer net.Dialer
+
 	mu       sync.Mutex
 	sessions map[string]*session
 	closed   bool
@@ -75,9 +77,15 @@
 	retryAt time.Time
 }
 
-// NewClient returns a client without sessions.
-func NewClient() *Client {
-	return &Client{sessions: map[string]*session{}}
+// NewClient returns a client without sessions. It dials from localIP, so that
+// the other end sees the address that this instance is known by; where that is
+// nil or unspecified, from the address that the system chooses.
+func NewClient(localIP net.IP) *Client {
+	c := &Client{dialer: net.Dialer{Timeout: dialTimeout}, sessions: map[string]*session{}}
+	if localIP != nil && !localIP.IsUnspecified() {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: localIP}
+	}
+	return c
 }
 
 func sessionConfig() *yamux.Config {
@@ -152,7 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ses == nil || s.ses.IsClosed() {
-		if refused, err := s.dial(addr); err != nil {
+		if refused, err := s.dial(&c.dialer, addr); err != nil {
 			return nil, &CallError{Address: addr, Sent: NotSent, Refused: refused, Err: err}
 		}
 	}
@@ -181,12 +189,12 @@
 
 // dial opens the session. refused is set only by a dial that was made now: the
 // memory of an earlier one says nothing of a process that began since.
-func (s *session) dial(addr string) (refused bool, err error) {
+func (s *session) dial(d *net.Dialer, addr string) (refused bool, err error) {
 	now := time.Now()
 	if s.failed != nil && now.Before(s.retryAt) {
 		return false, s.failed
 	}
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	conn, err := d.Dial("tcp", addr)
 	if err != nil {
 		s.failed, s.retryAt = errors.Trace(err), now.Add(redialPause)
 		return errors.Is(err, syscall.ECONNREFUSED), s.failed
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -50,7 +50,7 @@
 		return &peerpb.Reply{Reply: &peerpb.Reply_Forward{Forward: &peerpb.ForwardReply{RequestId: call.GetForward().RequestId}}},
 			io.NopCloser(bytes.NewReader(append(data, data...)))
 	})
-	c := peer.NewClient()
+	c := peer.NewClient(nil)
 	defer c.Close()
 	large := bytes.Repeat([]byte("x"), 300_000)
 	for _, body := range [][]byte{nil, []byte("a"), large} {
@@ -68,7 +68,7 @@
 	addr := serve(t, func(context.Context, *peerpb.Call, io.Reader) (*peerpb.Reply, io.ReadCloser) {
 		return &peerpb.Reply{}, io.NopCloser(cutReader{bytes.NewReader([]byte("half"))})
 	})
-	c := peer.NewClient()
+	c := peer.NewClient(nil)
 	defer c.Close()
 	_, out, err := c.Call(context.Background(), addr, forward("r1"), nil)
 	require.NoError(t, err)
@@ -85,7 +85,7 @@
 		close(cancelled)
 		return &peerpb.Reply{}, nil
 	})
-	c := peer.NewClient()
+	c := peer.NewClient(nil)
 	defer c.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-started; cancel() }()
@@ -101,7 +101,7 @@
 	require.NoError(t, err)
 	addr := l.Addr().String()
 	l.Close()
-	c := peer.NewClient()
+	c := peer.NewClient(nil)
 	defer c.Close()
 	// The second call fails by the memory of the first, which is no evidence
 	// against a process that may have begun since.
@@ -126,10 +126,26 @@
 		require.NoError(t, err)
 		conn.Write(data)
 		conn.Close()
-		c := peer.NewClient()
+		c := peer.NewClient(nil)
 		defer c.Close()
 		_, out, err := c.Call(context.Background(), addr, forward("r1"), nil)
 		require.NoError(t, err)
 		require.NoError(t, out.Close())
 	})
 }
+
+func TestSessionsComeFromTheOwnAddress(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	for _, local := range []string{"127.2.1.1", "0.0.0.0"} {
+		c := peer.NewClient(net.ParseIP(local))
+		go c.Call(context.Background(), ln.Addr().String(), forward("r1"), nil)
+		conn, err := ln.Accept()
+		require.NoError(t, err)
+		from := conn.RemoteAddr().(*net.TCPAddr).IP.String()
+		require.Equal(t, map[string]string{"127.2.1.1": "127.2.1.1", "0.0.0.0": "127.0.0.1"}[local], from)
+		conn.Close()
+		c.Close()
+	}
+}
