--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,8 @@
 	Keeper   *keys.Keeper
 	Metrics  *telemetry.Metrics
 	Log      zerolog.Logger
+	// Dial opens connections for probes; nil is a plain TCP dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Control is the control state of one instance. All fields below events are
@@ -78,7 +81,7 @@
 		Deps: d, started: now, events: make(chan func(time.Time), eventQueue),
 		members: membership.New(membership.Config{Self: d.Self}, now),
 		records: newRecords(d.Self.Identity), steer: newSteerState(), owners: newOwnerState(d.Self, now),
-		health: newHealthState(),
+		health: newHealthState(d.Dial),
 		fatal:  make(chan error, 1),
 	}
 	c.config = newConfigState()
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -49,7 +50,7 @@
 	listed map[string]bool
 }
 
-func newHealthState() *healthState {
+func newHealthState(dial func(ctx context.Context, network, address string) (net.Conn, error)) *healthState {
 	return &healthState{
 		machine: health.New(health.Settings{
 			SuspectAfter: suspectAfter, EjectAfter: ejectAfter, EjectTime: ejectTime, MaxEjectTime: maxEjectTime,
@@ -57,7 +58,7 @@
 		}),
 		// Each probe takes a fresh connection, so that it does not share the
 		// fate of one that has gone silent.
-		client:  &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client:  &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}},
 		probing: map[string]bool{},
 		listed:  map[string]bool{},
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -53,6 +54,10 @@
 // Daemon is one running instance.
 type Daemon struct {
 	settings static.Settings
+	network  Network
+	// killed is closed by Kill.
+	killed   chan struct{}
+	killOnce sync.Once
 	log      zerolog.Logger
 	metrics  *telemetry.Metrics
 	recorder *trace.Recorder
@@ -68,6 +73,16 @@
 	callerListener, peerListener, operatorListener net.Listener
 }
 
+// Network opens a daemon's listeners and connections. Tests put faults into it;
+// the zero value is the network of the machine.
+type Network struct {
+	Listen func(network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// ErrKilled is the end of a daemon by Kill.
+var ErrKilled = errors.New("the daemon was killed; what it held was not handed over")
+
 // Run runs the daemon until ctx ends and its work is handed over.
 func Run(ctx context.Context, s static.Settings, logs io.Writer) error {
 	d, err := New(s, logs)
@@ -80,8 +95,18 @@
 }
 
 // New binds the listeners and puts the parts together.
-func New(s static.Settings, logs io.Writer) (*Daemon, error) {
-	d := &Daemon{settings: s, log: telemetry.NewLogger(logs, s.Log.Level, s.ID), metrics: telemetry.NewMetrics(), links: links.New(), peers: peer.NewClient()}
+func New(s static.Settings, logs io.Writer) (*Daemon, error) { return NewOn(Network{}, s, logs) }
+
+// NewOn is New on a network of the caller's.
+func NewOn(n Network, s static.Settings, logs io.Writer) (*Daemon, error) {
+	if n.Listen == nil {
+		n.Listen = net.Listen
+	}
+	if n.Dial == nil {
+		n.Dial = (&net.Dialer{}).DialContext
+	}
+	d := &Daemon{settings: s, network: n, killed: make(chan struct{}), log: telemetry.NewLogger(logs, s.Log.Level, s.ID), metrics: telemetry.NewMetrics(), links: links.New(), peers: peer.NewClient()}
+	d.peers.Dial = n.Dial
 	var spans io.Writer
 	if s.Trace.File != "" {
 		f, err := os.OpenFile(s.Trace.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
@@ -91,7 +116,7 @@
 		spans = f
 	}
 	d.recorder = trace.NewRecorder(s.ID, s.Trace.Spans, spans)
-	client, err := platform.New(s.Platform.Endpoints, platform.Options{Timeout: s.Platform.Timeout})
+	client, err := platform.New(s.Platform.Endpoints, platform.Options{Timeout: s.Platform.Timeout, Dial: n.Dial})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -108,17 +133,22 @@
 func (d *Daemon) listen() error {
 	for _, l := range []struct {
 		name, addr string
+		advertise  *string
 		to         *net.Listener
 	}{
-		{"caller", d.settings.Listen.Caller, &d.callerListener},
-		{"operator", d.settings.Listen.Operator, &d.operatorListener},
-		{"peer", d.settings.Listen.Peer, &d.peerListener},
+		{"caller", d.settings.Listen.Caller, &d.settings.Advertise.Caller, &d.callerListener},
+		{"operator", d.settings.Listen.Operator, &d.settings.Advertise.Operator, &d.operatorListener},
+		{"peer", d.settings.Listen.Peer, &d.settings.Advertise.Peer, &d.peerListener},
 	} {
-		ln, err := net.Listen("tcp", l.addr)
+		ln, err := d.network.Listen("tcp", l.addr)
 		if err != nil {
 			return errors.Annotatef(err, "listen.%s can't be bound; free the address or give another", l.name)
 		}
 		*l.to = ln
+		if *l.advertise == "" || *l.advertise == l.addr {
+			// A port of 0 was chosen by the system.
+			*l.advertise = ln.Addr().String()
+		}
 	}
 	return nil
 }
@@ -134,9 +164,10 @@
 	t := &transport{sender: d.sender, peers: d.peers, platform: d.platform, self: d.home}
 	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: maxKeyTTL, ClaimTTL: claimTTL}, t)
 	d.pool = pool.New(balance.LeastLoaded, func(r pool.Result) { d.control.BackendResult(r) })
+	d.pool.Dial = d.network.Dial
 	d.control = control.New(control.Deps{
 		Settings: s, Self: self, Platform: d.platform, Peers: d.peers, Pool: d.pool, Links: d.links,
-		Keeper: d.keeper, Metrics: d.metrics, Log: d.log,
+		Keeper: d.keeper, Metrics: d.metrics, Log: d.log, Dial: d.network.Dial,
 	}, now)
 	t.control = d.control
 }
@@ -185,7 +216,11 @@
 	d.log.Info().Str("zone", d.settings.Zone).Uint64("incarnation", d.home.Incarnation).
 		Str("caller", d.settings.Advertise.Caller).Str("peer", d.settings.Advertise.Peer).Msg("started")
 	err := d.wait(ctx)
-	d.shutdown(callers)
+	if errors.Is(err, ErrKilled) {
+		callers.Close()
+	} else {
+		d.shutdown(callers)
+	}
 	operators.Close()
 	stop()
 	<-controlDone
@@ -204,12 +239,29 @@
 	select {
 	case err := <-d.control.Fatal():
 		return err
+	case <-d.killed:
+		return ErrKilled
 	case <-ctx.Done():
 	}
-	d.control.Leave(context.Background())
-	return nil
+	leave, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	left := make(chan struct{})
+	go func() { defer close(left); d.control.Leave(leave) }()
+	select {
+	case <-left:
+		return nil
+	case <-d.killed:
+		return ErrKilled
+	}
 }
 
+// Kill ends Run at once, as the death of its process would: nothing is handed
+// over and what is in flight is cut.
+func (d *Daemon) Kill() { d.killOnce.Do(func() { close(d.killed) }) }
+
+// Addresses returns the addresses that others use.
+func (d *Daemon) Addresses() static.Addresses { return d.settings.Advertise }
+
 // shutdown lets callers' requests end.
 func (d *Daemon) shutdown(callers *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -60,6 +60,10 @@
 
 // Client keeps a session to each address it has called.
 type Client struct {
+	// Dial opens connections; nil is a plain TCP dialer. It is set before the
+	// first call.
+	Dial dialFunc
+
 	mu       sync.Mutex
 	sessions map[string]*session
 	closed   bool
@@ -75,6 +79,8 @@
 	retryAt time.Time
 }
 
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client without sessions.
 func NewClient() *Client {
 	return &Client{sessions: map[string]*session{}}
@@ -152,7 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ses == nil || s.ses.IsClosed() {
-		if err := s.dial(addr); err != nil {
+		if err := s.dial(addr, c.Dial); err != nil {
 			return nil, &CallError{Address: addr, Sent: NotSent, Refused: s.refused, Err: err}
 		}
 	}
@@ -179,12 +185,17 @@
 	return s, nil
 }
 
-func (s *session) dial(addr string) error {
+func (s *session) dial(addr string, dial dialFunc) error {
 	now := time.Now()
 	if s.failed != nil && now.Before(s.retryAt) {
 		return s.failed
 	}
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", addr)
 	if err != nil {
 		s.failed, s.refused = errors.Trace(err), errors.Is(err, syscall.ECONNREFUSED)
 		s.retryAt = now.Add(redialPause)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -53,6 +54,8 @@
 	// open; OpenTime is how long it then fails calls at once.
 	TripAfter uint32
 	OpenTime  time.Duration
+	// Dial opens connections; nil is a plain TCP dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Transport is used instead of one of the client's own.
 	Transport http.RoundTripper
 }
@@ -130,7 +133,7 @@
 	}
 	transport := c.opts.Transport
 	if transport == nil {
-		transport = newTransport(c.opts.Timeout)
+		transport = newTransport(c.opts)
 	}
 	c.http = &http.Client{Transport: transport}
 	c.breaker = gobreaker.NewCircuitBreaker[reply](gobreaker.Settings{
@@ -147,7 +150,7 @@
 	return c, nil
 }
 
-func newTransport(timeout time.Duration) *http.Transport {
+func newTransport(opts Options) *http.Transport {
 	const (
 		maxIdle  = 4
 		idleTime = 30 * time.Second
@@ -155,7 +158,8 @@
 	return &http.Transport{
 		MaxIdleConnsPerHost:   maxIdle,
 		IdleConnTimeout:       idleTime,
-		ResponseHeaderTimeout: timeout,
+		ResponseHeaderTimeout: opts.Timeout,
+		DialContext:           opts.Dial,
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sort"
 	"sync"
 	"time"
@@ -49,6 +50,10 @@
 
 // Pool is safe for concurrent use.
 type Pool struct {
+	// Dial opens connections to backend servers; nil is a plain TCP dialer. It is
+	// set before the first Set.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	policy balance.Policy
 	// report takes each result; it must not block.
 	report func(Result)
@@ -84,7 +89,7 @@
 			if m != nil {
 				m.client.Close()
 			}
-			m = &member{client: attempt.New(attempt.Config{Address: b.Address, MaxConns: b.MaxConnections, CheckPath: checkPath})}
+			m = &member{client: attempt.New(attempt.Config{Address: b.Address, MaxConns: b.MaxConnections, CheckPath: checkPath, Dial: p.Dial})}
 		}
 		m.Backend = b
 		keep[b.Name] = m
@@ -135,8 +140,10 @@
 type Lease struct {
 	pool *Pool
 	m    *member
-	at   time.Time
-	once sync.Once
+	// name and service are those of m, which Set may change.
+	name, service string
+	at            time.Time
+	once          sync.Once
 }
 
 // Acquire takes a slot of a backend server of the service that is not in
@@ -155,11 +162,11 @@
 	}
 	m := p.backends[name]
 	m.peak = max(m.peak, b.InFlight(name))
-	return &Lease{pool: p, m: m, at: now}, true
+	return &Lease{pool: p, m: m, name: name, service: service, at: now}, true
 }
 
 // Name returns the backend server's name.
-func (l *Lease) Name() string { return l.m.Name }
+func (l *Lease) Name() string { return l.name }
 
 // Do sends the request to the backend server.
 func (l *Lease) Do(ctx context.Context, r *attempt.Request) *attempt.Reply {
@@ -171,32 +178,32 @@
 func (l *Lease) Release(rep *attempt.Reply) {
 	l.once.Do(func() {
 		res := Result{
-			Backend: l.m.Name, Outcome: rep.Outcome, Latency: time.Since(l.at), Status: rep.Status,
+			Backend: l.name, Outcome: rep.Outcome, Latency: time.Since(l.at), Status: rep.Status,
 			Draining: rep.Draining, Lost: rep.Lost, Silent: rep.Silent,
 		}
 		if rep.Err != nil {
 			res.Shed = rep.Err.Kind == outcome.KindOverloaded
 			res.Cancelled = rep.Err.Kind == outcome.KindCancelled || rep.Err.Kind == outcome.KindDeadline
 		}
-		l.pool.release(l.m, res)
+		l.pool.release(l, res)
 		l.pool.report(res)
 	})
 }
 
-func (p *Pool) release(m *member, res Result) {
+func (p *Pool) release(l *Lease, res Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.services[m.Service]
+	b := p.services[l.service]
 	latency := res.Latency
 	if res.Outcome != outcome.Done {
 		latency = 0
 	}
 	failed := (res.Outcome != outcome.Done && !res.Shed && !res.Cancelled) || res.Status >= serverError
-	b.End(m.Name, latency, failed)
+	b.End(l.name, latency, failed)
 	if res.Draining {
 		// Its own answer counts at once, before control has seen it.
-		m.refusedUntil = time.Now().Add(refusedTime)
-		p.refresh(m.Service)
+		l.m.refusedUntil = time.Now().Add(refusedTime)
+		p.refresh(l.service)
 	}
 }
 
--- a/internal/standin/backend/faults.go
+++ b/internal/standin/backend/faults.go
@@ -1,6 +1,9 @@
 package backend
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 // Lies of the health endpoint. The zero value tells the truth.
 const (
@@ -35,6 +38,8 @@
 	Load   *Load  `json:"load,omitempty"`
 	// Shed sheds every request.
 	Shed bool `json:"shed,omitempty"`
+	// Hold keeps the requests that have a slot from ending until it is unset.
+	Hold bool `json:"hold,omitempty"`
 	// CrashPath crashes the backend server on requests whose URL contains it.
 	CrashPath string `json:"crash_path,omitempty"`
 }
@@ -44,14 +49,39 @@
 type faultState struct {
 	mu     sync.Mutex
 	faults Faults
+	// released is closed when Hold is unset; nil while it is not set.
+	released chan struct{}
 }
 
 func (f *faultState) set(faults Faults) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	switch {
+	case faults.Hold && f.released == nil:
+		f.released = make(chan struct{})
+	case !faults.Hold && f.released != nil:
+		close(f.released)
+		f.released = nil
+	}
 	f.faults = faults
 }
 
+// held waits while Hold is set and reports whether the client stayed.
+func (f *faultState) held(ctx context.Context) bool {
+	f.mu.Lock()
+	released := f.released
+	f.mu.Unlock()
+	if released == nil {
+		return true
+	}
+	select {
+	case <-released:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (f *faultState) get() Faults {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -290,7 +290,7 @@
 		s.goDown()
 		panic(http.ErrAbortHandler)
 	}
-	if !wait(r.Context(), s.time.next()) {
+	if !wait(r.Context(), s.time.next()) || !s.fault.held(r.Context()) {
 		s.runs.end(run, RunStopped)
 		return
 	}
