--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,8 @@
 	Guard    *quarantine.Guard
 	Metrics  *telemetry.Metrics
 	Log      zerolog.Logger
+	// Dial opens connections for probes; nil is a plain TCP dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Control is the control state of one instance. All fields below events are
@@ -82,7 +85,7 @@
 		Deps: d, started: now, events: make(chan func(time.Time), eventQueue),
 		members: membership.New(membership.Config{Self: d.Self}, now),
 		records: newRecords(d.Self.Identity), steer: newSteerState(), ramp: newRampState(), owners: newOwnerState(d.Self, now),
-		health: newHealthState(),
+		health: newHealthState(d.Dial),
 		fatal:  make(chan error, 1),
 	}
 	c.config = newConfigState()
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -23,13 +23,15 @@
 	digestLimit = 64
 )
 
+// dialFunc opens a connection.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Guard is safe for concurrent use.
 type Guard struct {
 	instance string
 	// tell brings notices to the neighbours in the zone; it must not block.
 	tell func([]quarantine.Notice)
-	// dial opens a connection to a backend server.
-	dial func(ctx context.Context, addr string) error
+	dial dialFunc
 
 	mu       sync.Mutex
 	machine  *quarantine.Machine
@@ -51,21 +53,16 @@
 	counted bool
 }
 
-// NewGuard returns the guard of an instance. tell brings notices to the
-// neighbours in the zone and must not block.
-func NewGuard(instance string, tell func([]quarantine.Notice)) *Guard {
-	return &Guard{
-		instance: instance, tell: tell, dial: dialBackend, machine: quarantine.New(quarantine.Config{}), backends: map[string]*watch{},
+// NewGuard returns the guard of an instance. dial opens connections for checks,
+// nil is a plain TCP dialer; tell brings notices to the neighbours in the zone
+// and must not block.
+func NewGuard(instance string, dial dialFunc, tell func([]quarantine.Notice)) *Guard {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
 	}
-}
-
-func dialBackend(ctx context.Context, addr string) error {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err == nil {
-		conn.Close()
+	return &Guard{
+		instance: instance, tell: tell, dial: dial, machine: quarantine.New(quarantine.Config{}), backends: map[string]*watch{},
 	}
-	return err
 }
 
 // Fingerprint returns the fingerprint of a request.
@@ -140,7 +137,12 @@
 func (g *Guard) isDown(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
 	defer cancel()
-	return errors.Is(g.dial(ctx, addr), syscall.ECONNREFUSED)
+	conn, err := g.dial(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
 }
 
 // crash counts one crash for all that the backend server had in flight.
