--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -61,7 +61,8 @@
 
 // Client keeps a session to each address it has called.
 type Client struct {
-	dialer net.Dialer
+	// Dial opens connections. It is set before the first call.
+	Dial dialFunc
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -77,15 +78,17 @@
 	retryAt time.Time
 }
 
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client without sessions. It dials from localIP, so that
 // the other end sees the address that this instance is known by; where that is
 // nil or unspecified, from the address that the system chooses.
 func NewClient(localIP net.IP) *Client {
-	c := &Client{dialer: net.Dialer{Timeout: dialTimeout}, sessions: map[string]*session{}}
+	d := &net.Dialer{}
 	if localIP != nil && !localIP.IsUnspecified() {
-		c.dialer.LocalAddr = &net.TCPAddr{IP: localIP}
+		d.LocalAddr = &net.TCPAddr{IP: localIP}
 	}
-	return c
+	return &Client{Dial: d.DialContext, sessions: map[string]*session{}}
 }
 
 func sessionConfig() *yamux.Config {
@@ -160,7 +163,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ses == nil || s.ses.IsClosed() {
-		if refused, err := s.dial(&c.dialer, addr); err != nil {
+		if refused, err := s.dial(addr, c.Dial); err != nil {
 			return nil, &CallError{Address: addr, Sent: NotSent, Refused: refused, Err: err}
 		}
 	}
@@ -189,12 +192,14 @@
 
 // dial opens the session. refused is set only by a dial that was made now: the
 // memory of an earlier one says nothing of a process that began since.
-func (s *session) dial(d *net.Dialer, addr string) (refused bool, err error) {
+func (s *session) dial(addr string, dial dialFunc) (refused bool, err error) {
 	now := time.Now()
 	if s.failed != nil && now.Before(s.retryAt) {
 		return false, s.failed
 	}
-	conn, err := d.Dial("tcp", addr)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", addr)
 	if err != nil {
 		s.failed, s.retryAt = errors.Trace(err), now.Add(redialPause)
 		return errors.Is(err, syscall.ECONNREFUSED), s.failed
