--- a/internal/decide/ownership/model_test.go
+++ b/internal/decide/ownership/model_test.go
@@ -106,7 +106,8 @@
 
 // tick lets time pass at n: its work ends, its machine goes on.
 func (w *world) tick(n *node) {
-	for name, attempt := range n.stops {
+	for _, name := range sortedKeys(n.stops) {
+		attempt := n.stops[name]
 		if w.inFlight(n, name) == 0 {
 			delete(n.stops, name)
 			n.m.Drained(w.now, name, attempt)
