--- a/internal/decide/linkcap/model_test.go
+++ b/internal/decide/linkcap/model_test.go
@@ -29,7 +29,7 @@
 	nodes     []*node
 	caps      map[string]Rights
 	loseReply bool
-	// loseTransfers loses every message between partners.
+	// loseTransfers loses transfers between partners and their answers.
 	loseTransfers bool
 	requests      []*request
 	log           strings.Builder
@@ -130,7 +130,9 @@
 		})
 	}
 	for _, want := range r.Wants {
-		w.toPartner(want.To, func(o *node) { o.m.Wanted(w.now, n.Identity, want.Link, want.Rights) })
+		if o := w.find(want.To); o != nil {
+			w.reply(o, func() { o.m.Wanted(w.now, n.Identity, want.Link, want.Rights) })
+		}
 	}
 	for _, p := range r.Probes {
 		if o := w.find(p.About); o != nil && !o.alive {
--- a/internal/decide/ownership/model_test.go
+++ b/internal/decide/ownership/model_test.go
@@ -360,7 +360,11 @@
 			w.net.Send(func() { w.write(n, w.lastWrite(n), true) })
 		}
 	case 9:
-		w.begin(n, w.backends[rapid.IntRange(0, len(w.backends)-1).Draw(t, "backend")].Name, testDeadline)
+		for _, b := range w.backends {
+			for range rapid.IntRange(0, testSlots).Draw(t, "requests") {
+				w.begin(n, b.Name, testDeadline)
+			}
+		}
 	case 10, 11:
 		w.deliver(t)
 	case 12:
