--- a/internal/bench/config.go
+++ b/internal/bench/config.go
@@ -31,6 +31,11 @@
 type Caller struct {
 	Addr   netip.Addr
 	Weight float64
+	// From is the local address that it connects from; the system chooses one
+	// if it is the zero Addr.
+	From netip.Addr
+	// Near are the entries that its look-ups go to first.
+	Near []string
 }
 
 // Workload is the load on one service.
@@ -41,6 +46,9 @@
 	Ops  []Op
 	// Deadline is what callers give each attempt.
 	Deadline time.Duration
+	// After is when its arrivals begin, For how long they go on; 0 is as long
+	// as those of the others.
+	After, For time.Duration
 }
 
 // Config sets up a load.
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -75,10 +75,16 @@
 	slices.SortFunc(records, func(a, b Record) int {
 		return cmp.Or(a.Start.Compare(b.Start), cmp.Compare(a.Token, b.Token))
 	})
-	return &Result{Records: records, Ops: summarise(records), Skipped: skipped, Lookups: lookups.quantiles()}
+	byOp := func(r Record) (service, op string) { return r.Service, r.Op }
+	return &Result{Records: records, Ops: summarise(records, byOp), Skipped: skipped, Lookups: lookups.quantiles()}
 }
 
-func summarise(records []Record) []OpResult {
+// ByService sums up the records of each service; Op is empty.
+func ByService(records []Record) []OpResult {
+	return summarise(records, func(r Record) (service, op string) { return r.Service, "" })
+}
+
+func summarise(records []Record, nameOf func(Record) (service, op string)) []OpResult {
 	type name struct{ service, op string }
 	type sum struct {
 		result        *OpResult
@@ -86,10 +92,11 @@
 	}
 	sums := map[name]*sum{}
 	for _, r := range records {
-		s := sums[name{r.Service, r.Op}]
+		service, op := nameOf(r)
+		s := sums[name{service, op}]
 		if s == nil {
-			s = &sum{&OpResult{Service: r.Service, Op: r.Op, Ends: map[End]int{}}, newLatency(), newLatency()}
-			sums[name{r.Service, r.Op}] = s
+			s = &sum{&OpResult{Service: service, Op: op, Ends: map[End]int{}}, newLatency(), newLatency()}
+			sums[name{service, op}] = s
 		}
 		s.result.Ends[r.End]++
 		if r.Attempts > 1 {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,27 +7,24 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/banyandeal/banyandeal/internal/bench"
-	"github.com/banyandeal/banyandeal/internal/estate"
 	api "github.com/banyandeal/banyandeal/internal/platform"
 	"github.com/banyandeal/banyandeal/internal/standin/backend"
 	"github.com/banyandeal/banyandeal/internal/standin/platform"
+	"github.com/banyandeal/banyandeal/internal/testbed"
 )
 
 // Limits of the promises that the demo checks.
 const (
-	inForceLimit = 4 * time.Second
-	drainLimit   = 20 * time.Second
+	drainLimit = 20 * time.Second
 	// quietTime without work makes a drained zone count as empty.
 	quietTime       = time.Second
 	entryStopLimit  = 15 * time.Second
@@ -42,7 +39,6 @@
 	outageTime  = 5 * time.Second
 	recoverTime = 2 * time.Second
 	loadLimit   = 50 * time.Second
-	ctlLimit    = 15 * time.Second
 )
 
 // Bounds of the load.
@@ -67,18 +63,9 @@
 }
 
 type demo struct {
+	*testbed.Bed
 	opts    Options
-	work    string
-	dir     string
-	estate  *estate.Estate
-	entries []entrySpec
 	targets targets
-	procs   *processes
-	http    *http.Client
-	watch   *watcher
-	began   time.Time
-
-	platformURL, adminURL string
 
 	// stopped waits for the planned stop under load.
 	stopped sync.WaitGroup
@@ -97,7 +84,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	defer d.procs.killAll()
+	defer d.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := d.start(ctx); err != nil {
@@ -110,37 +97,23 @@
 	if err := d.check(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	d.report.Took = time.Since(d.began)
+	d.report.Took = d.Took()
 	return d.report, nil
 }
 
 func prepare(opts Options) (*demo, error) {
-	d := &demo{opts: opts, work: opts.Work, began: time.Now(), http: &http.Client{Timeout: sampleTimeout}}
-	d.dir = filepath.Join(d.work, "estate")
-	if err := os.CopyFS(d.dir, os.DirFS(opts.Dir)); err != nil {
-		return nil, errors.Annotatef(err, "copying the estate from %s", opts.Dir)
-	}
-	var err error
-	if d.estate, err = movePorts(d.dir); err != nil {
-		return nil, errors.Trace(err)
-	}
-	d.entries = layoutEntries(d.estate)
-	if err := fillAddresses(d.entries); err != nil {
+	bed, err := testbed.New(testbed.Options{Dir: opts.Dir, Bin: opts.Bin, Work: opts.Work, Author: "demo", Progress: opts.Progress})
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if d.targets, err = chooseTargets(d.estate, d.entries); err != nil {
+	d := &demo{Bed: bed, opts: opts, report: &Report{Estate: bed.Estate.Name}}
+	if d.targets, err = chooseTargets(bed.Estate, bed.Entries); err != nil {
+		bed.Close()
 		return nil, errors.Trace(err)
 	}
-	d.procs = &processes{bin: opts.Bin, logs: d.work, all: map[string]*process{}}
-	d.watch = newWatcher(d.estate, d.entries)
-	d.report = &Report{Estate: d.estate.Name}
 	return d, nil
 }
 
-func (d *demo) say(format string, args ...any) {
-	fmt.Fprintf(d.opts.Progress, "%5.1f s  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
-}
-
 func (d *demo) breaks(format string, args ...any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -155,92 +128,46 @@
 
 // start brings the whole estate up and puts its configuration in force.
 func (d *demo) start(ctx context.Context) error {
-	for _, step := range []func(context.Context) error{d.startPlatform, d.startBackends, d.startEntries} {
-		if err := step(ctx); err != nil {
-			return errors.Trace(err)
-		}
-		if err := d.allRun(); err != nil {
-			return errors.Trace(err)
-		}
-	}
-	d.report.Processes = len(d.procs.all)
-	d.say("%d processes run: the platform, %d entry instances, the backend servers", d.report.Processes, len(d.entries))
-	go d.watch.run(ctx)
-	if err := d.change(ctx, "configuration in force everywhere, first", "apply", d.dir, "--expect-version", "0", "--author", "demo"); err != nil {
+	took, err := d.Start(ctx)
+	if err != nil {
 		return errors.Trace(err)
 	}
-	for _, e := range d.entries {
-		if err := d.waitFor(ctx, "http://"+e.operator+"/v1/ready"); err != nil {
-			return errors.Trace(err)
-		}
-	}
-	d.say("every entry instance is ready")
+	d.report.Processes = len(d.Names())
+	d.inForce("configuration in force everywhere, first", took)
 	return nil
 }
 
-// allRun returns an error if a process has ended. One whose port was taken has,
-// though another process answers on it.
-func (d *demo) allRun() error {
-	for name, p := range d.procs.all {
-		if p.ended() {
-			return errors.Errorf("%s ended at its start; see its log in %s", name, d.work)
-		}
+// inForce notes how long a new version took; 0 is too long.
+func (d *demo) inForce(name string, took time.Duration) {
+	if took == 0 {
+		d.breaks("%s: not within %s", name, testbed.InForceLimit)
 	}
-	return nil
+	d.measure(Measure{Name: name, Took: took, Limit: testbed.InForceLimit})
 }
 
-// ctl runs banyanctl.
-func (d *demo) ctl(ctx context.Context, args ...string) error {
-	ctx, cancel := context.WithTimeout(ctx, ctlLimit)
-	defer cancel()
-	global := []string{"--platform", d.platformURL}
-	for _, e := range d.entries {
-		if p := d.procs.get(e.id); p != nil && !p.ended() {
-			global = append(global, "--operator", e.operator)
-		}
-	}
-	cmd := exec.CommandContext(ctx, filepath.Join(d.opts.Bin, "banyanctl"), append(global, args...)...)
-	out, err := cmd.CombinedOutput()
-	return errors.Annotatef(err, "banyanctl %s: %s", strings.Join(args, " "), out)
-}
-
-// change runs a banyanctl command that puts a new version in force, and
-// measures from its start until the last instance has it.
-func (d *demo) change(ctx context.Context, name string, args ...string) error {
-	began, before := time.Now(), d.watch.version()
-	if err := d.ctl(ctx, args...); err != nil {
-		return errors.Trace(err)
-	}
-	m := Measure{Name: name, Limit: inForceLimit}
-	err := d.until(ctx, inForceLimit, "new version everywhere", func() bool {
-		last, ok := d.watch.inForce(before + 1)
-		m.Took = last.Sub(began)
-		return ok
-	})
+// setState drains or fills the zone.
+func (d *demo) setState(ctx context.Context, verb string) error {
+	zone := d.targets.drainZone
+	took, err := d.SetState(ctx, verb, "zone", zone)
 	if err != nil {
-		m.Took = 0
-		d.breaks("%s: not within %s", name, inForceLimit)
+		return errors.Trace(err)
 	}
-	d.measure(m)
+	d.inForce(verb+" of zone "+zone+" in force", took)
 	return nil
 }
 
 // underLoad runs the script while callers send requests.
 func (d *demo) underLoad(ctx context.Context) error {
-	callers, demand := callersOf(d.estate)
-	var entries []string
-	for _, e := range d.entries {
-		entries = append(entries, e.caller)
-	}
+	callers, demand := d.Callers()
 	load, err := bench.NewLoad(bench.Config{
-		Entries: entries, Callers: callers, Workloads: workloadsOf(d.estate, demand*d.opts.LoadShare),
+		Entries: d.CallerAddresses(), Callers: callers, Workloads: testbed.Workloads(d.Estate, demand*d.opts.LoadShare),
 		Duration: loadLimit, MaxRequests: maxRequests, MaxInFlight: maxInFlight, MaxAttempts: maxAttempts,
 		Patience: patience, OwnKeyShare: ownKeyShare, Seed: d.opts.Seed, Prefix: tokenPrefix(),
 	})
 	if err != nil {
 		return errors.Trace(err)
 	}
-	d.say("load of %.0f requests a second from %d callers", demand*d.opts.LoadShare, len(callers))
+	d.Say("load of %.0f requests a second from %d callers", demand*d.opts.LoadShare, len(callers))
 	result := make(chan *bench.Result, 1)
 	go func() { result <- load.Run(ctx) }()
 	err = d.script(ctx)
@@ -254,7 +181,7 @@
 
 // script is what happens to the estate under load.
 func (d *demo) script(ctx context.Context) error {
-	if err := pause(ctx, calmTime); err != nil {
+	if err := testbed.Pause(ctx, calmTime); err != nil {
 		return errors.Trace(err)
 	}
 	for _, step := range []func(context.Context) error{d.drain, d.fill, d.stopEntry, d.killEntry, d.killBackend, d.outage} {
@@ -268,14 +195,14 @@
 // drain empties a zone.
 func (d *demo) drain(ctx context.Context) error {
 	zone := d.targets.drainZone
-	d.say("drain zone %s", zone)
+	d.Say("drain zone %s", zone)
 	d.drainBegan = time.Now()
-	if err := d.change(ctx, "drain of zone "+zone+" in force", "drain", "zone", zone, "--dir", d.dir, "--apply", "--author", "demo"); err != nil {
+	if err := d.setState(ctx, "drain"); err != nil {
 		return errors.Trace(err)
 	}
 	var quiet time.Time
-	err := d.until(ctx, drainLimit, "empty zone", func() bool {
-		if d.watch.zoneBusy(zone) > 0 || quiet.IsZero() {
+	err := d.Until(ctx, drainLimit, "empty zone", func() bool {
+		if d.Watch.ZoneBusy(zone) > 0 || quiet.IsZero() {
 			quiet = time.Now()
 		}
 		return time.Since(quiet) >= quietTime
@@ -289,12 +216,12 @@
 // fill lets a zone take work again.
 func (d *demo) fill(ctx context.Context) error {
 	zone := d.targets.drainZone
-	d.say("fill zone %s", zone)
+	d.Say("fill zone %s", zone)
 	d.fillBegan = time.Now()
-	if err := d.change(ctx, "fill of zone "+zone+" in force", "fill", "zone", zone, "--dir", d.dir, "--apply", "--author", "demo"); err != nil {
+	if err := d.setState(ctx, "fill"); err != nil {
 		return errors.Trace(err)
 	}
-	return pause(ctx, fillTime)
+	return testbed.Pause(ctx, fillTime)
 }
 
 func (d *demo) killEntry(ctx context.Context) error { return d.killOne(ctx, d.targets.killEntry) }
@@ -305,18 +232,19 @@
 // the script does.
 func (d *demo) stopEntry(context.Context) error {
 	e := d.targets.stopEntry
-	d.say("planned stop of %s", e.id)
-	if err := d.list(api.Instance{ID: e.id, Kind: api.KindEntry, Zone: e.zone, State: api.InstanceLeaving, Peer: e.peer}); err != nil {
+	d.Say("planned stop of %s", e.ID)
+	if err := d.List(api.Instance{ID: e.ID, Kind: api.KindEntry, Zone: e.Zone, State: api.InstanceLeaving, Peer: e.Advertise.Peer}); err != nil {
 		return errors.Trace(err)
 	}
 	d.stopped.Go(func() {
 		began := time.Now()
-		err := d.procs.stop(e.id, entryStopLimit)
-		d.watch.forget(e.id)
-		m := Measure{Name: "planned stop of " + e.id + " under load", Limit: entryStopLimit}
-		if err == nil {
+		m := Measure{Name: "planned stop of " + e.ID + " under load", Limit: entryStopLimit}
+		var err error
+		if errs := d.Stop(entryStopLimit, e.ID); len(errs) > 0 {
+			err = errs[0]
+		} else {
 			m.Took = time.Since(began)
-			err = d.unlist(e.id)
+			err = d.Unlist(e.ID)
 		}
 		if err != nil {
 			d.breaks("planned stop: %v", err)
@@ -328,52 +256,50 @@
 
 // killOne kills a process and takes it from the platform's list.
 func (d *demo) killOne(ctx context.Context, name string) error {
-	d.say("kill %s", name)
-	d.procs.kill(name)
-	d.watch.forget(name)
-	if err := d.unlist(name); err != nil {
+	d.Say("kill %s", name)
+	if err := d.Kill(name); err != nil {
 		return errors.Trace(err)
 	}
-	return pause(ctx, killTime)
+	return testbed.Pause(ctx, killTime)
 }
 
 // outage takes the platform down for a while.
 func (d *demo) outage(ctx context.Context) error {
-	d.say("platform down for %s", outageTime)
-	if err := d.admin(http.MethodPost, "/admin/faults", platform.Faults{Down: platform.DownRefuse}); err != nil {
+	d.Say("platform down for %s", outageTime)
+	if err := d.Admin(http.MethodPost, "/admin/faults", platform.Faults{Down: platform.DownRefuse}); err != nil {
 		return errors.Trace(err)
 	}
-	if err := pause(ctx, outageTime); err != nil {
+	if err := testbed.Pause(ctx, outageTime); err != nil {
 		return errors.Trace(err)
 	}
-	d.say("platform up")
-	if err := d.admin(http.MethodPost, "/admin/faults", platform.Faults{}); err != nil {
+	d.Say("platform up")
+	if err := d.Admin(http.MethodPost, "/admin/faults", platform.Faults{}); err != nil {
 		return errors.Trace(err)
 	}
-	return pause(ctx, recoverTime)
+	return testbed.Pause(ctx, recoverTime)
 }
 
 // stopAll asks every process to stop: entry instances first.
 func (d *demo) stopAll() {
-	d.report.Headrooms, d.report.Samples = d.watch.headrooms()
+	d.report.Headrooms, d.report.Samples = d.Watch.Headrooms()
 	d.stopped.Wait()
-	d.say("stop everything")
+	d.Say("stop everything")
 	var entries, rest []string
-	for name, p := range d.procs.all {
+	for _, name := range d.Names() {
 		switch {
 		case slices.Contains(d.targets.all(), name):
-		case p.ended():
-			d.breaks("%s ended by itself; see its log in %s", name, d.work)
-		case d.isEntry(name):
+		case d.Ended(name):
+			d.breaks("%s ended by itself; see its log in %s", name, d.opts.Work)
+		case d.IsEntry(name):
 			entries = append(entries, name)
 		default:
 			rest = append(rest, name)
 		}
 	}
-	for _, err := range d.procs.stopAll(entries, entryStopLimit) {
+	for _, err := range d.Stop(entryStopLimit, entries...) {
 		d.breaks("planned stop: %v", err)
 	}
-	for _, err := range d.procs.stopAll(rest, standinStopTime) {
+	for _, err := range d.Stop(standinStopTime, rest...) {
 		d.breaks("stand-in: %v", err)
 	}
 }
@@ -384,15 +310,9 @@
 	if err := d.writeRecords(); err != nil {
 		return errors.Trace(err)
 	}
-	var runs []backend.Run
-	for _, s := range d.estate.Services {
-		for _, b := range s.Backends {
-			part, err := d.readRuns(b.Name)
-			if err != nil {
-				return errors.Trace(err)
-			}
-			runs = append(runs, part...)
-		}
+	runs, err := d.Runs()
+	if err != nil {
+		return errors.Trace(err)
 	}
 	d.report.Violations = bench.Check(d.report.Load.Records, runs)
 	for _, h := range d.report.Headrooms {
@@ -400,7 +320,7 @@
 			d.breaks("%s: %d more than the capacity of %d", h.Name, -h.Least, h.Capacity)
 		}
 	}
-	d.report.Links = d.linkUses(runs)
+	d.report.Links = d.LinkUses(d.report.Load.Records, runs)
 	for _, l := range d.report.Links {
 		if l.MostInFlight > l.MaxInFlight {
 			d.breaks("link %s: %d in flight at once by the run logs, its cap is %d", l.Name, l.MostInFlight, l.MaxInFlight)
@@ -415,7 +335,7 @@
 func (d *demo) measureDrain(runs []backend.Run) {
 	zone := d.targets.drainZone
 	inZone := map[string]bool{}
-	for _, s := range d.estate.Services {
+	for _, s := range d.Estate.Services {
 		for _, b := range s.Backends {
 			inZone[b.Name] = b.Zone == zone
 		}
@@ -445,13 +365,9 @@
 	return b
 }
 
-func (d *demo) isEntry(name string) bool {
-	return slices.ContainsFunc(d.entries, func(e entrySpec) bool { return e.id == name })
-}
-
 // writeRecords keeps what callers saw next to the logs, a JSON line each.
 func (d *demo) writeRecords() error {
-	f, err := os.Create(filepath.Join(d.work, "records.jsonl"))
+	f, err := os.Create(filepath.Join(d.opts.Work, "records.jsonl"))
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -464,12 +380,3 @@
 	}
 	return errors.Trace(f.Close())
 }
-
-func (d *demo) readRuns(name string) ([]backend.Run, error) {
-	f, err := os.Open(d.runsFile(name))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	defer func() { _ = f.Close() }()
-	return backend.ReadRuns(f)
-}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -3,12 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"maps"
-	"slices"
 	"text/tabwriter"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/bench"
+	"github.com/banyandeal/banyandeal/internal/testbed"
 )
 
 // Measure is one measured time with its limit.
@@ -18,13 +17,6 @@
 	Took, Limit time.Duration
 }
 
-// Headroom is the least that was left of a region's slots or a link's cap in
-// any sample.
-type Headroom struct {
-	Name            string
-	Capacity, Least int
-}
-
 // Report is what came of a demo.
 type Report struct {
 	Estate    string
@@ -33,8 +25,8 @@
 	Load       *bench.Result
 	Violations []bench.Violation
 	Measures   []Measure
-	Headrooms  []Headroom
-	Links      []LinkUse
+	Headrooms  []testbed.Headroom
+	Links      []testbed.LinkUse
 	Samples    int
 	// Broken lists promises that did not hold, apart from the violations.
 	Broken []string
@@ -136,19 +128,3 @@
 func ms(d time.Duration) string {
 	return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond))
 }
-
-// headrooms lists regions and then links, each in order, and returns from how
-// many samples they are.
-func (w *watcher) headrooms() (list []Headroom, samples int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(w.regions)) {
-		h := w.regions[name]
-		list = append(list, Headroom{"region " + name + ", slots", h.capacity, h.least})
-	}
-	for _, l := range w.linkNames() {
-		h := w.links[l]
-		list = append(list, Headroom{"link " + l.from + " to " + l.to + ", in flight", h.capacity, h.least})
-	}
-	return list, w.samples
-}
--- a/internal/demo/links.go
+++ b/internal/testbed/links.go
@@ -1,4 +1,4 @@
-package demo
+package testbed
 
 import (
 	"cmp"
@@ -23,12 +23,12 @@
 	MostStarted int
 }
 
-// linkUses returns the use of every link, in order.
-func (d *demo) linkUses(runs []backend.Run) []LinkUse {
-	crossing := crossings(d.report.Load.Records, runs, d.regionsOf())
+// LinkUses returns the use of every link by records and run logs, in order.
+func (b *Bed) LinkUses(records []bench.Record, runs []backend.Run) []LinkUse {
+	crossing := crossings(records, runs, b.regionsOf())
 	var out []LinkUse
-	for _, name := range d.watch.linkNames() {
-		l, _ := d.estate.LinkOf(name.from, name.to)
+	for _, name := range b.Watch.linkNames() {
+		l, _ := b.Estate.LinkOf(name.from, name.to)
 		on := crossing[name]
 		out = append(out, LinkUse{
 			Name: name.from + " to " + name.to, Requests: len(on),
@@ -40,14 +40,14 @@
 }
 
 // regionsOf returns the region of each entry instance and backend server.
-func (d *demo) regionsOf() map[string]string {
+func (b *Bed) regionsOf() map[string]string {
 	out := map[string]string{}
-	for _, e := range d.entries {
-		out[e.id] = d.watch.region(e.zone)
+	for _, e := range b.Entries {
+		out[e.ID] = b.Watch.Region(e.Zone)
 	}
-	for _, s := range d.estate.Services {
-		for _, b := range s.Backends {
-			out[b.Name] = d.watch.region(b.Zone)
+	for _, s := range b.Estate.Services {
+		for _, be := range s.Backends {
+			out[be.Name] = b.Watch.Region(be.Zone)
 		}
 	}
 	return out
--- a/internal/demo/links_test.go
+++ b/internal/testbed/links_test.go
@@ -1,4 +1,4 @@
-package demo
+package testbed
 
 import (
 	"testing"
--- a/internal/demo/process.go
+++ b/internal/testbed/process.go
@@ -1,9 +1,11 @@
-package demo
+package testbed
 
 import (
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -59,6 +61,13 @@
 	return ps.all[name]
 }
 
+// names returns the names of all processes in order.
+func (ps *processes) names() []string {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return slices.Sorted(maps.Keys(ps.all))
+}
+
 // kill ends a process at once and waits for its end.
 func (ps *processes) kill(name string) {
 	p := ps.get(name)
--- a/internal/demo/watch.go
+++ b/internal/testbed/watch.go
@@ -1,4 +1,4 @@
-package demo
+package testbed
 
 import (
 	"context"
@@ -33,9 +33,9 @@
 
 func (h *headroom) observe(used int) { h.least = min(h.least, h.capacity-used) }
 
-// watcher samples the status of entry instances and the load of backend
+// Watcher samples the status of entry instances and the load of backend
 // servers.
-type watcher struct {
+type Watcher struct {
 	estate *estate.Estate
 	http   *http.Client
 
@@ -51,23 +51,23 @@
 	samples   int
 }
 
-func newWatcher(e *estate.Estate, entries []entrySpec) *watcher {
-	w := &watcher{
+func newWatcher(e *estate.Estate, entries []Entry) *Watcher {
+	w := &Watcher{
 		estate: e, http: &http.Client{Timeout: sampleTimeout},
 		operators: map[string]string{}, backends: map[string]string{},
 		status: map[string]operator.Status{}, load: map[string]backend.Load{},
 		links: map[linkName]*headroom{}, regions: map[string]*headroom{},
 	}
 	for _, i := range entries {
-		w.operators[i.id] = i.operator
+		w.watchEntry(i)
 	}
 	for _, l := range e.Links {
 		w.links[linkName{l.From, l.To}] = &headroom{l.MaxInFlight, l.MaxInFlight}
 	}
 	for _, s := range e.Services {
 		for _, b := range s.Backends {
-			w.backends[b.Name] = b.Address
-			r := w.region(b.Zone)
+			w.watchBackend(b)
+			r := w.Region(b.Zone)
 			if w.regions[r] == nil {
 				w.regions[r] = &headroom{}
 			}
@@ -78,13 +78,26 @@
 	return w
 }
 
-func (w *watcher) region(zone string) string {
+// Region returns the region of a zone.
+func (w *Watcher) Region(zone string) string {
 	z, _ := w.estate.ZoneOf(zone)
 	return z.Region
 }
 
-// forget stops to sample a killed process.
-func (w *watcher) forget(name string) {
+func (w *Watcher) watchEntry(e Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.operators[e.ID] = e.Advertise.Operator
+}
+
+func (w *Watcher) watchBackend(b estate.Backend) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backends[b.Name] = b.Address
+}
+
+// Forget stops to sample a killed process.
+func (w *Watcher) Forget(name string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.operators, name)
@@ -94,7 +107,7 @@
 }
 
 // run samples until the context ends.
-func (w *watcher) run(ctx context.Context) {
+func (w *Watcher) run(ctx context.Context) {
 	tick := time.NewTicker(samplePeriod)
 	defer tick.Stop()
 	for {
@@ -108,7 +121,7 @@
 }
 
 // sample asks everyone at once, so that the answers are of about one moment.
-func (w *watcher) sample(ctx context.Context) {
+func (w *Watcher) sample(ctx context.Context) {
 	w.mu.Lock()
 	operators, backends := maps.Clone(w.operators), maps.Clone(w.backends)
 	w.mu.Unlock()
@@ -122,7 +135,7 @@
 	w.observeRegions()
 }
 
-func (w *watcher) observeLinks() {
+func (w *Watcher) observeLinks() {
 	used := map[linkName]int{}
 	for _, s := range w.status {
 		for _, l := range s.Links {
@@ -136,12 +149,12 @@
 	}
 }
 
-func (w *watcher) observeRegions() {
+func (w *Watcher) observeRegions() {
 	used := map[string]int{}
 	for _, s := range w.estate.Services {
 		for _, b := range s.Backends {
 			l := w.load[b.Name]
-			used[w.region(b.Zone)] += l.Busy + l.Queued
+			used[w.Region(b.Zone)] += l.Busy + l.Queued
 		}
 	}
 	for name, n := range used {
@@ -188,9 +201,9 @@
 	return errors.Trace(json.NewDecoder(io.LimitReader(res.Body, maxStatus)).Decode(v))
 }
 
-// inForce returns when the last instance put a version of at least that number
+// InForce returns when the last instance put a version of at least that number
 // in force; ok is false while one has not.
-func (w *watcher) inForce(version uint64) (last time.Time, ok bool) {
+func (w *Watcher) InForce(version uint64) (last time.Time, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id := range w.operators {
@@ -205,8 +218,8 @@
 	return last, true
 }
 
-// version returns the highest version in force anywhere.
-func (w *watcher) version() uint64 {
+// Version returns the highest version in force anywhere.
+func (w *Watcher) Version() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var v uint64
@@ -216,8 +229,8 @@
 	return v
 }
 
-// zoneBusy returns the work in progress on a zone's backend servers.
-func (w *watcher) zoneBusy(zone string) int {
+// ZoneBusy returns the work in progress on a zone's backend servers.
+func (w *Watcher) ZoneBusy(zone string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
@@ -232,8 +245,31 @@
 }
 
 // linkNames returns the links in order.
-func (w *watcher) linkNames() []linkName {
+func (w *Watcher) linkNames() []linkName {
 	return slices.SortedFunc(maps.Keys(w.links), func(a, b linkName) int {
 		return slices.Compare([]string{a.from, a.to}, []string{b.from, b.to})
 	})
 }
+
+// Headroom is the least that was left of a region's slots or a link's cap in
+// any sample.
+type Headroom struct {
+	Name            string
+	Capacity, Least int
+}
+
+// Headrooms lists regions and then links, each in order, and returns from how
+// many samples they are.
+func (w *Watcher) Headrooms() (list []Headroom, samples int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(w.regions)) {
+		h := w.regions[name]
+		list = append(list, Headroom{"region " + name + ", slots", h.capacity, h.least})
+	}
+	for _, l := range w.linkNames() {
+		h := w.links[l]
+		list = append(list, Headroom{"link " + l.from + " to " + l.to + ", in flight", h.capacity, h.least})
+	}
+	return list, w.samples
+}
