--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 ESTATE ?= tiszahid
 GOFILES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test fmt lint unit fuzz demo capacity generate
+.PHONY: build test fmt lint unit fuzz demo experiment capacity generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -30,3 +30,8 @@
 # was broken.
 demo: build
 	./bin/demo --estate examples/$(ESTATE)
+
+# Measures the daemon's policy against the plain baseline; SCENARIO=NAME runs
+# one scenario. docs/MEASUREMENTS.md tells what the tables mean.
+experiment: build
+	./bin/experiment --estate examples/$(ESTATE) --scenario "$(SCENARIO)"
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -38,6 +38,9 @@
 	// ColdRequests is how many first requests of a backend server are slow, 0
 	// for the default.
 	ColdRequests int
+	// Slowdown multiplies the mean and hedge times of the estate's services, so
+	// that a load which the machine can carry fills their slots; 0 is 1.
+	Slowdown int
 	// Author is named as the author of changes.
 	Author string
 	// Progress gets a line for each step.
@@ -72,6 +75,9 @@
 	if err := os.CopyFS(b.Dir, os.DirFS(opts.Dir)); err != nil {
 		return nil, errors.Annotatef(err, "copying the estate from %s", opts.Dir)
 	}
+	if err := eachFile(b.Dir, func(data []byte) []byte { return slowDown(data, max(opts.Slowdown, 1)) }); err != nil {
+		return nil, errors.Trace(err)
+	}
 	var err error
 	if b.Estate, err = movePorts(b.Dir); err != nil {
 		return nil, errors.Trace(err)
--- a/internal/testbed/ports.go
+++ b/internal/testbed/ports.go
@@ -1,6 +1,7 @@
 package testbed
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -35,16 +36,8 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	for _, pattern := range []string{"*.yaml", "overlays/*.yaml"} {
-		files, err := filepath.Glob(filepath.Join(dir, pattern))
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		for _, f := range files {
-			if err := shiftFile(f, by); err != nil {
-				return nil, errors.Trace(err)
-			}
-		}
+	if err := eachFile(dir, func(data []byte) []byte { return shiftPorts(data, by) }); err != nil {
+		return nil, errors.Trace(err)
 	}
 	return config.Load(dir)
 }
@@ -89,12 +82,24 @@
 	return true
 }
 
-func shiftFile(path string, by int) error {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return errors.Trace(err)
+// eachFile rewrites the files of a declared estate.
+func eachFile(dir string, rewrite func([]byte) []byte) error {
+	for _, pattern := range []string{"*.yaml", "overlays/*.yaml"} {
+		files, err := filepath.Glob(filepath.Join(dir, pattern))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		for _, f := range files {
+			data, err := os.ReadFile(f)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			if err := os.WriteFile(f, rewrite(data), 0o644); err != nil {
+				return errors.Trace(err)
+			}
+		}
 	}
-	return errors.Trace(os.WriteFile(path, shiftPorts(data, by), 0o644))
+	return nil
 }
 
 func shiftPorts(data []byte, by int) []byte {
@@ -106,3 +111,17 @@
 		return []byte(loopbackHost + strconv.Itoa(port+by))
 	})
 }
+
+var serviceTime = regexp.MustCompile(`\b(mean_time|hedge_after): (\d+)ms`)
+
+// slowDown multiplies the mean and hedge times of services.
+func slowDown(data []byte, by int) []byte {
+	return serviceTime.ReplaceAllFunc(data, func(setting []byte) []byte {
+		m := serviceTime.FindSubmatch(setting)
+		ms, err := strconv.Atoi(string(m[2]))
+		if err != nil {
+			return setting
+		}
+		return fmt.Appendf(nil, "%s: %dms", m[1], ms*by)
+	})
+}
--- a/internal/testbed/ports_test.go
+++ b/internal/testbed/ports_test.go
@@ -33,3 +33,8 @@
 	require.Equal(t, `address: "127.0.0.1:21400", 10.0.0.0/24: 5/s`,
 		string(shiftPorts([]byte(`address: "127.0.0.1:21000", 10.0.0.0/24: 5/s`), 400)))
 }
+
+func TestSlowDown(t *testing.T) {
+	require.Equal(t, "{mean_time: 60ms, hedge_after: 480ms, deadline: 2s}",
+		string(slowDown([]byte("{mean_time: 15ms, hedge_after: 120ms, deadline: 2s}"), 4)))
+}
--- a/internal/testbed/watch.go
+++ b/internal/testbed/watch.go
@@ -256,6 +256,8 @@
 type Headroom struct {
 	Name            string
 	Capacity, Least int
+	// Link tells that it is a link's.
+	Link bool
 }
 
 // Headrooms lists regions and then links, each in order, and returns from how
@@ -265,11 +267,11 @@
 	defer w.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(w.regions)) {
 		h := w.regions[name]
-		list = append(list, Headroom{"region " + name + ", slots", h.capacity, h.least})
+		list = append(list, Headroom{Name: "region " + name + ", slots", Capacity: h.capacity, Least: h.least})
 	}
 	for _, l := range w.linkNames() {
 		h := w.links[l]
-		list = append(list, Headroom{"link " + l.from + " to " + l.to + ", in flight", h.capacity, h.least})
+		list = append(list, Headroom{Name: "link " + l.from + " to " + l.to + ", in flight", Capacity: h.capacity, Least: h.least, Link: true})
 	}
 	return list, w.samples
 }
--- a/internal/testbed/watch_test.go
+++ b/internal/testbed/watch_test.go
@@ -30,5 +30,5 @@
 	_, ok := w.InForce(2)
 	require.False(t, ok, "one instance has it, the other not")
 	list, _ := w.Headrooms()
-	require.Equal(t, []Headroom{{"region pos, slots", 4, 1}, {"link pos to sfo, in flight", 10, -2}}, list)
+	require.Equal(t, []Headroom{{"region pos, slots", 4, 1, false}, {"link pos to sfo, in flight", 10, -2, true}}, list)
 }
