trace: spans are turned into ours when they are asked for

Cause: by the profile of a request, a tenth of its allocations are the strings and maps of spans that nobody reads.

--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -41,8 +41,9 @@
 	tracer   oteltrace.Tracer
 	prop     propagation.TraceContext
 
-	mu   sync.Mutex
-	ring []Span
+	mu sync.Mutex
+	// ring holds the spans as the library made them; few are ever asked for.
+	ring []sdk.ReadOnlySpan
 	next int
 	out  io.Writer
 }
@@ -50,7 +51,7 @@
 // NewRecorder returns a recorder that keeps size spans. A non-nil out gets a
 // JSON line per span.
 func NewRecorder(instance string, size int, out io.Writer) *Recorder {
-	r := &Recorder{instance: instance, ring: make([]Span, 0, size), out: out}
+	r := &Recorder{instance: instance, ring: make([]sdk.ReadOnlySpan, 0, size), out: out}
 	provider := sdk.NewTracerProvider(sdk.WithSyncer(exporter{r}))
 	r.tracer = provider.Tracer("banyandeal")
 	return r
@@ -89,10 +90,14 @@
 func (r *Recorder) Spans(traceID string) []Span {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	id, err := oteltrace.TraceIDFromHex(traceID)
+	if err != nil {
+		return nil
+	}
 	var found []Span
 	for _, s := range r.ring {
-		if s.Trace == traceID {
-			found = append(found, s)
+		if s.SpanContext().TraceID() == id {
+			found = append(found, r.spanOf(s))
 		}
 	}
 	sort.SliceStable(found, func(i, j int) bool { return found[i].Start.Before(found[j].Start) })
@@ -107,14 +112,14 @@
 	var found []Span
 	for i := 0; i < len(r.ring) && len(found) < n; i++ {
 		s := r.ring[(r.next-1-i+2*len(r.ring))%len(r.ring)]
-		if s.Parent == "" {
-			found = append(found, s)
+		if !s.Parent().IsValid() {
+			found = append(found, r.spanOf(s))
 		}
 	}
 	return found
 }
 
-func (r *Recorder) add(s Span) {
+func (r *Recorder) add(s sdk.ReadOnlySpan) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.ring) < cap(r.ring) {
@@ -126,31 +131,36 @@
 	}
 	if r.out != nil {
 		// A full disk must not stop requests; the ring still has the span.
-		_ = json.NewEncoder(r.out).Encode(s)
+		_ = json.NewEncoder(r.out).Encode(r.spanOf(s))
 	}
 }
 
-// exporter turns the library's spans into ours.
+// spanOf turns a span of the library into ours.
+func (r *Recorder) spanOf(s sdk.ReadOnlySpan) Span {
+	out := Span{
+		Trace: s.SpanContext().TraceID().String(), ID: s.SpanContext().SpanID().String(),
+		Name: s.Name(), Instance: r.instance, Start: s.StartTime(), Duration: s.EndTime().Sub(s.StartTime()),
+		Error: s.Status().Description,
+	}
+	if s.Parent().IsValid() {
+		out.Parent = s.Parent().SpanID().String()
+	}
+	if attrs := s.Attributes(); len(attrs) > 0 {
+		out.Attrs = make(map[string]string, len(attrs))
+		for _, a := range attrs {
+			out.Attrs[string(a.Key)] = a.Value.String()
+		}
+	}
+	return out
+}
+
+// exporter hands the library's spans to the recorder.
 type exporter struct{ r *Recorder }
 
 // ExportSpans implements sdk.SpanExporter.
 func (e exporter) ExportSpans(_ context.Context, spans []sdk.ReadOnlySpan) error {
 	for _, s := range spans {
-		out := Span{
-			Trace: s.SpanContext().TraceID().String(), ID: s.SpanContext().SpanID().String(),
-			Name: s.Name(), Instance: e.r.instance, Start: s.StartTime(), Duration: s.EndTime().Sub(s.StartTime()),
-			Error: s.Status().Description,
-		}
-		if s.Parent().IsValid() {
-			out.Parent = s.Parent().SpanID().String()
-		}
-		if attrs := s.Attributes(); len(attrs) > 0 {
-			out.Attrs = make(map[string]string, len(attrs))
-			for _, a := range attrs {
-				out.Attrs[string(a.Key)] = a.Value.String()
-			}
-		}
-		e.r.add(out)
+		e.r.add(s)
 	}
 	return nil
 }
