--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -90,12 +90,15 @@
 
 // attempt tries places until one of them has taken the request.
 func (s *search) attempt(ctx context.Context) (*filter.Answer, error) {
-	last := s.noCapacity()
+	var last *outcome.Error
 	for {
 		if !filter.Permitted(ctx) {
 			return nil, outcome.NotRunError(outcome.KindCancelled, 0, "the request was withdrawn before it was sent")
 		}
 		p, ok := s.choose(time.Now())
+		if !ok && last == nil {
+			return nil, s.noCapacity()
+		}
 		if !ok {
 			return nil, last
 		}
