--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -81,9 +81,11 @@
 
 // Inject returns the traceparent of the span in ctx, empty without one.
 func (r *Recorder) Inject(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	r.prop.Inject(ctx, carrier)
-	return carrier[HeaderTraceParent]
+	sc := oteltrace.SpanContextFromContext(ctx)
+	if !sc.IsValid() {
+		return ""
+	}
+	return "00-" + sc.TraceID().String() + "-" + sc.SpanID().String() + "-" + sc.TraceFlags().String()
 }
 
 // Spans returns the kept spans of a trace by start time.
