--- a/internal/filter/accept/deliver.go
+++ b/internal/filter/accept/deliver.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -49,9 +50,8 @@
 func deliver(w http.ResponseWriter, a *filter.Answer) error {
 	defer a.Close()
 	h := w.Header()
-	for name, values := range filter.EndToEnd(a.Header) {
-		h[name] = values
-	}
+	maps.Copy(h, a.Header)
+	filter.StripHop(h)
 	h.Set(filter.HeaderOutcome, outcome.Done.String())
 	if a.Stream == nil {
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
--- a/internal/filter/header.go
+++ b/internal/filter/header.go
@@ -15,13 +15,19 @@
 // and without Content-Length, which each hop sets for itself.
 func EndToEnd(h http.Header) http.Header {
 	out := h.Clone()
+	StripHop(out)
+	return out
+}
+
+// StripHop deletes what EndToEnd leaves out. The lists of values are not
+// changed.
+func StripHop(h http.Header) {
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			out.Del(strings.TrimSpace(name))
+			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopByHop {
-		out.Del(name)
+		delete(h, name)
 	}
-	return out
 }
