bench, testbed: a refused look-up is an answer; ports that nobody else takes

A caller now waits for Retry-After and asks again, and what was never sent ends as not run; a request that may have run before stays unanswered, which the check still counts as lost.

--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/banyandeal/banyandeal/internal/filter/accept"
+	"github.com/banyandeal/banyandeal/internal/outcome"
 )
 
 const (
@@ -36,6 +39,32 @@
 	Address string `json:"address"`
 }
 
+// refusedError is a look-up's answer that there is no capacity for the caller:
+// whatever it was to send has not been sent, and is not run.
+type refusedError struct {
+	status     int
+	retryAfter time.Duration
+	detail     string
+}
+
+// Error implements error.
+func (e *refusedError) Error() string { return "the look-up was refused: " + e.detail }
+
+// reply is the refusal as the end of a request.
+func (e *refusedError) reply() reply {
+	return reply{status: e.status, outcome: outcome.NotRun.String(), retryAfter: e.retryAfter, detail: e.detail}
+}
+
+// refusalOf returns the refusal in a look-up's answer, or nil. An instance that
+// is not ready refuses nobody: another one is asked.
+func refusalOf(res *http.Response, body []byte) *refusedError {
+	var e accept.ErrorBody
+	if outcomeOf(res.Header) != outcome.NotRun.String() || json.Unmarshal(body, &e) != nil || e.Kind != string(outcome.KindNoCapacity) {
+		return nil
+	}
+	return &refusedError{res.StatusCode, retryAfterOf(res.Header), e.Message}
+}
+
 // caller is one caller of one service. It keeps a look-up's answer until its
 // TTL has passed.
 type caller struct {
@@ -102,6 +131,10 @@
 	for _, i := range c.order() {
 		start := time.Now()
 		l, err := c.lookupAt(ctx, c.entries[i])
+		var refused *refusedError
+		if errors.As(err, &refused) {
+			return Lookup{}, refused
+		}
 		if err != nil {
 			last = err
 			continue
@@ -154,6 +187,9 @@
 	if err != nil {
 		return Lookup{}, errors.Trace(err)
 	}
+	if r := refusalOf(res, body); r != nil {
+		return Lookup{}, r
+	}
 	if res.StatusCode != http.StatusOK {
 		return Lookup{}, errors.Errorf("look-up at %s: status %d: %s", entry, res.StatusCode, body)
 	}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -173,13 +173,17 @@
 		r.key = "own-" + r.token
 	default:
 		r.issued = true
-		r.key, err = c.key(ctx)
+		r.key, err = l.send.key(ctx, c, r)
 	}
 	if err == nil {
 		return l.send.send(ctx, c, r)
 	}
 	rec := r.record()
 	rec.Detail, rec.Latency = err.Error(), time.Since(r.due)
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		rec.End, rec.Status = NotRun, refused.status
+	}
 	return rec
 }
 
--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
 	"github.com/banyandeal/banyandeal/internal/filter"
 	"github.com/banyandeal/banyandeal/internal/standin/backend"
@@ -79,6 +80,16 @@
 	sent := false
 	for at := 0; rec.Attempts < s.maxAttempts; {
 		instances, err := c.instances(ctx)
+		var refused *refusedError
+		if errors.As(err, &refused) {
+			if !rec.Uncertain {
+				last = refused.reply()
+			}
+			if !s.wait(ctx, r, refused.retryAfter) {
+				return last
+			}
+			continue
+		}
 		if err != nil {
 			return reply{err: err, unsent: rec.Attempts == 0}
 		}
@@ -96,6 +107,7 @@
 			at++
 			if at%len(instances) == 0 {
 				c.forget()
+				wait = minResendWait
 			}
 			if r.issued && last.unsent && !sent {
 				if err := s.renew(ctx, c, &r, rec); err != nil {
@@ -104,13 +116,30 @@
 			}
 		case resendLater:
 		}
-		if time.Now().Add(wait).After(r.due.Add(s.patience)) || !sleep(ctx, wait) {
+		if !s.wait(ctx, r, wait) {
 			return last
 		}
 	}
 	return last
 }
 
+// wait waits before the request is sent again; false means that its caller
+// has no patience left.
+func (s *sender) wait(ctx context.Context, r request, t time.Duration) bool {
+	return !time.Now().Add(t).After(r.due.Add(s.patience)) && sleep(ctx, t)
+}
+
+// key takes a key for the request. One that is refused is asked for again.
+func (s *sender) key(ctx context.Context, c *caller, r request) (string, error) {
+	for {
+		key, err := c.key(ctx)
+		var refused *refusedError
+		if !errors.As(err, &refused) || !s.wait(ctx, r, refused.retryAfter) {
+			return key, err
+		}
+	}
+}
+
 // renew takes a fresh key for a request whose key has never been sent: the
 // home that the key names can't be reached, so nobody else could run it.
 func (s *sender) renew(ctx context.Context, c *caller, r *request, rec *Record) error {
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -62,7 +62,8 @@
 	// relays holds the relays before each entry instance, by id.
 	relays map[string][]*delaynet.Relay
 
-	platformURL, adminURL string
+	// platform and admin are the addresses of the platform's stand-in.
+	platform, admin string
 }
 
 // New lays out a testbed and starts nothing. Close ends it.
@@ -83,14 +84,18 @@
 		return nil, errors.Trace(err)
 	}
 	b.Entries = layoutEntries(b.Estate)
-	address := func() error { return fillAddresses(b.Entries) }
-	if opts.Delayed {
-		address = b.delayEntries
-	}
-	if err := address(); err != nil {
-		b.Close()
+	addrs, err := freeAddresses(loopback, perPlatform+perEntry*len(b.Entries))
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	b.platform, b.admin = addrs[0], addrs[1]
+	fillAddresses(b.Entries, addrs[perPlatform:])
+	if opts.Delayed {
+		if err := b.delayEntries(); err != nil {
+			b.Close()
+			return nil, errors.Trace(err)
+		}
+	}
 	b.Watch = newWatcher(b.Estate, b.Entries)
 	return b, nil
 }
@@ -152,7 +157,7 @@
 func (b *Bed) ctl(ctx context.Context, args ...string) error {
 	ctx, cancel := context.WithTimeout(ctx, ctlLimit)
 	defer cancel()
-	global := []string{"--platform", b.platformURL}
+	global := []string{"--platform", "http://" + b.platform}
 	for _, e := range b.Entries {
 		if p := b.procs.get(e.ID); p != nil && !p.ended() {
 			global = append(global, "--operator", e.Advertise.Operator)
--- a/internal/testbed/delay.go
+++ b/internal/testbed/delay.go
@@ -66,19 +66,19 @@
 		region, zone := b.placeOf(e.Zone)
 		ip := entryIP(region, zone, count[e.Zone])
 		count[e.Zone]++
-		a, err := freeAddresses(ip, 3)
+		a, err := freeAddresses(ip, perEntry+2)
 		if err != nil {
 			return errors.Trace(err)
 		}
 		e.Listen = static.Addresses{Caller: a[0], Peer: a[1], Operator: a[2]}
 		e.Advertise = e.Listen
-		for _, addr := range []*string{&e.Advertise.Caller, &e.Advertise.Peer} {
+		e.Advertise.Caller, e.Advertise.Peer = a[3], a[4]
+		for _, pair := range [][2]string{{a[3], e.Listen.Caller}, {a[4], e.Listen.Peer}} {
 			to := netip.MustParseAddr(ip)
-			r := delaynet.New(ip+":0", *addr, func(from netip.Addr) time.Duration { return delayBetween(from, to) })
+			r := delaynet.New(pair[0], pair[1], func(from netip.Addr) time.Duration { return delayBetween(from, to) })
 			if err := r.Open(); err != nil {
 				return errors.Trace(err)
 			}
-			*addr = r.Addr()
 			b.relays[e.ID] = append(b.relays[e.ID], r)
 		}
 	}
--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -8,7 +8,9 @@
 	"cmp"
 	"fmt"
 	"net"
+	"os"
 	"slices"
+	"strconv"
 
 	"github.com/juju/errors"
 
@@ -23,6 +25,9 @@
 	maxEntries = 11
 	maxPerZone = 2
 	loopback   = "127.0.0.1"
+	// perEntry and perPlatform are how many addresses they bind.
+	perEntry    = 3
+	perPlatform = 2
 )
 
 // Entry is one entry instance.
@@ -47,33 +52,41 @@
 	return out
 }
 
-// fillAddresses gives every entry instance three free loopback ports.
-func fillAddresses(entries []Entry) error {
-	const perEntry = 3
+// fillAddresses gives every entry instance three addresses of the list.
+func fillAddresses(entries []Entry, addrs []string) {
 	for i := range entries {
-		a, err := freeAddresses(loopback, perEntry)
-		if err != nil {
-			return errors.Trace(err)
-		}
+		a := addrs[perEntry*i:]
 		entries[i].Listen = static.Addresses{Caller: a[0], Peer: a[1], Operator: a[2]}
 		entries[i].Advertise = entries[i].Listen
 	}
-	return nil
 }
 
+// Addresses are searched for from minPort on, at a place that depends on the
+// process and addressStep apart, so that testbeds that start at the same moment
+// don't meet.
+const (
+	minPort     = 10_000
+	addressStep = 64
+)
+
 // freeAddresses returns addresses on a loopback IP whose ports were free a
-// moment ago. They differ from each other.
+// moment ago. They lie below those that the system gives to outgoing
+// connections, which could take them before their listeners do.
 func freeAddresses(ip string, n int) ([]string, error) {
+	const places = maxPort - minPort
 	var out []string
-	for range n {
-		ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	for i := range places {
+		port := minPort + (os.Getpid()*addressStep+i)%places
+		ln, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
 		if err != nil {
-			return nil, errors.Annotate(err, "looking for a free port")
+			continue
 		}
 		defer func() { _ = ln.Close() }()
-		out = append(out, ln.Addr().String())
+		if out = append(out, ln.Addr().String()); len(out) == n {
+			return out, nil
+		}
 	}
-	return out, nil
+	return nil, errors.Errorf("no %d free ports on %s; end what holds them", n, ip)
 }
 
 // Callers returns one caller for each block, weighted by its demand, and the
--- a/internal/testbed/start.go
+++ b/internal/testbed/start.go
@@ -34,16 +34,11 @@
 
 // startPlatform starts the stand-in of the platform.
 func (b *Bed) startPlatform(ctx context.Context) error {
-	addrs, err := freeAddresses(loopback, 2)
+	err := b.procs.start(platformName, "standin", "platform", "--listen", b.platform, "--admin", b.admin, "--list-lag", listLag.String())
 	if err != nil {
 		return errors.Trace(err)
 	}
-	b.platformURL, b.adminURL = "http://"+addrs[0], "http://"+addrs[1]
-	err = b.procs.start(platformName, "standin", "platform", "--listen", addrs[0], "--admin", addrs[1], "--list-lag", listLag.String())
-	if err != nil {
-		return errors.Trace(err)
-	}
-	return b.waitFor(ctx, b.adminURL+"/admin/stats")
+	return b.waitFor(ctx, "http://"+b.admin+"/admin/stats")
 }
 
 // startBackends starts each backend server as a process of its own.
@@ -93,7 +88,7 @@
 	s := static.Default()
 	s.ID, s.Zone = e.ID, e.Zone
 	s.Listen, s.Advertise = e.Listen, e.Advertise
-	s.Platform.Endpoints = []string{b.platformURL}
+	s.Platform.Endpoints = []string{"http://" + b.platform}
 	if b.opts.Policy != "" {
 		s.Policy = b.opts.Policy
 	}
@@ -208,7 +203,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	req, err := http.NewRequest(method, b.adminURL+path, bytes.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+b.admin+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Trace(err)
 	}
