bench: a caller whose key's home is gone waits for a refused look-up too

An experiment's callers now end by their patience; a stale key is replaced before the next sending. Before: TestRefusedWhileItsHomeIsGoneIsNotRun ends unanswered after one attempt. After: not run, as its look-ups said.

--- a/internal/bench/refused_test.go
+++ b/internal/bench/refused_test.go
@@ -65,6 +65,23 @@
 	})
 }
 
+func TestRefusedWhileItsHomeIsGoneIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		given := false
+		rec, lookups := sendOne(t, func(r *http.Request) (*http.Response, error) {
+			if given {
+				return refuse(r)
+			}
+			given = true
+			return respond(http.StatusOK, "", "", `{"service":"casework","ttl_ms":1000,"key":"k","instances":[{"id":"a","address":"a"}]}`), nil
+		}, unreachable)
+		require.Equal(t, 4, lookups)
+		require.False(t, rec.Uncertain, "it never left")
+		require.Equal(t, NotRun, rec.End)
+		require.Empty(t, Check([]Record{rec}, nil))
+	})
+}
+
 func TestInstanceThatIsNotReadyRefusesNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rec, lookups := sendOne(t, func(*http.Request) (*http.Response, error) {
--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -77,9 +77,10 @@
 // it, and returns the last reply.
 func (s *sender) attempts(ctx context.Context, c *caller, r request, rec *Record) reply {
 	var last reply
-	sent := false
+	// stale is set while the key has to be replaced before the next sending.
+	sent, stale := false, false
 	for at := 0; rec.Attempts < s.maxAttempts; {
-		instances, err := c.instances(ctx)
+		instances, err := s.prepare(ctx, c, &r, rec, stale)
 		var refused *refusedError
 		if errors.As(err, &refused) {
 			if !rec.Uncertain {
@@ -93,6 +94,7 @@
 		if err != nil {
 			return reply{err: err, unsent: rec.Attempts == 0}
 		}
+		stale = false
 		to := instances[at%len(instances)]
 		last = attempt(ctx, c.http, to, r)
 		rec.Entry = to.ID
@@ -109,11 +111,7 @@
 				c.forget()
 				wait = minResendWait
 			}
-			if r.issued && last.unsent && !sent {
-				if err := s.renew(ctx, c, &r, rec); err != nil {
-					return last
-				}
-			}
+			stale = r.issued && last.unsent && !sent
 		case resendLater:
 		}
 		if !s.wait(ctx, r, wait) {
@@ -140,6 +138,17 @@
 	}
 }
 
+// prepare returns the instances to send to, with a fresh key for the request if
+// its own is stale.
+func (s *sender) prepare(ctx context.Context, c *caller, r *request, rec *Record, stale bool) ([]Instance, error) {
+	if stale {
+		if err := s.renew(ctx, c, r, rec); err != nil {
+			return nil, err
+		}
+	}
+	return c.instances(ctx)
+}
+
 // renew takes a fresh key for a request whose key has never been sent: the
 // home that the key names can't be reached, so nobody else could run it.
 func (s *sender) renew(ctx context.Context, c *caller, r *request, rec *Record) error {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -25,7 +25,7 @@
 	stopLimit   = 5 * time.Second
 	maxRequests = 100_000
 	maxInFlight = 2_000
-	maxAttempts = 8
+	maxAttempts = 50
 	patience    = 6 * time.Second
 	ownKeyShare = 0.1
 )
