--- /dev/null
+++ b/internal/config/fuzz_test.go
@@ -0,0 +1,157 @@
+package config
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzLoad: whatever the files hold, there is an estate that can be split and
+// joined, or typed faults with remedies.
+func FuzzLoad(f *testing.F) {
+	for _, dir := range []string{"testdata/small", "../../examples/tiszahid", "../../examples/caroni"} {
+		files, err := ReadFiles(dir)
+		require.NoError(f, err)
+		for _, name := range sortedNames(files) {
+			if bytes.HasPrefix([]byte(name), []byte(overlayDir)) {
+				f.Add(files[baseFile], files[name], files[blocksYAMLFile], []byte(csvHeader))
+			}
+		}
+	}
+	f.Add([]byte("name: a\n<<: *x\n"), []byte("site: west-a1\nadd: [{}]"), []byte("? a\n"), []byte("prefix"))
+	f.Fuzz(func(t *testing.T, base, overlay, blocks, csv []byte) {
+		files := Files{baseFile: base, overlayFile("west-a1"): overlay, blocksYAMLFile: blocks}
+		if len(blocks) == 0 {
+			delete(files, blocksYAMLFile)
+			files[blocksCSVFile] = csv
+		}
+		e, err := Parse(files)
+		if err != nil {
+			requireTyped(t, err)
+			return
+		}
+		parts, m, err := Split(e)
+		require.NoError(t, err)
+		a, err := Join(m, getter(parts))
+		require.NoError(t, err)
+		got, err := a.Estate(0)
+		require.NoError(t, err)
+		require.Empty(t, Diff(e, got))
+	})
+}
+
+func requireTyped(t *testing.T, err error) {
+	var all Errors
+	require.True(t, errors.As(err, &all), "%v", err)
+	require.NotEmpty(t, all)
+	for _, e := range all {
+		require.NotEmpty(t, e.Remedy)
+		require.NotEmpty(t, e.Kind)
+		require.NotEmpty(t, e.File)
+	}
+}
+
+// FuzzDecode: what is taken encodes to something that is taken again, alike.
+func FuzzDecode(f *testing.F) {
+	for _, dir := range []string{"testdata/small", "../../examples/caroni"} {
+		data, err := Encode(mustLoad(f, dir))
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte(`{"name":"x","zones":[{"name":"a","region":"b"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := Decode(data)
+		if err != nil {
+			requireCorrupt(t, err)
+			return
+		}
+		again, err := Encode(e)
+		require.NoError(t, err)
+		e2, err := Decode(again)
+		require.NoError(t, err)
+		require.Empty(t, Diff(e, e2))
+	})
+}
+
+func requireCorrupt(t *testing.T, err error) {
+	var e *Error
+	require.True(t, errors.As(err, &e), "%v", err)
+	require.Equal(t, KindCorrupt, e.Kind)
+}
+
+// FuzzManifest: a taken manifest is in the one form that Encode gives.
+func FuzzManifest(f *testing.F) {
+	_, m := mustSplit(f, mustLoad(f, "testdata/small"))
+	data, err := m.Encode()
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := DecodeManifest(data)
+		if err != nil {
+			requireCorrupt(t, err)
+			return
+		}
+		require.Equal(t, rootOf(m.Entries).digest(), m.Root)
+		_, err = Join(m, func(Entry) ([]byte, error) { return nil, nil })
+		requireCorrupt(t, err)
+	})
+}
+
+// FuzzDelta: a delta that does not start from the content at hand, or does not
+// lead to its root, changes nothing.
+func FuzzDelta(f *testing.F) {
+	e := mustLoad(f, "testdata/small")
+	parts, old := mustSplit(f, e)
+	a, err := Join(old, getter(parts))
+	require.NoError(f, err)
+	e.Sites[0].Weight = 0.25
+	parts, next := mustSplit(f, e)
+	for _, inline := range []bool{true, false} {
+		d := NewDelta(old, next)
+		d.From, d.To = 1, 2
+		if inline {
+			d.SetInline(parts)
+		}
+		data, err := d.Encode()
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := DecodeDelta(data)
+		if err != nil {
+			requireCorrupt(t, err)
+			return
+		}
+		got, err := a.Apply(d, getter(parts))
+		if err != nil {
+			requireCorrupt(t, err)
+			return
+		}
+		require.Equal(t, d.Root, got.Root())
+		require.Equal(t, old, a.Manifest(), "the content before is untouched")
+	})
+}
+
+// FuzzShard: a shard has exactly one form.
+func FuzzShard(f *testing.F) {
+	for _, sh := range shards(mustLoad(f, "testdata/small").Blocks) {
+		f.Add(sh.Range.Addr().Is6(), sh.encode())
+	}
+	f.Fuzz(func(t *testing.T, v6 bool, data []byte) {
+		r := netip.PrefixFrom(netip.IPv4Unspecified(), 0)
+		if v6 {
+			r = netip.PrefixFrom(netip.IPv6Unspecified(), 0)
+		}
+		s, err := decodeShard(r, data)
+		if err != nil {
+			requireCorrupt(t, err)
+			return
+		}
+		if len(s.Blocks) > 0 {
+			require.Equal(t, data, s.encode())
+		}
+	})
+}
