--- /dev/null
+++ b/internal/filter/route/places.go
@@ -0,0 +1,239 @@
+package route
+
+import (
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/balance"
+	"github.com/banyandeal/banyandeal/internal/decide/load"
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
+	"github.com/banyandeal/banyandeal/internal/filter"
+	"github.com/banyandeal/banyandeal/internal/snapshot"
+)
+
+const (
+	// perZone is how many instances of another zone are tried.
+	perZone = 2
+	// ownAttempts is how many own backend servers are tried before others.
+	ownAttempts = 2
+)
+
+// place is somewhere a request can be sent.
+type place struct {
+	kind string
+	// to is nil for the backend servers owned here.
+	to     *snapshot.Instance
+	region string
+	stage  filter.Stage
+}
+
+// visited is what a request has tried so far. Attempts that run side by side
+// share it.
+type visited struct {
+	mu        sync.Mutex
+	own       bool
+	instances map[string]bool
+	zones     map[string]int
+	// full holds the regions whose link had no room.
+	full map[string]bool
+}
+
+func newVisited() *visited {
+	return &visited{instances: map[string]bool{}, zones: map[string]int{}, full: map[string]bool{}}
+}
+
+// leaveOwn leaves out the backend servers owned here.
+func (v *visited) leaveOwn() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.own = true
+}
+
+// closeLink leaves out the zones of a region whose link has no room.
+func (v *visited) closeLink(region string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.full[region] = true
+}
+
+// choose returns the next place for the request: the backend servers owned
+// here, a neighbour in the zone, or the first of the other zones in the
+// caller's order that can have a free slot.
+func (s *search) choose(now time.Time) (place, bool) {
+	s.seen.mu.Lock()
+	defer s.seen.mu.Unlock()
+	if !s.seen.own {
+		if free, _ := s.Slots.Free(s.r.Service.Name); free > 0 && s.r.Avoid.Len() < ownAttempts {
+			return place{kind: "own", region: s.snap.Region, stage: filter.StageOwn}, true
+		}
+		s.seen.own = true
+	}
+	return s.elsewhere(now)
+}
+
+// elsewhere returns the next place outside this instance.
+func (s *search) elsewhere(now time.Time) (place, bool) {
+	if s.snap.Estate == nil {
+		return place{}, false
+	}
+	home, _ := s.snap.ZoneOf(s.snap.Zone)
+	neighbours := s.neighbours(home)
+	var zones []balance.Peer
+	if s.r.Stage != filter.StageZone {
+		zones = s.zones()
+	}
+	name, ok := balance.Forward(now, load.Believe, neighbours, zones, rand.Uint64())
+	if !ok {
+		return place{}, false
+	}
+	if in := find(home, name); in != nil {
+		s.seen.instances[in.ID] = true
+		return place{kind: "neighbour", to: in, region: s.snap.Region, stage: filter.StageOwn}, true
+	}
+	z, _ := s.snap.ZoneOf(name)
+	in := s.instance(now, z)
+	if in == nil {
+		s.seen.zones[name] = perZone
+		return s.elsewhere(now)
+	}
+	s.seen.zones[name]++
+	s.seen.instances[in.ID] = true
+	return place{kind: "zone", to: in, region: z.Region, stage: filter.StageZone}, true
+}
+
+// neighbours returns the other instances of the zone.
+func (s *search) neighbours(z snapshot.Zone) []balance.Peer {
+	var out []balance.Peer
+	for _, in := range z.Instances {
+		if in.ID != s.snap.Self.ID && !s.seen.instances[in.ID] {
+			out = append(out, s.peer(in.ID, in.Loads[s.r.Service.Name].Slots, in.Loads[s.r.Service.Name]))
+		}
+	}
+	return out
+}
+
+// zones returns the other zones in the caller's order. A zone that drains gets
+// no new work from elsewhere, but serves what its own callers still send.
+func (s *search) zones() []balance.Peer {
+	var out []balance.Peer
+	for _, i := range s.order() {
+		z := &s.snap.Zones[i]
+		if z.Name == s.snap.Zone || z.Closed || len(z.Instances) == 0 || s.seen.zones[z.Name] >= perZone || s.seen.full[z.Region] {
+			continue
+		}
+		out = append(out, s.peer(z.Name, z.Slots[s.r.Service.Name], z.Loads[s.r.Service.Name]))
+	}
+	return out
+}
+
+func (s *search) peer(name string, slots int, rep load.Report) balance.Peer {
+	return balance.Peer{Name: name, Slots: slots, Report: rep, Evidence: s.Outbox.evidence(name, s.r.Service.Name)}
+}
+
+// order returns the zones for the caller. One whose share fits nowhere is
+// still served while there is room.
+func (s *search) order() []placement.ZoneIndex {
+	table := s.snap.Tables[s.r.Service.Name]
+	if table == nil {
+		return nil
+	}
+	order := table.Order(s.r.Caller, make([]placement.ZoneIndex, 0, len(s.snap.Zones)))
+	if len(order) == 0 {
+		for i := range s.snap.Zones {
+			order = append(order, placement.ZoneIndex(i))
+		}
+	}
+	return order
+}
+
+// instance returns the instance of another zone that reported most free slots.
+// Any of them can pass the request on within its zone.
+func (s *search) instance(now time.Time, z snapshot.Zone) *snapshot.Instance {
+	var best *snapshot.Instance
+	var most load.Milli
+	for i := range z.Instances {
+		in := &z.Instances[i]
+		if s.seen.instances[in.ID] {
+			continue
+		}
+		rep := in.Loads[s.r.Service.Name]
+		busy := load.Believe.Busy(now, rep.Slots, rep, s.Outbox.evidence(in.ID, s.r.Service.Name))
+		if free := load.Milli(rep.Slots)*load.Slot - busy; best == nil || free > most {
+			best, most = in, free
+		}
+	}
+	return best
+}
+
+func find(z snapshot.Zone, id string) *snapshot.Instance {
+	for i := range z.Instances {
+		if z.Instances[i].ID == id {
+			return &z.Instances[i]
+		}
+	}
+	return nil
+}
+
+// Outbox knows what this instance has at others: it counts until the next
+// report, and a refusal counts as full for a while.
+type Outbox struct {
+	mu   sync.Mutex
+	sent map[outboxKey]load.Evidence
+}
+
+// outboxKey names an instance or a zone, and a service.
+type outboxKey struct{ peer, service string }
+
+// NewOutbox returns an empty outbox.
+func NewOutbox() *Outbox { return &Outbox{sent: map[outboxKey]load.Evidence{}} }
+
+// add counts one request to an instance of a zone. done must be called once.
+func (o *Outbox) add(in *snapshot.Instance, service string) (done func(refused bool)) {
+	keys := [...]outboxKey{{in.ID, service}, {in.Zone, service}}
+	o.change(keys[:], 1, time.Time{})
+	return func(refused bool) {
+		var at time.Time
+		if refused {
+			at = time.Now()
+		}
+		o.change(keys[:], -1, at)
+	}
+}
+
+func (o *Outbox) change(keys []outboxKey, delta int, refused time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, k := range keys {
+		e := o.sent[k]
+		e.Sent += delta
+		if !refused.IsZero() {
+			e.Refused = refused
+		}
+		if e.Sent == 0 && e.Refused.IsZero() {
+			delete(o.sent, k)
+			continue
+		}
+		o.sent[k] = e
+	}
+}
+
+func (o *Outbox) evidence(peer, service string) load.Evidence {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sent[outboxKey{peer, service}]
+}
+
+// endStream calls end once when the stream is closed.
+type endStream struct {
+	io.ReadCloser
+	once sync.Once
+	end  func()
+}
+
+// Close implements io.Closer.
+func (s *endStream) Close() error {
+	defer s.once.Do(s.end)
+	return s.ReadCloser.Close()
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,6 +36,8 @@
 	Recorder *trace.Recorder
 	// Region is the region of this instance.
 	Region func() string
+	// Unreachable is told of an address that a request could not be sent to.
+	Unreachable func(addr string)
 }
 
 // Target names the instance that a request goes to.
@@ -47,22 +49,27 @@
 }
 
 // Send passes the request on at the given stage and returns the answer. The
-// error is an *outcome.Error: a call that was never sent leaves the request
+// error wraps an *outcome.Error: a call that was never sent leaves the request
 // not run, a call that was lost leaves it unknown.
 func (s *Sender) Send(ctx context.Context, to Target, r *filter.Request, stage filter.Stage) (*filter.Answer, error) {
 	left := time.Until(r.Deadline)
 	if left <= 0 {
-		return nil, outcome.NotRunError(outcome.KindDeadline, 0, "the deadline passed before the request was passed on")
+		return nil, &Failed{Err: outcome.NotRunError(outcome.KindDeadline, 0, "the deadline passed before the request was passed on")}
 	}
 	call := &peerpb.Call{Call: &peerpb.Call_Forward{Forward: &peerpb.Forward{
-		RequestId: r.ID, Service: r.Service.Name, Method: r.Method, Path: r.Path, Headers: toHeaders(r.Header),
+		RequestId: r.ID, Service: r.Service.Name, Method: r.Method, Path: r.Path, Headers: ToHeaders(r.Header),
 		BodyLength: int64(len(r.Body)), DeadlineMs: max(left.Milliseconds(), 1), Key: r.Key, Stage: int32(stage),
 		TraceParent: s.Recorder.Inject(ctx), Idempotent: r.Idempotent, Operation: r.Operation,
 		To: &peerpb.Identity{Id: to.ID, Incarnation: to.Incarnation}, FromRegion: s.Region(), Caller: r.Caller.String(),
+		Hops: int32(r.Hops + 1),
 	}}}
 	reply, body, err := s.Client.Call(ctx, to.Address, call, bodyOf(r.Body))
 	if err != nil {
-		return nil, callFailure(to, err)
+		failed := callFailure(to, err)
+		if !failed.Sent {
+			s.Unreachable(to.Address)
+		}
+		return nil, failed
 	}
 	answer, err := s.answer(r, to, reply, body)
 	if err != nil {
@@ -72,12 +79,25 @@
 	return answer, nil
 }
 
-func callFailure(to Target, err error) *outcome.Error {
+// Failed is a request that got no reply of the other instance.
+type Failed struct {
+	// Sent is false if no byte of it left this instance.
+	Sent bool
+	Err  *outcome.Error
+}
+
+// Error implements error.
+func (f *Failed) Error() string { return f.Err.Error() }
+
+// Unwrap returns the outcome of the request.
+func (f *Failed) Unwrap() error { return f.Err }
+
+func callFailure(to Target, err error) *Failed {
 	var cerr *peer.CallError
 	if errors.As(err, &cerr) && cerr.Sent == peer.NotSent {
-		return outcome.NotRunError(outcome.KindPeerLost, lostRetryAfter, "instance %s can't be reached: %v", to.ID, cerr.Err)
+		return &Failed{Err: outcome.NotRunError(outcome.KindPeerLost, lostRetryAfter, "instance %s can't be reached: %v", to.ID, cerr.Err)}
 	}
-	return outcome.UnknownError(outcome.KindPeerLost, "instance %s was lost while it held the request: %v", to.ID, err)
+	return &Failed{Sent: true, Err: outcome.UnknownError(outcome.KindPeerLost, "instance %s was lost while it held the request: %v", to.ID, err)}
 }
 
 func (s *Sender) answer(r *filter.Request, to Target, reply *peerpb.Reply, body io.ReadCloser) (*filter.Answer, error) {
@@ -86,9 +106,9 @@
 		return nil, outcome.UnknownError(outcome.KindInternal, "instance %s answered another request: %s", to.ID, reply.Error)
 	}
 	if f.Failure != nil {
-		return nil, fromFailure(f.Failure)
+		return nil, FromFailure(f.Failure)
 	}
-	a := &filter.Answer{Status: int(f.Status), Header: fromHeaders(f.Headers), Length: f.BodyLength, Backend: f.Backend}
+	a := &filter.Answer{Status: int(f.Status), Header: FromHeaders(f.Headers), Length: f.BodyLength, Backend: f.Backend}
 	if f.Streamed {
 		a.Stream = body
 		return a, nil
@@ -107,10 +127,10 @@
 	out := &peerpb.ForwardReply{RequestId: r.RequestId}
 	reply := &peerpb.Reply{Reply: &peerpb.Reply_Forward{Forward: out}}
 	if err != nil {
-		out.Failure = toFailure(outcome.AsError(err))
+		out.Failure = ToFailure(outcome.AsError(err))
 		return reply, nil
 	}
-	out.Status, out.Headers, out.Backend = int32(a.Status), toHeaders(a.Header), a.Backend
+	out.Status, out.Headers, out.Backend = int32(a.Status), ToHeaders(a.Header), a.Backend
 	out.Streamed, out.BodyLength = a.Stream != nil, a.Length
 	if a.Stream == nil {
 		out.BodyLength = int64(len(a.Body))
@@ -133,19 +153,22 @@
 	// An address that does not parse is left invalid: it only steers.
 	caller, _ := netip.ParseAddr(f.Caller)
 	return &filter.Request{
-		ID: f.RequestId, Caller: caller, Service: s, Method: f.Method, Path: f.Path, Header: fromHeaders(f.Headers),
+		ID: f.RequestId, Caller: caller, Service: s, Method: f.Method, Path: f.Path, Header: FromHeaders(f.Headers),
 		Body: body, Key: f.Key, Operation: f.Operation, Idempotent: f.Idempotent,
-		Deadline: start.Add(time.Duration(f.DeadlineMs) * time.Millisecond), Stage: filter.Stage(f.Stage), FromRegion: f.FromRegion,
+		Deadline: start.Add(time.Duration(f.DeadlineMs) * time.Millisecond), Stage: filter.Stage(f.Stage), Hops: int(f.Hops),
+		FromRegion: f.FromRegion,
 	}, nil
 }
 
-func toFailure(e *outcome.Error) *peerpb.Failure {
+// ToFailure returns the peer message of an error.
+func ToFailure(e *outcome.Error) *peerpb.Failure {
 	return &peerpb.Failure{
 		Outcome: int32(e.Outcome), Kind: string(e.Kind), Message: e.Message, Remedy: e.Remedy, RetryAfterMs: e.RetryAfter.Milliseconds(),
 	}
 }
 
-func fromFailure(f *peerpb.Failure) *outcome.Error {
+// FromFailure returns the error of a peer message; what is not surely not run is unknown.
+func FromFailure(f *peerpb.Failure) *outcome.Error {
 	o := outcome.Outcome(f.Outcome)
 	if o != outcome.NotRun {
 		o = outcome.Unknown
@@ -156,7 +179,8 @@
 	}
 }
 
-func toHeaders(h http.Header) []*peerpb.Header {
+// ToHeaders returns the peer messages of a header, by name.
+func ToHeaders(h http.Header) []*peerpb.Header {
 	out := make([]*peerpb.Header, 0, len(h))
 	for name, values := range h {
 		out = append(out, &peerpb.Header{Name: name, Values: values})
@@ -165,7 +189,8 @@
 	return out
 }
 
-func fromHeaders(hs []*peerpb.Header) http.Header {
+// FromHeaders returns the header of peer messages.
+func FromHeaders(hs []*peerpb.Header) http.Header {
 	out := make(http.Header, len(hs))
 	for _, h := range hs {
 		out[h.Name] = h.Values
