config/publish: claim nothing of versions that were not searched; Ask

Cause: a command run a second time whose change lies behind versions that cannot be read was told that nothing was applied. A newborn could not add a neighbour that it learns of to those that it hears before its first version. Before: a plain conflict. After: ConflictError.Incomplete with its own remedy, and Receiver.Ask.

--- a/internal/config/publish/applier.go
+++ b/internal/config/publish/applier.go
@@ -398,11 +398,12 @@
 	}
 }
 
-// giveUpWalk ends a walk without an answer: a conflict if this run of the
-// command cannot have written, else unsettled.
+// giveUpWalk ends a walk without an answer: an incomplete conflict if this run
+// of the command cannot have written, else unsettled.
 func (a *Applier) giveUpWalk(err error) {
 	var conflict *ConflictError
 	if errors.As(a.lost, &conflict) {
+		conflict.Incomplete = true
 		a.fail(conflict)
 		return
 	}
--- a/internal/config/publish/errors.go
+++ b/internal/config/publish/errors.go
@@ -3,16 +3,24 @@
 import "fmt"
 
 // ConflictError says that another operator moved the head first. Nothing of
-// this change is in force.
+// this change is in force, unless Incomplete is set.
 type ConflictError struct {
 	// Expected is the version the operator started from.
 	Expected uint64
 	// Head is the version in force, by another author.
 	Head Head
+	// Incomplete is set if not all versions since Expected could be searched
+	// for this change, which an earlier run of the command may have applied.
+	Incomplete bool
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
+	if e.Incomplete {
+		return fmt.Sprintf("version %d by %s (change %s) is in force and this change started from version %d; "+
+			"this run applied nothing: look at the diff whether an earlier run did, and apply with --expect-version %d",
+			e.Head.Version, e.Head.Author, e.Head.ChangeID, e.Expected, e.Head.Version)
+	}
 	if e.Head.Version == 0 {
 		return fmt.Sprintf("expected version %d and there is none yet; apply with --expect-version 0", e.Expected)
 	}
--- a/internal/config/publish/receiver.go
+++ b/internal/config/publish/receiver.go
@@ -106,6 +106,16 @@
 	return r
 }
 
+// Ask adds a source to those that a newborn hears before it takes a version, as
+// when it learns of a neighbour. It has no effect once there is a version, and
+// holds up nothing that is being fetched already.
+func (r *Receiver) Ask(from Source) {
+	if r.current == nil {
+		r.asked[from] = true
+		r.askHead(from)
+	}
+}
+
 // Current returns the version in force, or nil before the first.
 func (r *Receiver) Current() *Installed { return r.current }
 
--- a/internal/config/publish/script_test.go
+++ b/internal/config/publish/script_test.go
@@ -19,6 +19,7 @@
 //	run    op=                       does all of them
 //	versions                         the history of the head
 //	new    r= [ask=(a,b)]            an instance is born
+//	ask    r= from=                  it learns of a neighbour
 //	heard  r= from= version=         a neighbour's heartbeat
 //	poll   r= from=                  asks for a head
 //	head   r= from= [back=N] [fail]  answers that
@@ -161,6 +162,8 @@
 		r.Heard(from, uint64(number(t, d, "version", 0)))
 	case "poll":
 		r.Poll(from)
+	case "ask":
+		r.Ask(from)
 	case "forget":
 		r.Forget(from)
 	case "head":
