accept, control: planned stops shed kept-alive connections; slow readers end

Cause, read in the code: http.Server.Shutdown closes idle connections, and a caller that reuses one in that moment loses its request; answers of a leaving instance now ask callers to close theirs well before. A caller that does not read a small answer held its slot without bound. A condemned incarnation went on using backend servers that others may have taken over.

--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -122,6 +122,8 @@
 // condemned stops this instance from taking work and ends Run.
 func (c *Control) condemned() {
 	c.Log.Error().Err(ErrCondemned).Msg("condemned")
+	clear(c.owners.held)
+	c.dirty = true
 	select {
 	case c.fatal <- ErrCondemned:
 	default:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -277,6 +277,7 @@
 	mux.Handle("GET /v1/lookup", &lookup.Handler{Snapshot: d.control.Snapshot, Metrics: d.metrics})
 	mux.Handle("/", &accept.Handler{
 		Estate: func() *estate.Estate { return d.control.Snapshot().Estate }, Next: enter, Region: d.region,
+		Leaving: func() bool { return d.control.Snapshot().Leaving },
 		Metrics: d.metrics, Recorder: d.recorder,
 		Slots: semaphore.NewWeighted(int64(l.MaxInFlight)), Memory: semaphore.NewWeighted(l.BodyMemory),
 	})
--- a/internal/filter/accept/accept.go
+++ b/internal/filter/accept/accept.go
@@ -40,8 +40,11 @@
 	Estate func() *estate.Estate
 	// Next is the pipeline.
 	Next filter.Handler
-	// Region is called for the region of this instance.
-	Region   func() string
+	// Region returns the region of this instance.
+	Region func() string
+	// Leaving reports whether this instance has begun its planned stop; callers
+	// are then asked to leave their kept-alive connections.
+	Leaving  func() bool
 	Metrics  *telemetry.Metrics
 	Recorder *trace.Recorder
 	// Slots bounds the requests in progress, Memory the bytes of their bodies.
@@ -74,6 +77,9 @@
 	ctx, span := h.Recorder.Start(ctx, "request", attribute.String("service", r.Service.Name),
 		attribute.String("request", r.ID), attribute.String("method", r.Method), attribute.String("path", r.Path))
 	w.Header().Set(filter.HeaderRequestID, r.ID)
+	if h.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set(trace.HeaderTraceParent, h.Recorder.Inject(ctx))
 	answer, err := h.Next.Serve(ctx, r)
 	if err == nil {
--- a/internal/filter/accept/accept_test.go
+++ b/internal/filter/accept/accept_test.go
@@ -25,7 +25,7 @@
 func handler(next filter.HandlerFunc) *accept.Handler {
 	e := &estate.Estate{Services: []estate.Service{{Name: "scoring", Deadline: time.Second, MaxBody: 16}}}
 	return &accept.Handler{
-		Estate: func() *estate.Estate { return e }, Next: next, Region: func() string { return "budapest" },
+		Estate: func() *estate.Estate { return e }, Next: next, Region: func() string { return "budapest" }, Leaving: func() bool { return false },
 		Metrics: telemetry.NewMetrics(), Recorder: trace.NewRecorder("a", 16, nil),
 		Slots: semaphore.NewWeighted(1), Memory: semaphore.NewWeighted(32),
 	}
--- a/internal/filter/accept/deliver.go
+++ b/internal/filter/accept/deliver.go
@@ -56,14 +56,14 @@
 	if a.Stream == nil {
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 		w.WriteHeader(a.Status)
-		_, err := w.Write(a.Body)
+		_, err := newProgressWriter(w).Write(a.Body)
 		return errors.Annotate(err, "answer was not delivered")
 	}
 	if a.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	w.WriteHeader(a.Status)
-	_, err := io.Copy(&progressWriter{w, http.NewResponseController(w)}, a.Stream)
+	_, err := io.Copy(newProgressWriter(w), a.Stream)
 	return errors.Annotate(err, "answer was not delivered")
 }
 
@@ -73,6 +73,10 @@
 	ctl *http.ResponseController
 }
 
+func newProgressWriter(w http.ResponseWriter) *progressWriter {
+	return &progressWriter{w, http.NewResponseController(w)}
+}
+
 // Write implements io.Writer.
 func (p *progressWriter) Write(b []byte) (int, error) {
 	// A writer without deadlines still fails when the connection does.
