control, pool: two data races

Found by the scenarios under the race detector: a peer's call that timed out read its reply while control was still writing it, and a lease read the address of a backend server that a new configuration was replacing. A question to control now returns its result through a channel, and a lease keeps the address it was taken with.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/config"
+	"github.com/banyandeal/banyandeal/internal/config/publish"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
 	"github.com/banyandeal/banyandeal/internal/keys"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
@@ -53,23 +54,24 @@
 }
 
 func (c *Control) serveExchange(ctx context.Context, ex *peerpb.Exchange) (*peerpb.Reply, io.ReadCloser) {
-	reply := &peerpb.Reply{Error: "the instance is stopping"}
-	c.ask(ctx, func(now time.Time) {
+	reply, ok := ask(ctx, c, func(now time.Time) *peerpb.Reply {
 		c.takeExchange(now, ex.From, ex.ConfigVersion, ex.Self, ex.Records)
 		c.hintRows(now, ex.Zone, ex.Region, ex.OwnersVersion, ex.LinksVersion)
-		reply = &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: &peerpb.ExchangeReply{
+		return &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: &peerpb.ExchangeReply{
 			From: c.identity(), Zone: c.Self.Zone, Region: c.links.region, ConfigVersion: c.config.receiver.Version(),
 			OwnersVersion: c.owners.machine.Version(), LinksVersion: c.linkVersion(),
 			Self: c.selfRecord(), Records: c.records.list(),
 		}}}
 	})
+	if !ok {
+		return &peerpb.Reply{Error: "the instance is stopping or busy"}, nil
+	}
 	return reply, nil
 }
 
 func (c *Control) serveConfig(ctx context.Context, digest config.Digest) (*peerpb.Reply, io.ReadCloser) {
-	var data []byte
-	var found bool
-	c.ask(ctx, func(time.Time) { data, found = c.object(digest) })
+	cur, _ := ask(ctx, c, func(time.Time) *publish.Installed { return c.config.receiver.Current() })
+	data, found := object(cur, digest)
 	reply := &peerpb.Reply{Reply: &peerpb.Reply_ConfigPart{ConfigPart: &peerpb.ConfigPart{Found: found}}}
 	return reply, io.NopCloser(bytes.NewReader(data))
 }
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -115,9 +115,9 @@
 	return data, errors.Trace(err)
 }
 
-// object answers a neighbour's fetch from the version in force.
-func (c *Control) object(digest config.Digest) ([]byte, bool) {
-	cur := c.config.receiver.Current()
+// object answers a neighbour's fetch from the version in force, which may be
+// none.
+func object(cur *publish.Installed, digest config.Digest) ([]byte, bool) {
 	if cur == nil {
 		return nil, false
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -140,10 +140,10 @@
 type Lease struct {
 	pool *Pool
 	m    *member
-	// name and service are those of m, which Set may change.
-	name, service string
-	at            time.Time
-	once          sync.Once
+	// name, service and address are those of m, which Set may change.
+	name, service, address string
+	at                     time.Time
+	once                   sync.Once
 }
 
 // Acquire takes a slot of a backend server of the service that is not in
@@ -162,21 +162,21 @@
 	}
 	m := p.backends[name]
 	m.peak = max(m.peak, b.InFlight(name))
-	return &Lease{pool: p, m: m, name: name, service: service, at: now}, true
+	return &Lease{pool: p, m: m, name: name, service: service, address: m.Address, at: now}, true
 }
 
 // Name returns the backend server's name.
 func (l *Lease) Name() string { return l.name }
 
 // Address returns the backend server's address.
-func (l *Lease) Address() string { return l.m.Address }
+func (l *Lease) Address() string { return l.address }
 
 // Cancel gives the slot back unused.
 func (l *Lease) Cancel() {
 	l.once.Do(func() {
 		l.pool.mu.Lock()
 		defer l.pool.mu.Unlock()
-		l.pool.services[l.m.Service].End(l.m.Name, 0, false)
+		l.pool.services[l.service].End(l.name, 0, false)
 	})
 }
 
