shift: a zone drains behind a full link, and small changes give way

A caller who moves between two zones of a region was counted twice on the region's link for the TTL, and a service with a change too small to begin a ramp kept room that another waited for.

Ruled out: ramps beyond the caps to break the wait; an iteration over donors and gains (moves inside a region are done first instead, and take no link room).

Before: the script link.txt stays at 31 % on the drained zone for good with the code before. The property over schedules counts links by region too; it was too strict, as each caller goes over the link once. With the bound or the TTL on links taken out, scripts fail.

Conclusion: what waits for good is rare and named in the status.

--- a/internal/decide/shift/position.go
+++ b/internal/decide/shift/position.go
@@ -56,7 +56,7 @@
 			if z < s.shares.Zones {
 				c.Zone = r.plan.Input.Zones[z].Name
 			}
-			if peak := s.window.peak.Row(e)[z]; peak > share {
+			if peak := s.recent.zones.peak.Row(e)[z]; peak > share {
 				c.Peak = peak
 			}
 			if c.Share > 0 || c.Peak > 0 {
@@ -121,7 +121,7 @@
 			s.complete(e)
 		}
 	}
-	s.window.restart(s.shares, peak)
+	s.recent.restart(s.shares, peak)
 	s.changed = true
 	for _, c := range p.Cold {
 		if z, ok := zones[c.Zone]; ok && z < len(s.zones) {
--- a/internal/decide/shift/shift.go
+++ b/internal/decide/shift/shift.go
@@ -87,8 +87,10 @@
 	demand []placement.Rate
 	total  placement.Rate
 	zones  []zone
-	window *window
+	recent *history
 	moving bool
+	// blocked is set if the last step moved nothing on the way.
+	blocked bool
 	// changed is set if shares changed since Ready was last called.
 	changed bool
 }
@@ -131,7 +133,7 @@
 	for i := range r.services {
 		s := &r.services[i]
 		s.advanceBy(proportion.MulDiv(r.set.ColdShare, placement.Rate(elapsed), placement.Rate(time.Second)))
-		s.window.raise(s.shares)
+		s.recent.raise(s.shares)
 	}
 }
 
@@ -146,7 +148,7 @@
 	r.services = make([]service, len(plan.Services))
 	for i := range plan.Services {
 		s := newService(&plan.Input, &plan.Services[i], i)
-		s.window = newWindow(plan.Input.Services[i].LookupTTL, r.slot, s.shares)
+		s.recent = newHistory(&plan.Input, plan.Input.Services[i].LookupTTL, r.slot, s.shares)
 		for k := range oldServices {
 			if oldServices[k].name == s.name {
 				s.inherit(&oldServices[k], old, plan)
@@ -199,16 +201,16 @@
 		clear(row)
 		for z, oz := range zones {
 			if oz >= 0 {
-				row[z], top[z] = old.shares.Row(oe)[oz], old.window.peak.Row(oe)[oz]
+				row[z], top[z] = old.shares.Row(oe)[oz], old.recent.zones.peak.Row(oe)[oz]
 			}
 		}
 		row[s.shares.Zones] = old.shares.Overflow(oe)
 		s.complete(e)
 	}
 	s.moving = old.moving
-	s.window.restart(s.shares, peak)
-	if old.window.length == s.window.length && sameNames(&oldPlan.Input, &plan.Input) {
-		s.window = old.window
+	s.recent.restart(s.shares, peak)
+	if old.recent.zones.length == s.recent.zones.length && sameNames(&oldPlan.Input, &plan.Input) {
+		s.recent = old.recent
 	}
 }
 
@@ -264,7 +266,9 @@
 	if cost > budget {
 		scale(wants.V, budget, cost)
 	}
-	s.apply(wants, s.excess(nil))
+	for e := range s.demand {
+		s.settle(e, wants.Row(e), s.excess(nil).Row(e))
+	}
 }
 
 // Lost marks a zone that is gone, or back. The plan that leaves it out is given
@@ -326,6 +330,10 @@
 	Changed []int
 	// Moving is set while any service is on its way to its target.
 	Moving bool
+	// Blocked lists the services that are on their way but moved nothing in the
+	// last step: what they want to enter is held, or full of what callers may
+	// still go by.
+	Blocked []string
 	// Held lists the zones, by service, that take no more for now.
 	Held []Held
 }
@@ -343,6 +351,9 @@
 			s.changed = false
 		}
 		st.Moving = st.Moving || s.moving
+		if s.blocked {
+			st.Blocked = append(st.Blocked, s.name)
+		}
 		for z := range s.zones {
 			if s.zones[z].held {
 				st.Held = append(st.Held, Held{s.name, r.plan.Input.Zones[z].Name})
--- a/internal/decide/shift/step.go
+++ b/internal/decide/shift/step.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"slices"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
@@ -17,9 +18,10 @@
 	r.slot, r.anchored = slot, true
 	for i := range r.services {
 		s := &r.services[i]
-		s.window.advance(slot, s.shares)
+		s.recent.advance(slot, s.shares)
 		s.hold(r.set, now)
 	}
+	r.begin()
 	for i := range r.services {
 		r.step(i, now)
 	}
@@ -42,7 +44,7 @@
 // step moves one service.
 func (r *Ramp) step(i int, now time.Time) {
 	s := &r.services[i]
-	if !r.begins(s) {
+	if s.blocked = false; !s.moving {
 		return
 	}
 	next := *s
@@ -51,22 +53,25 @@
 		r.leaveLost(i, &next)
 	}
 	r.move(i, &next, now)
+	next.blocked = slices.Equal(s.shares.V, next.shares.V)
+	next.changed = s.changed || !next.blocked
 	*s = next
-	s.changed = true
 }
 
-// begins reports whether the service is to move: it is on the way, has far
-// enough to go, or has a zone to empty.
-func (r *Ramp) begins(s *service) bool {
-	wants := s.wants()
-	cost := s.cost(wants)
-	switch {
-	case proportion.Sum(wants.V) == 0:
-		s.moving = false
-	case s.moving, cost >= r.set.MinChange, s.empties():
-		s.moving = true
-	}
-	return s.moving
+// begin decides which services move. One that has far enough to go, or has a
+// zone to empty, sets off the others too: it may wait for room that they hold.
+func (r *Ramp) begin() {
+	any := false
+	for i := range r.services {
+		s := &r.services[i]
+		wants := s.wants()
+		s.moving = proportion.Sum(wants.V) > 0 && (s.moving || s.cost(wants) >= r.set.MinChange || s.empties())
+		any = any || s.moving
+	}
+	for i := range r.services {
+		s := &r.services[i]
+		s.moving = s.moving || any && proportion.Sum(s.wants().V) > 0
+	}
 }
 
 // empties reports whether a zone that has a share is to have none.
@@ -82,36 +87,134 @@
 // leaveLost takes all shares off lost zones in one step: to where headroom and
 // caps allow, and else to the overflow.
 func (r *Ramp) leaveLost(i int, s *service) {
-	excess := s.excess(r.lost)
-	if proportion.Sum(excess.V) == 0 {
+	if proportion.Sum(s.excess(r.lost).V) == 0 {
 		return
 	}
-	wants := s.wants()
-	r.close(s, wants)
-	for e := range s.demand {
-		row := wants.Row(e)
-		copy(row, proportion.Divide(proportion.Sum(excess.Row(e)), row, row))
+	for _, local := range []bool{true, false} {
+		r.transfer(i, s, transfer{local: local, from: r.lost, budget: Unit})
 	}
-	r.bound(i, s, wants)
+	excess := s.excess(r.lost)
 	for e := range s.demand {
-		rest := proportion.Sum(excess.Row(e)) - proportion.Sum(wants.Row(e))
-		wants.Row(e)[s.shares.Zones] += rest
+		rest := make([]placement.Rate, s.shares.Zones+1)
+		rest[s.shares.Zones] = proportion.Sum(excess.Row(e))
+		s.settle(e, rest, excess.Row(e))
 	}
-	s.apply(wants, excess)
-	s.window.raise(s.shares)
+	s.recent.raise(s.shares)
 }
 
-// move moves the service by no more than the configured share.
+// move moves the service by no more than the configured share: inside regions
+// first, which takes no room on links.
 func (r *Ramp) move(i int, s *service, now time.Time) {
-	wants := s.wants()
-	r.close(s, wants)
-	r.slowCold(s, wants, now)
-	r.bound(i, s, wants)
-	if cost, budget := s.cost(wants), r.set.MaxShare/stepsPerSecond; cost > budget {
-		scale(wants.V, budget, cost)
-	}
-	s.apply(wants, s.excess(nil))
-	s.window.raise(s.shares)
+	begin := s.shares.Clone()
+	budget := r.set.MaxShare / stepsPerSecond
+	left := r.transfer(i, s, transfer{local: true, budget: budget, pace: &begin, now: now})
+	r.transfer(i, s, transfer{budget: left, pace: &begin, now: now})
+}
+
+// transfer is one move of shares towards the target.
+type transfer struct {
+	// local moves between the zones of one region only.
+	local bool
+	// from marks the zones that give; nil is all, and the overflow.
+	from []bool
+	// budget is the largest share of the service's traffic to move.
+	budget placement.Rate
+	// pace holds the shares at the begin of the step, which gains into cold
+	// zones are counted from; nil does not slow them.
+	pace *placement.Matrix
+	now  time.Time
+}
+
+// transfer does one move and returns what it left of the budget.
+func (r *Ramp) transfer(i int, s *service, t transfer) placement.Rate {
+	gains, excess := s.wants(), s.excess(t.from)
+	r.close(s, gains)
+	groups := s.groups(t.local)
+	for e := range s.demand {
+		if t.local {
+			gains.Row(e)[s.shares.Zones] = 0
+		}
+		for _, g := range groups {
+			fit(gains.Row(e), excess.Row(e), g)
+		}
+	}
+	if t.pace != nil {
+		r.slowCold(s, gains, t)
+	}
+	r.boundZones(i, s, gains)
+	if !t.local {
+		r.boundLinks(s, gains)
+	}
+	cost := s.cost(gains)
+	if cost > t.budget {
+		scale(gains.V, t.budget, cost)
+	}
+	for e := range s.demand {
+		for _, g := range groups {
+			if sumOf(gains.Row(e), g) > 0 {
+				s.settle(e, masked(gains.Row(e), g), masked(excess.Row(e), g))
+			}
+		}
+	}
+	s.recent.raise(s.shares)
+	return max(t.budget-cost, 0)
+}
+
+// groups returns the sets of cells of a row that exchange shares: the zones of
+// each region, or all cells.
+func (s *service) groups(local bool) [][]bool {
+	cells := s.shares.Zones + 1
+	if !local {
+		all := make([]bool, cells)
+		for z := range all {
+			all[z] = true
+		}
+		return [][]bool{all}
+	}
+	groups := make([][]bool, s.recent.count)
+	for r := range groups {
+		groups[r] = make([]bool, cells)
+		for z, region := range s.recent.regionOf {
+			groups[r][z] = region == r
+		}
+	}
+	return groups
+}
+
+// masked returns a copy of a row without the cells outside the group.
+func masked(row []placement.Rate, group []bool) []placement.Rate {
+	out := make([]placement.Rate, len(row))
+	for z, in := range group {
+		if in {
+			out[z] = row[z]
+		}
+	}
+	return out
+}
+
+// sumOf returns the sum of a row's cells in the group.
+func sumOf(row []placement.Rate, group []bool) placement.Rate {
+	var sum placement.Rate
+	for z, in := range group {
+		if in {
+			sum += row[z]
+		}
+	}
+	return sum
+}
+
+// fit scales a group's gains to what the group can give.
+func fit(gains, excess []placement.Rate, group []bool) {
+	given := sumOf(excess, group)
+	if sumOf(gains, group) <= given {
+		return
+	}
+	wanted := masked(gains, group)
+	for z, v := range proportion.Divide(given, wanted, wanted) {
+		if group[z] {
+			gains[z] = v
+		}
+	}
 }
 
 // wants returns what each cell lacks of its target.
@@ -147,14 +250,12 @@
 	return c
 }
 
-// apply adds the gains and takes them, in each edge region, from the cells with
+// settle adds gains to an edge region's row and takes them from the cells with
 // an excess.
-func (s *service) apply(gains, excess placement.Matrix) {
-	for e := range s.demand {
-		row, gain, over := s.shares.Row(e), gains.Row(e), excess.Row(e)
-		for z, v := range proportion.Divide(proportion.Sum(gain), over, over) {
-			row[z] += gain[z] - v
-		}
+func (s *service) settle(e int, gains, excess []placement.Rate) {
+	row := s.shares.Row(e)
+	for z, v := range proportion.Divide(proportion.Sum(gains), excess, excess) {
+		row[z] += gains[z] - v
 	}
 }
 
@@ -172,59 +273,88 @@
 
 // slowCold bounds what goes into each zone that is cold, or of which nothing is
 // known. A zone without a share in recent time begins to be cold.
-func (r *Ramp) slowCold(s *service, gains placement.Matrix, now time.Time) {
-	budget := r.set.ColdShare / stepsPerSecond
+func (r *Ramp) slowCold(s *service, gains placement.Matrix, t transfer) {
 	for z := range s.zones {
 		var cost, recent, gain placement.Rate
+		budget := r.set.ColdShare / stepsPerSecond
 		for e, d := range s.demand {
 			cost += proportion.MulDiv(gains.Row(e)[z], d, s.total)
-			recent += s.window.peak.Row(e)[z]
+			budget -= proportion.MulDiv(max(s.shares.Row(e)[z]-t.pace.Row(e)[z], 0), d, s.total)
+			recent += s.recent.zones.peak.Row(e)[z]
 			gain += gains.Row(e)[z]
 		}
 		if recent == 0 && gain > 0 {
-			s.zones[z].coldUntil = now.Add(r.set.ColdTime)
+			s.zones[z].coldUntil = t.now.Add(r.set.ColdTime)
 		}
-		slow := now.Before(s.zones[z].coldUntil) || r.set.Load.Blind(now, s.zones[z].report)
+		slow := t.now.Before(s.zones[z].coldUntil) || r.set.Load.Blind(t.now, s.zones[z].report)
 		if slow && cost > budget {
 			for e := range s.demand {
-				scale(gains.Row(e)[z:z+1], budget, cost)
+				scale(gains.Row(e)[z:z+1], max(budget, 0), cost)
 			}
 		}
 	}
 }
 
-// bound keeps zones and links under their caps, counting each cell at the most
-// that callers may still hold. What is over its cap gains nothing at all.
-func (r *Ramp) bound(i int, s *service, gains placement.Matrix) {
-	in := &r.plan.Input
-	slack := s.total/tolerance + 1
-	for z := range in.Zones {
+// boundZones keeps zones under their capacity, counting each cell at the most
+// that callers may still hold. A zone that is over it gains nothing at all.
+func (r *Ramp) boundZones(i int, s *service, gains placement.Matrix) {
+	for z := range s.zones {
 		var load, more placement.Rate
 		for e := range s.demand {
-			load += s.flow(e, s.window.peak.Row(e)[z])
+			load += s.flow(e, s.recent.zones.peak.Row(e)[z])
 			more += s.flow(e, s.beyond(e, z, gains))
 		}
-		room := in.Services[i].Capacity[z] - load + slack
+		room := r.plan.Input.Services[i].Capacity[z] - load + s.slack()
 		for e := range s.demand {
-			s.limit(e, z, gains, room, more)
+			gain := &gains.Row(e)[z]
+			*gain = limit(*gain, s.beyond(e, z, gains), room, more)
 		}
 	}
-	for _, l := range in.Links {
-		var more placement.Rate
-		for z := range in.Zones {
-			if in.Zones[z].Region == l.To {
-				more += s.flow(l.From, s.beyond(l.From, z, gains))
+}
+
+// boundLinks does the same for links and what goes into a region as a whole.
+func (r *Ramp) boundLinks(s *service, gains placement.Matrix) {
+	for _, l := range r.plan.Input.Links {
+		row := gains.Row(l.From)
+		into := make([]bool, len(row))
+		var share placement.Rate
+		for z, region := range s.recent.regionOf {
+			if region == l.To {
+				into[z] = true
+				share += s.shares.Row(l.From)[z]
 			}
 		}
-		room := l.Cap - r.linkLoad(l) + slack
-		for z := range in.Zones {
-			if in.Zones[z].Region == l.To {
-				s.limit(l.From, z, gains, room, more)
+		gain := sumOf(row, into)
+		beyond := max(share+gain-s.recent.regions.peak.Row(l.From)[l.To], 0)
+		room := l.Cap - r.linkLoad(l) + s.slack()
+		allowed := limit(gain, beyond, room, s.flow(l.From, beyond))
+		if allowed == gain {
+			continue
+		}
+		for z := range into {
+			if into[z] {
+				scale(row[z:z+1], allowed, gain)
 			}
 		}
 	}
 }
 
+// limit bounds a gain, a part of which goes beyond a recent peak, where more
+// flow is wanted than there is room: that part is scaled to room/more. Without
+// room nothing is left.
+func limit(gain, beyond, room, more placement.Rate) placement.Rate {
+	if room < 0 {
+		return 0
+	}
+	if more > room {
+		return gain - beyond + proportion.MulDiv(beyond, room, more)
+	}
+	return gain
+}
+
+// slack is the flow that rounding may add to a zone or link.
+func (s *service) slack() placement.Rate { return s.total/tolerance + 1 }
+
 // flow returns the flow of a share of an edge region.
 func (s *service) flow(e int, share placement.Rate) placement.Rate {
 	return proportion.MulDiv(share, s.demand[e], Unit)
@@ -232,20 +362,7 @@
 
 // beyond returns the part of a cell's gain that takes it over its recent peak.
 func (s *service) beyond(e, z int, gains placement.Matrix) placement.Rate {
-	return max(s.shares.Row(e)[z]+gains.Row(e)[z]-s.window.peak.Row(e)[z], 0)
-}
-
-// limit bounds a cell's gain where more is wanted than there is room: the part
-// beyond its recent peak is scaled to room/more. Without room nothing is left.
-func (s *service) limit(e, z int, gains placement.Matrix, room, more placement.Rate) {
-	if room < 0 {
-		gains.Row(e)[z] = 0
-		return
-	}
-	if more > room {
-		b := s.beyond(e, z, gains)
-		gains.Row(e)[z] -= b - proportion.MulDiv(b, room, more)
-	}
+	return max(s.shares.Row(e)[z]+gains.Row(e)[z]-s.recent.zones.peak.Row(e)[z], 0)
 }
 
 // linkLoad returns the most that callers of all services may send over a link.
@@ -253,11 +370,7 @@
 	var load placement.Rate
 	for i := range r.services {
 		s := &r.services[i]
-		for z := range r.plan.Input.Zones {
-			if r.plan.Input.Zones[z].Region == l.To {
-				load += s.flow(l.From, s.window.peak.Row(l.From)[z])
-			}
-		}
+		load += s.flow(l.From, s.recent.regions.peak.Row(l.From)[l.To])
 	}
 	return load
 }
--- a/internal/decide/shift/window.go
+++ b/internal/decide/shift/window.go
@@ -7,6 +7,55 @@
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
 )
 
+// history holds what callers may still go by.
+type history struct {
+	// zones and regions hold the peaks of the share of each zone, and of each
+	// region as a whole: a caller who moves inside a region stays on its link.
+	zones, regions *window
+	// regionOf is the region of each zone, count the number of regions.
+	regionOf []int
+	count    int
+}
+
+func newHistory(in *placement.Input, ttl time.Duration, slot int64, shares placement.Matrix) *history {
+	h := &history{count: len(in.Regions), regionOf: make([]int, len(in.Zones))}
+	for z := range in.Zones {
+		h.regionOf[z] = in.Zones[z].Region
+	}
+	h.zones = newWindow(ttl, slot, shares)
+	h.regions = newWindow(ttl, slot, h.byRegion(shares))
+	return h
+}
+
+// byRegion sums shares by the region of their zone.
+func (h *history) byRegion(shares placement.Matrix) placement.Matrix {
+	m := placement.NewMatrix(shares.Edges, h.count)
+	for e := range shares.Edges {
+		for z, r := range h.regionOf {
+			m.Row(e)[r] += shares.Row(e)[z]
+		}
+	}
+	return m
+}
+
+// restart holds the shares in force, and peaks from before for another TTL.
+func (h *history) restart(shares, peak placement.Matrix) {
+	h.zones.restart(shares, peak)
+	h.regions.restart(h.byRegion(shares), h.byRegion(peak))
+}
+
+// advance forgets what was longer ago than the TTL.
+func (h *history) advance(slot int64, shares placement.Matrix) {
+	h.zones.advance(slot, shares)
+	h.regions.advance(slot, h.byRegion(shares))
+}
+
+// raise notes shares in force now.
+func (h *history) raise(shares placement.Matrix) {
+	h.zones.raise(shares)
+	h.regions.raise(h.byRegion(shares))
+}
+
 // windowParts is how many parts of the look-up TTL a window tells apart.
 const windowParts = 8
 
