--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/banyandeal/banyandeal/internal/peer"
 	"github.com/banyandeal/banyandeal/internal/platform"
 	"github.com/banyandeal/banyandeal/internal/pool"
+	"github.com/banyandeal/banyandeal/internal/quarantine"
 	"github.com/banyandeal/banyandeal/internal/snapshot"
 	"github.com/banyandeal/banyandeal/internal/telemetry"
 )
@@ -37,8 +39,11 @@
 	Pool     *pool.Pool
 	Links    *links.Gate
 	Keeper   *keys.Keeper
+	Guard    *quarantine.Guard
 	Metrics  *telemetry.Metrics
 	Log      zerolog.Logger
+	// Dial opens connections for probes; nil is a plain TCP dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Control is the control state of one instance. All fields below events are
@@ -58,6 +63,7 @@
 	ramp    *rampState
 	owners  *ownerState
 	health  *healthState
+	links   linkState
 	timers  timers
 	// dirty is set when the snapshot no longer matches the state.
 	dirty   bool
@@ -79,7 +85,7 @@
 		Deps: d, started: now, events: make(chan func(time.Time), eventQueue),
 		members: membership.New(membership.Config{Self: d.Self}, now),
 		records: newRecords(d.Self.Identity), steer: newSteerState(), ramp: newRampState(), owners: newOwnerState(d.Self, now),
-		health: newHealthState(),
+		health: newHealthState(d.Dial),
 		fatal:  make(chan error, 1),
 	}
 	c.config = newConfigState()
@@ -172,11 +178,13 @@
 	c.tickHealth(now)
 	c.tickSteer(now)
 	c.tickOwners(now)
+	c.tickLinks(now)
 	c.tickLeaving(now)
 	c.Keeper.Step(once.Tick{})
 	if due(&c.timers.heartbeat, now, t.Heartbeat) {
 		c.publishLoad(now)
 		c.followDrains(now)
+		c.publishQuarantine()
 		c.sendHeartbeats()
 	}
 }
@@ -187,6 +195,7 @@
 	c.settleMembers(now)
 	c.settleOwners(now)
 	c.settleHealth()
+	c.settleLinks()
 	c.settleConfig(now)
 	if c.dirty {
 		c.dirty = false
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -70,7 +70,7 @@
 	targets := c.members.Targets()
 	for _, id := range targets {
 		if in, ok := c.members.View().Instance(id); ok {
-			c.exchange(in.Peer, nil)
+			c.exchange(in.Peer, probeOf(in))
 		}
 	}
 	if len(targets) == 0 {
@@ -82,6 +82,25 @@
 	}
 }
 
+// probeOf makes an exchange with an instance tell about it: an address that
+// refuses the connection shows at once that the process is dead.
+func probeOf(in membership.Instance) *membership.Probe {
+	return &membership.Probe{About: in.Identity, Zone: in.Zone, Peer: in.Peer}
+}
+
+// Suspect probes the instance at an address that could not be reached.
+func (c *Control) Suspect(addr string) {
+	c.post(func(time.Time) {
+		for _, z := range c.members.View().Zones {
+			for _, in := range z.Instances {
+				if in.Peer == addr && in.State != membership.Gone {
+					c.exchange(addr, probeOf(in))
+				}
+			}
+		}
+	})
+}
+
 // exchange sends this instance's records to an address and takes those of the
 // reply. A non-nil probe gets the outcome as evidence.
 func (c *Control) exchange(addr string, probe *membership.Probe) {
@@ -99,8 +118,9 @@
 
 func (c *Control) exchangeMessage() *peerpb.Exchange {
 	return &peerpb.Exchange{
-		From: &peerpb.Identity{Id: c.Self.ID, Incarnation: c.Self.Incarnation}, Zone: c.Self.Zone,
+		From: c.identity(), Zone: c.Self.Zone,
 		ConfigVersion: c.config.receiver.Version(), Self: c.selfRecord(), Records: c.records.list(),
+		Region: c.links.region, OwnersVersion: c.owners.machine.Version(), LinksVersion: c.linkVersion(),
 	}
 }
 
@@ -134,6 +154,7 @@
 		})
 	}
 	c.takeExchange(now, ex.From, ex.ConfigVersion, ex.Self, ex.Records)
+	c.hintRows(now, ex.Zone, ex.Region, ex.OwnersVersion, ex.LinksVersion)
 }
 
 func (c *Control) failedExchange(now time.Time, err error, probe *membership.Probe) {
