once: every attempt is answered, and waiting is bounded

Cause: the property checked what was told and not that something is. It now lets everything settle at the end, and asks for an answer to each attempt. Seen failing, each with the property: a giver that wrongly took its successor for gone never sent the ends of its runs; a successor that knew of the giver's end before the transfer came waited for its runs for ever; ending several keys at once could fail on one that had been dropped for want of memory. Also bounded: attempts that wait for one key, for claims and for a successor. A not-run answer names the remedy that holds, a new key.

--- a/internal/decide/once/claims.go
+++ b/internal/decide/once/claims.go
@@ -12,6 +12,8 @@
 	shards uint32
 	// byKey holds the attempts that wait for each claim, in order of arrival.
 	byKey map[string][]Arrive
+	// waiting counts the attempts in byKey.
+	waiting int
 	// busy holds the batch that is in progress for a shard; next the keys that
 	// wait for it to end.
 	busy map[uint32][]Claim
@@ -31,6 +33,7 @@
 		i := slices.IndexFunc(waiting, func(w Arrive) bool { return w.Attempt == a })
 		if i >= 0 {
 			c.byKey[key] = slices.Delete(waiting, i, i+1)
+			c.waiting--
 			return true
 		}
 	}
@@ -41,6 +44,7 @@
 func (c *claims) take(key string) []Arrive {
 	waiting := c.byKey[key]
 	delete(c.byKey, key)
+	c.waiting -= len(waiting)
 	return waiting
 }
 
@@ -52,18 +56,24 @@
 	}
 	slices.SortFunc(all, func(a, b Arrive) int { return cmp.Compare(a.Attempt, b.Attempt) })
 	clear(c.byKey)
+	c.waiting = 0
 	clear(c.next)
 	return all
 }
 
 // claim lets an attempt wait for the claim of its key.
 func (m *Machine) claim(a Arrive) {
+	if m.claims.waiting >= MaxUnrouted {
+		m.answer(a.Attempt, resumable(outcome.KindOverloaded, "too many attempts wait for claims of their keys"))
+		return
+	}
 	c := Claim{
 		Key: ClaimKey(a.Key), Owner: m.cfg.Self,
 		ExpiryMS: m.now.Add(m.cfg.ClaimTTL).UnixMilli(),
 	}
 	waiting, known := m.claims.byKey[c.Key]
 	m.claims.byKey[c.Key] = append(waiting, a)
+	m.claims.waiting++
 	if known {
 		m.emit(Join{Attempt: a.Attempt, Key: a.Key})
 		return
--- a/internal/decide/once/handover.go
+++ b/internal/decide/once/handover.go
@@ -81,6 +81,8 @@
 		m.answer(a.Attempt, lost(outcome.KindHomeGone, "the key's home has stopped and its successor has ended"))
 	case l.accepted:
 		m.forward(a, l.to)
+	case len(l.parked) >= MaxUnrouted:
+		m.answer(a.Attempt, resumable(outcome.KindOverloaded, "too many attempts wait for the successor of the key's home"))
 	default:
 		l.parked = append(l.parked, a)
 	}
@@ -196,6 +198,9 @@
 			m.store.add(imported(rec, t.From))
 		}
 	}
+	if m.peers.ended(t.From, m.cfg.Self) {
+		m.giveUp(t.From)
+	}
 	m.store.shrink(0, m.forget)
 }
 
@@ -270,17 +275,22 @@
 		return
 	}
 	m.peers.gone[h] = m.now.Add(m.memory())
-	for _, key := range slices.Sorted(maps.Keys(m.store.records)) {
-		if r := m.store.records[key]; r.state == remote && r.giver == h {
-			m.settle(r, lost(outcome.KindHomeGone, "the instance that ran the request has ended"))
-		}
-	}
+	m.giveUp(h)
 	if l := m.leaving; l != nil && l.to == h {
 		parked := l.parked
 		l.parked = nil
-		clear(l.unsent)
 		for _, a := range parked {
 			m.passOn(a)
 		}
 	}
 }
+
+// giveUp ends the keys that a giver still ran when it ended.
+func (m *Machine) giveUp(giver Home) {
+	for _, key := range slices.Sorted(maps.Keys(m.store.records)) {
+		// Settling one key can drop others for want of memory.
+		if r := m.store.get(key); r != nil && r.state == remote && r.giver == giver {
+			m.settle(r, lost(outcome.KindHomeGone, "the instance that ran the request has ended"))
+		}
+	}
+}
--- a/internal/decide/once/machine.go
+++ b/internal/decide/once/machine.go
@@ -18,6 +18,11 @@
 	DefaultClaimShards = 64
 	// ClockMargin is the largest difference of two instances' clocks.
 	ClockMargin = time.Minute
+	// MaxWaiting is how many attempts may wait for one key.
+	MaxWaiting = 64
+	// MaxUnrouted is how many attempts may wait for claims, and how many for a
+	// successor's reply.
+	MaxUnrouted = 4096
 	// maxMoves bounds a chain of handovers as it is followed.
 	maxMoves = 16
 )
@@ -143,11 +148,14 @@
 }
 
 // Quiet reports whether a planned stop may end: the authority has been handed
-// over, no attempt waits here, and every end has been passed on.
+// over, no attempt waits here, and every end has been passed on, unless the
+// successor has ended itself.
 func (m *Machine) Quiet() bool {
 	l := m.leaving
-	return l != nil && l.accepted && len(l.unsent) == 0 && len(l.parked) == 0 &&
-		m.store.live == 0 && len(m.forwards) == 0
+	if l == nil || len(l.parked) > 0 || m.store.live > 0 || len(m.forwards) > 0 {
+		return false
+	}
+	return m.peers.ended(l.to, m.cfg.Self) || l.accepted && len(l.unsent) == 0
 }
 
 // Stats describes the memory of a Machine.
@@ -211,6 +219,10 @@
 		m.emit(Reject{Attempt: a.Attempt, Err: foreignKey()})
 		return true
 	}
+	if len(r.waiting) >= MaxWaiting {
+		m.answer(a.Attempt, resumable(outcome.KindOverloaded, "too many attempts wait for the key"))
+		return true
+	}
 	switch r.state {
 	case settled:
 		res := r.result
@@ -338,6 +350,9 @@
 	if len(res.Body) > MaxKeptBody {
 		res.Body, res.BodyDropped = nil, true
 	}
+	if res.Outcome == outcome.NotRun {
+		res.Err = sealed(res.Err)
+	}
 	r.run, r.result = 0, res
 	m.store.setState(r, settled)
 	for _, a := range r.waiting {
--- a/internal/decide/once/machine_test.go
+++ b/internal/decide/once/machine_test.go
@@ -69,6 +69,22 @@
 	require.Equal(t, outcome.KindOverloaded, res.Err.Kind)
 }
 
+func TestWaitingIsBounded(t *testing.T) {
+	m := testMachine(0)
+	var last []Action
+	for i := range MaxWaiting + 1 {
+		last = m.Step(epoch, Arrive{Attempt: AttemptID(i), Key: issue(t, time.Minute, 1)})
+	}
+	require.Equal(t, outcome.KindOverloaded, last[0].(Answer).Result.Err.Kind)
+	for i := range MaxUnrouted + 1 {
+		last = m.Step(epoch, Arrive{Attempt: AttemptID(1000 + i), Key: "chosen"})
+	}
+	require.Equal(t, outcome.KindOverloaded, last[0].(Answer).Result.Err.Kind)
+	m.Step(epoch, Cancel{Attempt: 1000})
+	last = m.Step(epoch, Arrive{Attempt: 9999, Key: "chosen"})
+	require.Equal(t, Join{Attempt: 9999, Key: "chosen"}, last[0])
+}
+
 func BenchmarkRunWhole(b *testing.B) {
 	m := testMachine(0)
 	body := make([]byte, 200)
--- a/internal/decide/once/model_test.go
+++ b/internal/decide/once/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -45,9 +46,47 @@
 				t.Fatalf("%s\n%s", w.fault, w.log.String())
 			}
 		}
+		w.settleDown()
+		if w.fault != "" {
+			t.Fatalf("%s\n%s", w.fault, w.log.String())
+		}
 	})
 }
 
+// settleDown lets everything end that can: the network works, each run ends,
+// and all know which instances have ended. Each attempt must be answered then.
+func (w *world) settleDown() {
+	w.printf("settling down")
+	for _, n := range w.nodes {
+		for _, o := range w.nodes {
+			if !o.alive {
+				w.step(n, Gone{Home: o.home})
+			}
+		}
+	}
+	for range 8 {
+		for len(w.msgs) > 0 {
+			w.take(0).do()
+		}
+		for _, n := range w.nodes {
+			for _, id := range slices.Sorted(maps.Keys(n.runs)) {
+				w.step(n, Start{Run: id})
+				if r := n.runs[id]; r != nil && r.started {
+					w.finish(n, id, "done")
+				} else if r != nil {
+					w.finish(n, id, "refused")
+				}
+			}
+			w.step(n, Tick{})
+		}
+	}
+	for id, c := range w.calls {
+		if c.at.alive && !c.ended {
+			w.fault = fmt.Sprintf("attempt %d was never answered", id)
+		}
+	}
+}
+
 // randomStep lets one of the things happen that can happen now.
 func (w *world) randomStep(t *rapid.T, keys []string, newKey func()) {
 	n := rapid.SampledFrom(w.nodes).Draw(t, "node")
@@ -76,6 +115,9 @@
 			reason := rapid.SampledFrom([]CancelReason{CallerGone, DeadlinePassed}).Draw(t, "reason")
 			w.printf("attempt %d is cancelled (%d)", id, reason)
 			w.step(w.calls[id].at, Cancel{Attempt: id, Reason: reason})
+			if reason == CallerGone {
+				w.breakOff(w.calls[id])
+			}
 		}
 	case 16:
 		if n.alive && rapid.Bool().Draw(t, "kill") {
--- a/internal/decide/once/refuse.go
+++ b/internal/decide/once/refuse.go
@@ -7,6 +7,7 @@
 // Remedies of errors that this package makes.
 const (
 	remedySameKey = "send it again with the same key to get its answer; it runs at most once"
+	remedyNewKey  = "send it with a new key after the time in Retry-After; under this key it never runs"
 	remedyAsk     = "ask the service whether it was run before sending it with a new key"
 )
 
@@ -27,10 +28,25 @@
 	return failed(&outcome.Error{
 		Outcome: outcome.NotRun, Kind: outcome.KindDeadline,
 		Message: "the deadline passed while the request was queued",
-		Remedy:  "send it with a new key and a later deadline",
+		Remedy:  remedyNewKey,
 	})
 }
 
+// sealed returns the error of a request that was not run, with the remedy that
+// fits a key which never runs any more.
+func sealed(err *outcome.Error) *outcome.Error {
+	if err == nil {
+		return nil
+	}
+	switch err.Kind {
+	case outcome.KindQuarantined, outcome.KindBadRequest, outcome.KindTooLarge, outcome.KindUnknownService:
+		return err
+	}
+	told := *err
+	told.Remedy = remedyNewKey
+	return &told
+}
+
 func failed(err *outcome.Error) Result { return Result{Outcome: err.Outcome, Err: err} }
 
 func foreignKey() *outcome.Error {
--- a/internal/decide/once/world_test.go
+++ b/internal/decide/once/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -291,6 +292,24 @@
 		}
 	}
 	clear(n.runs)
+	for _, id := range slices.Sorted(maps.Keys(w.calls)) {
+		if c := w.calls[id]; c.at == n && !c.ended {
+			w.breakOff(c)
+		}
+	}
+}
+
+// breakOff ends a call without an answer: the instance that forwarded it sees
+// its connection break.
+func (w *world) breakOff(c *call) {
+	c.ended = true
+	if c.from != nil {
+		w.msgs = append(w.msgs, &message{
+			kind: "broken", from: c.at, to: c.from, text: fmt.Sprintf("attempt %d", c.origin),
+			do:   func() { w.step(c.from, ForwardResult{Attempt: c.origin}) },
+			lose: func() { w.step(c.from, ForwardResult{Attempt: c.origin}) },
+		})
+	}
 }
 
 // claim drives a batch through the table: read, merge, compare-and-set.
