--- /dev/null
+++ b/internal/control/steer.go
@@ -0,0 +1,187 @@
+package control
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/blocktable"
+	"github.com/banyandeal/banyandeal/internal/config"
+	"github.com/banyandeal/banyandeal/internal/config/publish"
+	"github.com/banyandeal/banyandeal/internal/decide/load"
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
+	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+)
+
+// steerState is where requests are steered.
+type steerState struct {
+	assembly *config.Assembly
+	// estate is the configuration in force without its blocks.
+	estate *estate.Estate
+	blocks *blocktable.Table
+	demand placement.Demand
+	plan   *placement.Plan
+	tables map[string]*placement.Table
+	// slots counts the declared slots that take work, by zone and service.
+	slots map[string]map[string]int
+	// loads holds what each incarnation last reported, by service.
+	loads map[membership.Identity]map[string]load.Report
+}
+
+func newSteerState() *steerState {
+	return &steerState{
+		blocks: &blocktable.Table{}, tables: map[string]*placement.Table{}, loads: map[membership.Identity]map[string]load.Report{},
+	}
+}
+
+// install takes a version in. Blocks follow the parts that changed; all others
+// are shared with the version before.
+func (s *steerState) install(in *publish.Installed) error {
+	skeleton := in.Assembly.Skeleton(in.Head.Version)
+	if s.estate == nil || in.Changed == nil || !sameRegions(s.estate, skeleton) {
+		return s.rebuild(in.Assembly, skeleton)
+	}
+	blocks, demand := s.blocks, append(placement.Demand(nil), s.demand...)
+	for _, name := range append(append([]string(nil), in.Removed...), in.Changed...) {
+		if !isShard(name) {
+			continue
+		}
+		if _, had := s.assembly.Part(name); !had {
+			continue
+		}
+		old, err := s.assembly.Shard(name)
+		if err != nil {
+			return err
+		}
+		for _, b := range old.Blocks {
+			blocks, _ = blocks.Without(b.Prefix)
+			demand.Remove(skeleton, b)
+		}
+	}
+	for _, name := range in.Changed {
+		if !isShard(name) {
+			continue
+		}
+		shard, err := in.Assembly.Shard(name)
+		if err != nil {
+			return err
+		}
+		for _, b := range shard.Blocks {
+			if blocks, err = blocks.With(entryOf(skeleton, b)); err != nil {
+				return err
+			}
+			demand.Add(skeleton, b)
+		}
+	}
+	s.assembly, s.estate, s.blocks, s.demand, s.slots = in.Assembly, skeleton, blocks, demand, slotsOf(skeleton)
+	return nil
+}
+
+func (s *steerState) rebuild(a *config.Assembly, skeleton *estate.Estate) error {
+	var entries []blocktable.Entry
+	demand := make(placement.Demand, len(skeleton.Regions))
+	for _, name := range a.ShardNames() {
+		shard, err := a.Shard(name)
+		if err != nil {
+			return err
+		}
+		for _, b := range shard.Blocks {
+			entries = append(entries, entryOf(skeleton, b))
+			demand.Add(skeleton, b)
+		}
+	}
+	blocks, err := blocktable.New(entries)
+	if err != nil {
+		return err
+	}
+	s.assembly, s.estate, s.blocks, s.demand, s.slots = a, skeleton, blocks, demand, slotsOf(skeleton)
+	return nil
+}
+
+// slotsOf counts the declared slots that take work, by zone and service.
+func slotsOf(e *estate.Estate) map[string]map[string]int {
+	out := make(map[string]map[string]int, len(e.Zones))
+	for _, z := range e.Zones {
+		out[z.Name] = map[string]int{}
+	}
+	for i := range e.Services {
+		for _, b := range e.Services[i].Backends {
+			if zone := out[b.Zone]; zone != nil && !e.BackendDraining(b) {
+				zone[e.Services[i].Name] += b.Slots
+			}
+		}
+	}
+	return out
+}
+
+func sameRegions(a, b *estate.Estate) bool {
+	if len(a.Regions) != len(b.Regions) {
+		return false
+	}
+	for i := range a.Regions {
+		if a.Regions[i].Name != b.Regions[i].Name {
+			return false
+		}
+	}
+	return true
+}
+
+func entryOf(e *estate.Estate, b estate.Block) blocktable.Entry {
+	return blocktable.Entry{Prefix: b.Prefix, Class: blocktable.Class(regionIndex(e, b.Region))}
+}
+
+func regionIndex(e *estate.Estate, name string) int {
+	for i, r := range e.Regions {
+		if r.Name == name {
+			return i
+		}
+	}
+	return 0
+}
+
+// steerUnits are the pieces in which blocks are steered.
+var steerUnits = placement.Units{Bits4: 24, Bits6: 56}
+
+// ownRegion returns the index of this instance's region, which stands for
+// callers that no block contains.
+func (c *Control) ownRegion() int {
+	z, _ := c.steer.estate.ZoneOf(c.Self.Zone)
+	return regionIndex(c.steer.estate, z.Region)
+}
+
+// loadReport is the value of a load record, by service.
+type loadReport map[string]reportedLoad
+
+// reportedLoad is what one instance has of a service.
+type reportedLoad struct {
+	Busy  load.Milli `json:"busy"`
+	Slots int        `json:"slots"`
+}
+
+// publishLoad writes this instance's load record.
+func (c *Control) publishLoad(now time.Time) {
+	if c.steer.estate == nil {
+		return
+	}
+	loads := c.ownLoad(now)
+	c.steer.loads[c.Self.Identity] = loads
+	report := loadReport{}
+	for name, l := range loads {
+		report[name] = reportedLoad{Busy: l.Busy, Slots: l.Slots}
+	}
+	c.logError("load_record_failed", c.records.set(recordLoad, report))
+}
+
+func (c *Control) takeLoad(now time.Time, rec *peerpb.Record) {
+	var report loadReport
+	if json.Unmarshal(rec.Value, &report) != nil {
+		return
+	}
+	loads := make(map[string]load.Report, len(report))
+	for name, l := range report {
+		loads[name] = load.Report{Busy: l.Busy, Slots: l.Slots, At: now}
+	}
+	c.steer.loads[membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}] = loads
+	c.dirty = true
+}
