--- a/internal/decide/once/machine_test.go
+++ b/internal/decide/once/machine_test.go
@@ -1,6 +1,8 @@
 package once
 
 import (
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,3 +105,23 @@
 		m.Step(epoch, Finish{Run: run, Result: Result{Outcome: outcome.Done, Status: 200, Body: body}})
 	}
 }
+
+// BenchmarkKeptKey reports the heap that a settled key takes, beside what the
+// machine counts for it.
+func BenchmarkKeptKey(b *testing.B) {
+	const keys = 50_000
+	body := make([]byte, 200)
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m := testMachine(1 << 30)
+		for i := range keys {
+			runWhole(b, m, AttemptID(i), issue(b, time.Minute, uint64(i)), slices.Clone(body))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/keys, "heap-B/key")
+		b.ReportMetric(float64(m.Stats().Bytes)/keys, "counted-B/key")
+	}
+}
