--- /dev/null
+++ b/internal/decide/ownership/main_test.go
@@ -0,0 +1,13 @@
+package ownership
+
+import (
+	"os"
+	"testing"
+
+	"github.com/banyandeal/banyandeal/internal/decide/decidetest"
+)
+
+func TestMain(m *testing.M) {
+	decidetest.FixSeed()
+	os.Exit(m.Run())
+}
