refresh: changes and one digest, with full refresh and the digest tree beside it

Cause: soft state has to reach every instance at a cost that does not grow with the estate. Ruled out: sorted groups as in the paper (an insertion shifts every group behind it); tombstones in the digest (replicas drop them at different times).

--- /dev/null
+++ b/internal/decide/refresh/refresh_test.go
@@ -0,0 +1,246 @@
+package refresh
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/banyandeal/banyandeal/internal/decide/decidetest"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+)
+
+func TestMain(m *testing.M) {
+	decidetest.FixSeed()
+	os.Exit(m.Run())
+}
+
+var policies = []struct {
+	name string
+	make func(*Set) Policy
+}{
+	{"full", NewFull}, {"delta", NewDelta}, {"tree", NewTree}, {"deltatree", NewDeltaTree},
+}
+
+var epoch = time.Unix(0, 0)
+
+func record(i int, sequence uint64) Record {
+	return Record{
+		Owner: fmt.Sprintf("pos-a-%04d", i), Name: "member", Incarnation: 1764000000000, Sequence: sequence,
+		Value: []byte("live 10.12.104.211:7001 10.12.104.211:7002"),
+	}
+}
+
+// exchange makes one exchange from a to b and returns its bytes.
+func exchange(a, b Policy) int {
+	req := a.Request()
+	reply := b.Serve(epoch, req)
+	a.Finish(epoch, reply)
+	return req.Size() + reply.Size()
+}
+
+// TestConverge holds for every policy that after random changes, deletions,
+// lost messages, silent losses and restarts a few exchanges make replicas equal,
+// with the newest version of every record that any of them still has.
+func TestConverge(t *testing.T) {
+	for _, p := range policies {
+		t.Run(p.name, func(t *testing.T) { rapid.Check(t, func(t *rapid.T) { converge(t, p.make) }) })
+	}
+}
+
+func converge(t *rapid.T, make func(*Set) Policy) {
+	limits := Limits{Log: rapid.IntRange(1, 8).Draw(t, "log")}
+	sets := []*Set{NewSet(limits), NewSet(limits)}
+	ends := []Policy{make(sets[0]), make(sets[1])}
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		i := rapid.IntRange(0, 1).Draw(t, "side")
+		r := record(rapid.IntRange(0, 9).Draw(t, "record"), uint64(rapid.IntRange(1, 5).Draw(t, "sequence")))
+		switch rapid.IntRange(0, 6).Draw(t, "step") {
+		case 0, 1:
+			r.Deleted = rapid.IntRange(0, 3).Draw(t, "deleted") == 0
+			sets[i].Put(epoch, r)
+		case 2:
+			sets[i].lose(r.Owner, r.Name)
+		case 3:
+			ends[1-i].Serve(epoch, ends[i].Request())
+		case 4:
+			sets[i] = NewSet(limits)
+			ends = []Policy{make(sets[0]), make(sets[1])}
+		default:
+			exchange(ends[i], ends[1-i])
+		}
+	}
+	best := newest(sets)
+	// At most: one that shows the mismatch, the log, everything, one to see.
+	for range 4 {
+		exchange(ends[0], ends[1])
+	}
+	require.True(t, ends[0].InSync())
+	require.Equal(t, sets[0].Digest(), sets[1].Digest())
+	require.Equal(t, best, newest(sets[:1]))
+	require.Equal(t, best, newest(sets[1:]))
+}
+
+// newest returns the newest version of every record that is not deleted.
+func newest(sets []*Set) []Record {
+	all := NewSet(Limits{})
+	for _, s := range sets {
+		for _, r := range s.all() {
+			all.Put(epoch, r)
+		}
+	}
+	return slices.DeleteFunc(all.all(), func(r Record) bool { return r.Deleted })
+}
+
+// TestDigestOrder holds that the digest depends on the records alone.
+func TestDigestOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []Record
+		for range rapid.IntRange(0, 30).Draw(t, "records") {
+			r := record(rapid.IntRange(0, 9).Draw(t, "record"), uint64(rapid.IntRange(1, 5).Draw(t, "sequence")))
+			r.Deleted = rapid.Bool().Draw(t, "deleted")
+			records = append(records, r)
+		}
+		digest := func(rs []Record) uint64 {
+			s := NewSet(Limits{})
+			for _, r := range rs {
+				s.Put(epoch, r)
+			}
+			return s.Digest()
+		}
+		require.Equal(t, digest(records), digest(rapid.Permutation(records).Draw(t, "order")))
+	})
+}
+
+// TestBounds holds that memory is bounded and that a full set leads to no
+// endless full exchanges.
+func TestBounds(t *testing.T) {
+	a, b := NewSet(Limits{Log: 4}), NewSet(Limits{Log: 4, Records: 5})
+	for i := range 10 {
+		a.Put(epoch, record(i, 1))
+	}
+	pa, pb := NewDelta(a), NewDelta(b)
+	fullOnes := 0
+	for range 64 {
+		req := pa.Request()
+		if req.Full {
+			fullOnes++
+		}
+		pa.Finish(epoch, pb.Serve(epoch, req))
+	}
+	require.Equal(t, 5, b.Len())
+	require.NotZero(t, b.Refused())
+	require.Equal(t, 2, fullOnes)
+	a.Put(epoch, Record{Owner: "pos-a-0000", Name: "member", Incarnation: 1764000000000, Sequence: 2, Deleted: true})
+	a.Expire(epoch.Add(DefaultTombstoneTTL - 1))
+	require.Equal(t, 10, a.Len())
+	a.Expire(epoch.Add(DefaultTombstoneTTL))
+	require.Equal(t, 9, a.Len())
+}
+
+// TestSize holds that sizes are those of the peer protocol.
+func TestSize(t *testing.T) {
+	r := record(1, 7)
+	r.Deleted = true
+	m := &peerpb.Exchange{Records: []*peerpb.Record{{
+		Owner: r.Owner, Name: r.Name, Incarnation: r.Incarnation, Sequence: r.Sequence, Value: r.Value, Deleted: true,
+	}}}
+	require.Equal(t, proto.Size(m), r.Size())
+}
+
+var sizes = []int{100, 1000, 6300}
+
+// pair returns two equal sets of n records with their policies.
+func pair(n int, make func(*Set) Policy) (a *Set, pa, pb Policy) {
+	a, b := NewSet(Limits{}), NewSet(Limits{})
+	for i := range n {
+		a.Put(epoch, record(i, 1))
+	}
+	pa, pb = make(a), make(b)
+	for range 3 {
+		exchange(pa, pb)
+	}
+	return a, pa, pb
+}
+
+// BenchmarkExchange measures one exchange, as each heartbeat makes one, with
+// some records changed since the last.
+func BenchmarkExchange(b *testing.B) {
+	for _, p := range policies {
+		for _, n := range sizes {
+			for _, changed := range []int{0, 1, 10} {
+				b.Run(fmt.Sprintf("policy=%s/records=%d/changed=%d", p.name, n, changed), func(b *testing.B) {
+					a, pa, pb := pair(n, p.make)
+					bytes, sequence := 0, uint64(1)
+					for b.Loop() {
+						sequence++
+						for i := range changed {
+							a.Put(epoch, record(i, sequence))
+						}
+						bytes += exchange(pa, pb)
+					}
+					b.ReportMetric(float64(bytes)/float64(b.N), "B/exchange")
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkResync measures the way back to equal sets after records were lost
+// without a trace, and after a relay began anew. The records that were lost
+// were not among the recent changes.
+func BenchmarkResync(b *testing.B) {
+	for _, p := range policies {
+		for _, n := range sizes {
+			for _, lost := range []string{"one", "tenth", "restart"} {
+				b.Run(fmt.Sprintf("policy=%s/records=%d/lost=%s", p.name, n, lost), func(b *testing.B) {
+					benchmarkResync(b, p.make, n, lost)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkResync(b *testing.B, make func(*Set) Policy, n int, lost string) {
+	a, pa, pb := pair(n, make)
+	bytes, rounds := 0, 0
+	for b.Loop() {
+		other := setOf(pb)
+		switch lost {
+		case "restart":
+			other = NewSet(Limits{})
+			pa, pb = make(a), make(other)
+		case "one":
+			other.lose(record(n/4, 1).Owner, "member")
+		case "tenth":
+			for i := range n / 10 {
+				other.lose(record(i, 1).Owner, "member")
+			}
+		}
+		for a.Digest() != other.Digest() {
+			bytes += exchange(pa, pb)
+			rounds++
+		}
+		// One more, outside the count, lets the policy see that all is well.
+		exchange(pa, pb)
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "B/resync")
+	b.ReportMetric(float64(rounds)/float64(b.N), "exchanges/resync")
+}
+
+func setOf(p Policy) *Set {
+	switch p := p.(type) {
+	case *full:
+		return p.set
+	case *delta:
+		return p.set
+	case *tree:
+		return p.set
+	}
+	return nil
+}
