banyanctl: a session with running instances, from nothing to a drained zone

Cause: the sessions met only fakes of the operator listener. Before: the whole path was walked by hand. After: TestWalk starts two instances, the platform and backend servers, and applies, looks up, sends, traces, drains, fills and stops them. It has no fixed ports and waits for conditions, not for times.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"errors"
 	"flag"
 	"os"
@@ -26,13 +27,18 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
+		"banyandeald": runDaemon,
 		"banyanctl": func() {
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 			var stdout, stderr bytes.Buffer
-			code := cli.Run(ctx, os.Args, cli.Options{
+			o := cli.Options{
 				Stdout: &stdout, Stderr: &stderr, Version: "1.2.3", Clock: newFakeClock(),
 				NewID: func() string { return os.Getenv("CHANGE_ID") },
-			})
+			}
+			if os.Getenv("CLOCK") == "system" {
+				o.Clock, o.NewID = cli.SystemClock{}, rand.Text
+			}
+			code := cli.Run(ctx, os.Args, o)
 			stop()
 			named := strings.NewReplacer(strings.Fields(os.Getenv(envAddresses))...)
 			_, _ = named.WriteString(os.Stdout, stdout.String())
@@ -60,23 +66,46 @@
 //	lossy                          lose the reply to the next write, be down then
 //	instances FILE                 start the instances of the file and set
 //	                               BANYAN_OPERATOR to the first, $NAME to each
-func TestSessions(t *testing.T) {
+//
+// and, for sessions with running instances,
+//
+//	ports NAME...                  set variables to free loopback addresses
+//	expand FILE...                 replace variables in files
+//	backend NAME ADDRESS           start a backend server
+//	list ID ZONE PEER              put an instance on the platform's list
+//	eventually REGEXP COMMAND...   run the tool until its output matches
+//	request ADDRESS PATH           send a request, which must be done
+func TestSessions(t *testing.T) { runSessions(t, "testdata") }
+
+// TestWalk runs the sessions with running instances.
+func TestWalk(t *testing.T) { runSessions(t, "testdata/walk") }
+
+func runSessions(t *testing.T, dir string) {
 	testscript.Run(t, testscript.Params{
-		Dir:                 "testdata",
+		Dir:                 dir,
 		UpdateScripts:       *update,
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("CHANGE_ID", "change-1")
 			env.Setenv("GORACE", "atexit_sleep_ms=10") // of each run of the tool, a second by default
+			if dir != "testdata" {
+				return nil // it brings its own
+			}
 			return os.CopyFS(env.WorkDir+"/estate", os.DirFS("testdata/estate"))
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"exits":     exits,
-			"platform":  startPlatform,
-			"faults":    setFaults,
-			"instances": startInstances,
-			"lossy":     startLossy,
+			"exits":      exits,
+			"platform":   startPlatform,
+			"faults":     setFaults,
+			"instances":  startInstances,
+			"lossy":      startLossy,
+			"ports":      setPorts,
+			"expand":     expandFiles,
+			"backend":    startBackend,
+			"list":       listInstance,
+			"eventually": eventually,
+			"request":    sendRequest,
 		},
 	})
 }
