control: a drained zone is empty once look-ups have left it

Cause: the drain log took a zone for empty at the first heartbeat without a request in flight. Ruled out: waiting for TARGET alone, which is 0 at once. Conclusion: TOOK now includes the ramp and the answers that callers keep.

--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -13,6 +13,8 @@
 // drainLog follows drains from their declaration until nothing is in flight.
 type drainLog struct {
 	all []operator.DrainStatus
+	// steered is when look-ups last led to this instance's zone.
+	steered time.Time
 }
 
 // begin notes a drain; one that is known already is left as it is.
@@ -27,14 +29,15 @@
 }
 
 // update notes the work left of a drain and reports whether it has just ended.
-func (d *drainLog) update(what string, inFlight int, now time.Time) (ended bool) {
+// One that is open has work to come.
+func (d *drainLog) update(what string, inFlight int, open bool, now time.Time) (ended bool) {
 	for i := range d.all {
 		s := &d.all[i]
 		if s.What != what || s.Took != 0 {
 			continue
 		}
 		s.InFlight = inFlight
-		if inFlight == 0 {
+		if inFlight == 0 && !open {
 			s.Took = max(now.Sub(s.Since).Seconds(), 0.001)
 			return true
 		}
@@ -59,20 +62,39 @@
 		return
 	}
 	declared := map[string]bool{}
-	follow := func(what string, inFlight int) {
+	follow := func(what string, inFlight int, open bool) {
 		declared[what] = true
 		c.drains.begin(what, now)
-		if c.drains.update(what, inFlight, now) {
+		if c.drains.update(what, inFlight, open, now) {
 			c.Log.Info().Str("what", what).Msg("drained")
 		}
 	}
 	if e.ZoneDraining(c.Self.Zone) {
-		follow("zone "+c.Self.Zone, c.Pool.Total())
+		if c.steered() {
+			c.drains.steered = now
+		}
+		follow("zone "+c.Self.Zone, c.Pool.Total(), now.Sub(c.drains.steered) < c.longestTTL())
 	}
 	for _, u := range c.Pool.Usage() {
 		if u.State.IsDraining() {
-			follow("backend "+u.Name, u.InFlight)
+			follow("backend "+u.Name, u.InFlight, false)
 		}
 	}
 	c.drains.keep(declared)
 }
+
+// steered reports whether look-ups lead to this instance's zone.
+func (c *Control) steered() bool {
+	if c.steer.plan == nil {
+		return false
+	}
+	for i, sp := range c.steer.plan.Services {
+		flows, _ := columns(flowOf(c.ramp.ramp.Shares(i), sp.Flow))
+		for zi, z := range c.steer.plan.Input.Zones {
+			if z.Name == c.Self.Zone && flows[zi] > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
