--- a/internal/decide/ownership/model_test.go
+++ b/internal/decide/ownership/model_test.go
@@ -106,7 +106,8 @@
 
 // tick lets time pass at n: its work ends, its machine goes on.
 func (w *world) tick(n *node) {
-	for name, attempt := range n.stops {
+	for _, name := range sortedKeys(n.stops) {
+		attempt := n.stops[name]
 		if w.inFlight(n, name) == 0 {
 			delete(n.stops, name)
 			n.m.Drained(w.now, name, attempt)
@@ -359,7 +360,11 @@
 			w.net.Send(func() { w.write(n, w.lastWrite(n), true) })
 		}
 	case 9:
-		w.begin(n, w.backends[rapid.IntRange(0, len(w.backends)-1).Draw(t, "backend")].Name, testDeadline)
+		for _, b := range w.backends {
+			for range rapid.IntRange(0, testSlots).Draw(t, "requests") {
+				w.begin(n, b.Name, testDeadline)
+			}
+		}
 	case 10, 11:
 		w.deliver(t)
 	case 12:
