platform: an absent row does not prove that a transaction was not written

Cause: when the reply of a transaction was lost, judge took a row that does not conflict as proof that it was not written; a row that was expected absent may have been written and deleted since. Conclusion: an absent row decides nothing; the outcome is then a lost reply.

--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -126,7 +126,8 @@
 // judge reads the change ids back. A row's version rises by one with each
 // write and never goes back, so another's id at the version that this
 // transaction would have written, or a row still at the expected version,
-// proves that it was not written. A row that has moved on proves nothing.
+// proves that it was not written. A row that has moved on proves nothing, nor
+// does one that is absent as expected: it may have been written and deleted.
 func judge(txn Txn, conflicting []Row) verdict {
 	byName := make(map[string]Row, len(conflicting))
 	for _, r := range conflicting {
@@ -138,7 +139,10 @@
 	for _, w := range txn.Writes {
 		r, conflicts := byName[w.Row]
 		if !conflicts {
-			return wasNotWritten
+			if w.Expect > 0 {
+				return wasNotWritten
+			}
+			continue
 		}
 		if r.Version == w.Expect+1 {
 			return wasNotWritten
--- a/internal/platform/commit_test.go
+++ b/internal/platform/commit_test.go
@@ -28,3 +28,11 @@
 		})
 	}
 }
+
+// TestJudgeAbsentRow has a row that was expected to be absent and is: it may
+// have been written and deleted since.
+func TestJudgeAbsentRow(t *testing.T) {
+	txn := Txn{ID: "mine", Writes: []Write{{Row: "a", Expect: 1}, {Row: "b", Expect: 0}}}
+	require.Equal(t, undecided, judge(txn, []Row{{Name: "a"}}))
+	require.Equal(t, wasNotWritten, judge(txn, []Row{{Name: "b", Version: 1, ChangeID: "other"}}))
+}
