--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -15,6 +15,10 @@
 //	cancel NAME         the caller goes away
 //	outcome NAME...     wait for the ends of requests and print them
 //	runs NAME...        how often backend servers began to run a request
+//	total NAME          counts of the ends of a flood; kinds: the ends alone
+//	served NAME         runs that a backend server has begun so far
+//	peak [NAME...]      whether backend servers ever had more at once than slots
+//	exit ID             wait for the end of an instance
 //	backend NAME        set faults: hold, release, shed, crash=PATH, health=ok|fail, drop=N, cut=N, late=N, drain, up, down
 //	list ID STATE       what the platform's list says: live, leaving or gone
 //	platform FAULT...   up, down, unavailable, slow=D, lose-replies=N, lose-requests=N, stale=N, frozen-list
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -73,6 +73,10 @@
 		return w.total(a), nil
 	case "runs":
 		return w.runsCommand(a)
+	case "served":
+		return fmt.Sprintf("%d\n", len(w.backends[a.word(0)].Runs())), nil
+	case "exit":
+		return w.exitCommand(a)
 	case "peak":
 		return w.peakCommand(a)
 	case "wait", "expect", "never":
@@ -261,6 +265,23 @@
 	return b.String(), nil
 }
 
+// exitCommand waits for the end of an instance and prints how it ended.
+func (w *world) exitCommand(a args) (string, error) {
+	in, err := w.instance(a.word(0))
+	if err != nil {
+		return "", err
+	}
+	select {
+	case <-in.ended:
+	case <-time.After(waitLimit):
+		return "still running\n", nil
+	}
+	if in.err != nil {
+		return "ended with an error\n", nil
+	}
+	return "stopped\n", nil
+}
+
 // peakCommand compares what backend servers had at once with their slots.
 func (w *world) peakCommand(a args) (string, error) {
 	var b strings.Builder
--- a/internal/scenario/wait.go
+++ b/internal/scenario/wait.go
@@ -36,6 +36,8 @@
 //	platform at=ID state=up|down   as the instance sees it
 //	backend at=ID NAME STATE       healthy, suspect, ejected, draining or cold
 //	first at=ID from=REGION ZONE   first zone of a look-up
+//	share at=ID from=REGION zone=Z min=X max=X
+//	                               share of callers whose first zone it is, in percent
 //	absent at=ID ID                look-ups don't name the instance
 //	ended REQUEST                  the request has ended
 var conditions = map[string]func(w *world, a args) bool{
@@ -52,6 +54,7 @@
 	"platform": func(w *world, a args) bool { return w.platformSeen(a.text("at", "")) == a.text("state", "up") },
 	"backend":  (*world).backendIs,
 	"first":    (*world).firstIs,
+	"share":    (*world).shareIs,
 	"absent":   (*world).absent,
 }
 
@@ -248,6 +251,19 @@
 	return err == nil && answer.Instances[0].Zone == a.word(0)
 }
 
+// shareIs looks up for callers of many units of steering.
+func (w *world) shareIs(a args) bool {
+	const callers = 100
+	first := 0
+	for n := range callers {
+		answer, err := w.lookup(a.text("at", ""), a.text("service", "loans"), w.caller(a.text("from", ""), n))
+		if err == nil && answer.Instances[0].Zone == a.text("zone", "") {
+			first++
+		}
+	}
+	return first >= a.number("min", 0) && first <= a.number("max", callers)
+}
+
 func (w *world) absent(a args) bool {
 	for n := range 16 {
 		answer, err := w.lookup(a.text("at", ""), a.text("service", "loans"), w.caller(a.text("from", ""), n))
