--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
+	"github.com/banyandeal/banyandeal/internal/decide/shift"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/operator"
 	"github.com/banyandeal/banyandeal/internal/pool"
@@ -55,12 +57,12 @@
 	var out []operator.ServiceStatus
 	for i, sp := range c.steer.plan.Services {
 		st := operator.ServiceStatus{Name: sp.Name}
-		now, total := columns(c.steer.flows[sp.Name])
+		now, total := columns(flowOf(c.ramp.ramp.Shares(i), sp.Flow))
 		target, _ := columns(sp.Flow)
-		for zi, z := range c.steer.plan.Zones {
+		for zi, z := range c.steer.plan.Input.Zones {
 			st.Zones = append(st.Zones, operator.ServiceZoneStatus{
 				Zone: z.Name, Weight: share(now[zi], total), Target: share(target[zi], total),
-				Slots: c.zoneSlots(i, z.Name), Free: c.zoneFree(sp.Name, z.Name),
+				Slots: c.steer.slots[z.Name][sp.Name], Free: c.zoneFree(sp.Name, z.Name),
 			})
 		}
 		st.Overflow = share(now[len(now)-1], total)
@@ -69,6 +71,22 @@
 	return out
 }
 
+// flowOf returns shares in force as flows: each edge region's share of the
+// demand that the target has for it.
+func flowOf(shares, target placement.Matrix) placement.Matrix {
+	out := shares.Clone()
+	for e := range out.Edges {
+		var demand placement.Rate
+		for _, v := range target.Row(e) {
+			demand += v
+		}
+		for z, v := range shares.Row(e) {
+			out.Row(e)[z] = placement.Rate(float64(v) / float64(shift.Unit) * float64(demand))
+		}
+	}
+	return out
+}
+
 // columns sums a matrix by zone, the overflow last.
 func columns(m placement.Matrix) (sums []placement.Rate, total placement.Rate) {
 	sums = make([]placement.Rate, m.Zones+1)
@@ -88,36 +106,26 @@
 	return float64(part) / float64(total)
 }
 
-func (c *Control) zoneSlots(service int, zone string) int {
-	n := 0
-	for _, b := range c.steer.estate.Services[service].Backends {
-		if b.Zone == zone && !c.steer.estate.BackendDraining(b) {
-			n += b.Slots
-		}
-	}
-	return n
-}
-
 func (c *Control) zoneFree(service, zone string) int {
-	free := 0
-	for _, in := range c.members.View().Zone(zone).Usable() {
-		if in.Identity == c.Self.Identity {
-			own, _ := c.Pool.Free(service)
-			free += own
-			continue
-		}
-		free += c.steer.loads[in.Identity][service].Free
-	}
-	return free
+	rep, _ := c.zoneLoad(zone, service)
+	return rep.Slots - int(rep.Busy/load.Slot)
 }
 
 func (c *Control) linkStatus(region string) []operator.LinkStatus {
+	caps := map[string]estate.Link{}
+	var to []string
+	for _, l := range c.steer.estate.Links {
+		if l.From == region {
+			caps[l.To] = l
+			to = append(to, l.To)
+		}
+	}
 	var out []operator.LinkStatus
-	for _, u := range c.Links.Usage() {
-		l, _ := c.steer.estate.LinkOf(region, u.To)
+	for _, u := range c.Links.Usage(to) {
 		out = append(out, operator.LinkStatus{
-			From: region, To: u.To, MaxInFlight: l.MaxInFlight, MaxRate: l.MaxRate,
-			RightsInFlight: u.Rights.InFlight, RightsRate: u.Rights.Rate, InFlight: u.InFlight, Peak: u.Peak,
+			From: region, To: u.To, MaxInFlight: caps[u.To].MaxInFlight, MaxRate: caps[u.To].MaxRate,
+			RightsInFlight: int(u.Rights.InFlight), RightsRate: float64(u.Rights.Rate),
+			InFlight: int(u.Used.InFlight), Peak: int(u.Peak),
 		})
 	}
 	return out
--- a/internal/control/steer.go
+++ b/internal/control/steer.go
@@ -7,11 +7,11 @@
 	"github.com/banyandeal/banyandeal/internal/blocktable"
 	"github.com/banyandeal/banyandeal/internal/config"
 	"github.com/banyandeal/banyandeal/internal/config/publish"
+	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
-	"github.com/banyandeal/banyandeal/internal/snapshot"
 )
 
 // steerState is where requests are steered.
@@ -23,15 +23,15 @@
 	demand placement.Demand
 	plan   *placement.Plan
 	tables map[string]*placement.Table
-	// flows holds the flows that are in force, by service.
-	flows map[string]placement.Matrix
+	// slots counts the declared slots that take work, by zone and service.
+	slots map[string]map[string]int
 	// loads holds what each incarnation last reported, by service.
-	loads map[membership.Identity]map[string]snapshot.Load
+	loads map[membership.Identity]map[string]load.Report
 }
 
 func newSteerState() *steerState {
 	return &steerState{
-		blocks: &blocktable.Table{}, tables: map[string]*placement.Table{}, loads: map[membership.Identity]map[string]snapshot.Load{},
+		blocks: &blocktable.Table{}, tables: map[string]*placement.Table{}, loads: map[membership.Identity]map[string]load.Report{},
 	}
 }
 
@@ -74,7 +74,7 @@
 			demand.Add(skeleton, b)
 		}
 	}
-	s.assembly, s.estate, s.blocks, s.demand = in.Assembly, skeleton, blocks, demand
+	s.assembly, s.estate, s.blocks, s.demand, s.slots = in.Assembly, skeleton, blocks, demand, slotsOf(skeleton)
 	return nil
 }
 
@@ -95,10 +95,26 @@
 	if err != nil {
 		return err
 	}
-	s.assembly, s.estate, s.blocks, s.demand = a, skeleton, blocks, demand
+	s.assembly, s.estate, s.blocks, s.demand, s.slots = a, skeleton, blocks, demand, slotsOf(skeleton)
 	return nil
 }
 
+// slotsOf counts the declared slots that take work, by zone and service.
+func slotsOf(e *estate.Estate) map[string]map[string]int {
+	out := make(map[string]map[string]int, len(e.Zones))
+	for _, z := range e.Zones {
+		out[z.Name] = map[string]int{}
+	}
+	for i := range e.Services {
+		for _, b := range e.Services[i].Backends {
+			if zone := out[b.Zone]; zone != nil && !e.BackendDraining(b) {
+				zone[e.Services[i].Name] += b.Slots
+			}
+		}
+	}
+	return out
+}
+
 func sameRegions(a, b *estate.Estate) bool {
 	if len(a.Regions) != len(b.Regions) {
 		return false
@@ -127,23 +143,6 @@
 // steerUnits are the pieces in which blocks are steered.
 var steerUnits = placement.Units{Bits4: 24, Bits6: 56}
 
-// replan computes the placement of the configuration in force.
-func (c *Control) replan(time.Time) {
-	s := c.steer
-	plan, err := placement.Compute(placement.NewInput(s.estate, s.demand))
-	if err != nil {
-		c.Log.Error().Err(err).Msg("placement_failed")
-		return
-	}
-	s.plan = plan
-	s.tables, s.flows = map[string]*placement.Table{}, map[string]placement.Matrix{}
-	for i, sp := range plan.Services {
-		s.flows[sp.Name] = sp.Flow
-		s.tables[sp.Name] = placement.NewTable(plan, i, sp.Flow, s.blocks, steerUnits, c.ownRegion())
-	}
-	c.dirty = true
-}
-
 // ownRegion returns the index of this instance's region, which stands for
 // callers that no block contains.
 func (c *Control) ownRegion() int {
@@ -151,28 +150,27 @@
 	return regionIndex(c.steer.estate, z.Region)
 }
 
-func (c *Control) tickSteer(time.Time) {}
-
 // loadReport is the value of a load record, by service.
-type loadReport map[string]struct {
-	Free  int `json:"free"`
-	Slots int `json:"slots"`
+type loadReport map[string]reportedLoad
+
+// reportedLoad is what one instance has of a service.
+type reportedLoad struct {
+	Busy  load.Milli `json:"busy"`
+	Slots int        `json:"slots"`
 }
 
 // publishLoad writes this instance's load record.
-func (c *Control) publishLoad(time.Time) {
+func (c *Control) publishLoad(now time.Time) {
 	if c.steer.estate == nil {
 		return
 	}
+	loads := c.ownLoad(now)
+	c.steer.loads[c.Self.Identity] = loads
 	report := loadReport{}
-	for _, s := range c.steer.estate.Services {
-		entry := report[s.Name]
-		entry.Free, entry.Slots = c.Pool.Free(s.Name)
-		report[s.Name] = entry
-	}
-	if err := c.records.set(recordLoad, report); err != nil {
-		c.Log.Error().Err(err).Msg("load_record_failed")
+	for name, l := range loads {
+		report[name] = reportedLoad{Busy: l.Busy, Slots: l.Slots}
 	}
+	c.logError("load_record_failed", c.records.set(recordLoad, report))
 }
 
 func (c *Control) takeLoad(now time.Time, rec *peerpb.Record) {
@@ -180,9 +178,9 @@
 	if json.Unmarshal(rec.Value, &report) != nil {
 		return
 	}
-	loads := make(map[string]snapshot.Load, len(report))
+	loads := make(map[string]load.Report, len(report))
 	for name, l := range report {
-		loads[name] = snapshot.Load{Free: l.Free, Slots: l.Slots, At: now}
+		loads[name] = load.Report{Busy: l.Busy, Slots: l.Slots, At: now}
 	}
 	c.steer.loads[membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}] = loads
 	c.dirty = true
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -44,17 +44,22 @@
 
 // New returns a client that gives an instance so long for one answer.
 func New(timeout time.Duration) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{}}, timeout: timeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConns: maxConcurrent}}, timeout: timeout}
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Status asks the instance at the operator address, host:port or a base URL.
-// Errors: Unreachable.
-func (c *Client) Status(ctx context.Context, addr string) (operator.Status, error) {
+// Status asks the instance at the operator address, host:port or a base URL,
+// for a part of its status: operator.PartSelf, PartWork, or all of it if part is
+// empty. Errors: Unreachable.
+func (c *Client) Status(ctx context.Context, addr, part string) (operator.Status, error) {
+	path := "/v1/status"
+	if part != "" {
+		path += "?part=" + part
+	}
 	var s operator.Status
-	if err := c.get(ctx, addr, "/v1/status", &s); err != nil {
+	if err := c.get(ctx, addr, path, &s); err != nil {
 		return s, err
 	}
 	if s.Instance == "" { // it answers, and its control state does not
