--- a/internal/filter/route/places.go
+++ b/internal/filter/route/places.go
@@ -95,6 +95,9 @@
 		zones = s.zones()
 	}
 	name, ok := balance.Forward(now, load.Believe, neighbours, zones, rand.Uint64())
+	if !ok {
+		name, ok = lastResort(now, neighbours)
+	}
 	if !ok {
 		return place{}, false
 	}
@@ -110,6 +113,20 @@
 	return s.zone(z, in), true
 }
 
+// lastResort returns a neighbour whose report says full but that has not
+// refused a request lately: slots come free faster than reports come in, and
+// asking a neighbour costs less than turning the caller away.
+func lastResort(now time.Time, neighbours []balance.Peer) (name string, ok bool) {
+	start := rand.IntN(max(len(neighbours), 1))
+	for i := range neighbours {
+		n := neighbours[(start+i)%len(neighbours)]
+		if n.Slots > 0 && now.Sub(n.Evidence.Refused) >= load.Believe.RefusalHold {
+			return n.Name, true
+		}
+	}
+	return "", false
+}
+
 // neighbours returns the other instances of the zone.
 func (s *search) neighbours(z snapshot.Zone) []balance.Peer {
 	var out []balance.Peer
