control: records by deltas and one digest, inside the zone and across zones

Cause: each heartbeat carried every record both ways, and the load of every instance reached every other one. Exchanges now go through the refresh machine, one per incarnation; load records of instances stay in their zone, whose first relay reports the sum to the others, and an instance of a large zone reports less often. What a dead incarnation told is deleted the same way everywhere.

Ruled out: one set for both scopes, whose digest would differ between zones.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -10,6 +10,7 @@
 	"github.com/banyandeal/banyandeal/internal/config"
 	"github.com/banyandeal/banyandeal/internal/config/publish"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
+	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 	"github.com/banyandeal/banyandeal/internal/keys"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
 )
@@ -23,7 +24,11 @@
 	defer cancel()
 	switch m := call.Call.(type) {
 	case *peerpb.Call_Exchange:
-		return c.serveExchange(ctx, m.Exchange)
+		reply, ok := ask(ctx, c, func(now time.Time) *peerpb.Exchange { return c.serveExchange(now, m.Exchange) })
+		if !ok {
+			return &peerpb.Reply{Error: "the instance is stopping or busy"}, nil
+		}
+		return &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: reply}}, nil
 	case *peerpb.Call_ConfigFetch:
 		return c.serveConfig(ctx, config.Digest(m.ConfigFetch.Digest))
 	case *peerpb.Call_KeyTransfer:
@@ -53,22 +58,6 @@
 	return &peerpb.Reply{Reply: &peerpb.Reply_Ack{Ack: &peerpb.Ack{Accepted: accepted, Keys: known}}}
 }
 
-func (c *Control) serveExchange(ctx context.Context, ex *peerpb.Exchange) (*peerpb.Reply, io.ReadCloser) {
-	reply, ok := ask(ctx, c, func(now time.Time) *peerpb.Reply {
-		c.takeExchange(now, ex.From, ex.ConfigVersion, ex.Self, ex.Records)
-		c.hintRows(now, ex.Zone, ex.Region, ex.OwnersVersion, ex.LinksVersion)
-		return &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: &peerpb.ExchangeReply{
-			From: c.identity(), Zone: c.Self.Zone, Region: c.links.region, ConfigVersion: c.config.receiver.Version(),
-			OwnersVersion: c.owners.machine.Version(), LinksVersion: c.linkVersion(),
-			Self: c.selfRecord(), Records: c.records.list(),
-		}}}
-	})
-	if !ok {
-		return &peerpb.Reply{Error: "the instance is stopping or busy"}, nil
-	}
-	return reply, nil
-}
-
 func (c *Control) serveConfig(ctx context.Context, digest config.Digest) (*peerpb.Reply, io.ReadCloser) {
 	cur, _ := ask(ctx, c, func(time.Time) *publish.Installed { return c.config.receiver.Current() })
 	data, found := object(cur, digest)
@@ -88,13 +77,13 @@
 // AnnounceMoved tells all instances, by way of the replicated records, that
 // a home's authority went to another.
 func (c *Control) AnnounceMoved(from, to once.Home) {
-	c.post(func(time.Time) {
-		c.logError("moved_record_failed", c.records.set(recordMoved+"/"+from.String(), movedReport{from, to}))
+	c.post(func(now time.Time) {
+		c.logError("moved_record_failed", c.records.set(now, c.records.global, recordMoved+"/"+from.String(), movedReport{from, to}))
 		c.sendHeartbeats()
 	})
 }
 
-func (c *Control) takeMoved(rec *peerpb.Record) {
+func (c *Control) takeMoved(rec refresh.Record) {
 	var m movedReport
 	if json.Unmarshal(rec.Value, &m) == nil {
 		c.Keeper.Step(once.Moved{From: m.From, To: m.To})
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -187,9 +187,9 @@
 	c.tickLeaving(now)
 	c.Keeper.Step(once.Tick{})
 	if due(&c.timers.heartbeat, now, t.Heartbeat) {
-		c.publishLoad(now)
+		c.publishLoads(now)
 		c.followDrains(now)
-		c.publishQuarantine()
+		c.publishQuarantine(now)
 		c.sendHeartbeats()
 	}
 }
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -130,7 +130,7 @@
 		}
 		c.health.probing[b.Name] = true
 		c.start(func(ctx context.Context) {
-			news := c.probe(ctx, b.Address)
+			news := c.askHealth(ctx, b.Address)
 			c.post(func(now time.Time) {
 				delete(c.health.probing, b.Name)
 				c.health.machine.Step(health.Event{Name: b.Name, Source: health.Probe, News: news, At: now})
@@ -139,8 +139,8 @@
 	})
 }
 
-// probe asks a backend server's health endpoint.
-func (c *Control) probe(ctx context.Context, addr string) health.News {
+// askHealth asks a backend server's health endpoint.
+func (c *Control) askHealth(ctx context.Context, addr string) health.News {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/healthz", nil)
 	if err != nil {
 		return health.Failed
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -86,17 +86,13 @@
 		}
 	}
 	for _, p := range ready.Probes {
-		c.exchange(p.Peer, &p)
+		c.probe(p)
 	}
 	if ready.Lost {
 		c.Log.Error().Msg("link_rights_lost")
 	}
 }
 
-func (c *Control) identity() *peerpb.Identity {
-	return &peerpb.Identity{Id: c.Self.ID, Incarnation: c.Self.Incarnation}
-}
-
 func (c *Control) peerOf(id membership.Identity) (addr string, ok bool) {
 	in, ok := c.members.View().Instance(id)
 	return in.Peer, ok && in.Peer != ""
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -2,22 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/banyandeal/banyandeal/internal/config/publish"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
-	"github.com/banyandeal/banyandeal/internal/peer"
-	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
 	"github.com/banyandeal/banyandeal/internal/platform"
 )
 
-// exchangeTimeout bounds one heartbeat with its reply.
-const exchangeTimeout = time.Second
-
 // joinPerTick is how many listed but unknown instances are greeted at once.
 const joinPerTick = 3
 
@@ -49,7 +41,7 @@
 			continue
 		}
 		joined++
-		c.exchange(l.Peer, nil)
+		c.greet(l.Peer)
 	}
 }
 
@@ -65,139 +57,37 @@
 }
 
 // sendHeartbeats exchanges records with the targets of the membership machine,
-// or with the configured neighbours while nobody is known.
+// or greets the configured neighbours while nobody is known.
 func (c *Control) sendHeartbeats() {
 	targets := c.members.Targets()
 	for _, id := range targets {
 		if in, ok := c.members.View().Instance(id); ok {
-			c.exchange(in.Peer, probeOf(in))
+			c.exchange(in)
 		}
 	}
-	if len(targets) == 0 {
-		for _, addr := range c.Settings.Neighbours {
-			if addr != c.Self.Peer {
-				c.exchange(addr, nil)
-			}
+	if len(targets) > 0 {
+		return
+	}
+	for _, addr := range c.Settings.Neighbours {
+		if addr != c.Self.Peer {
+			c.greet(addr)
 		}
 	}
 }
 
-// probeOf makes an exchange with an instance tell about it: an address that
-// refuses the connection shows at once that the process is dead.
-func probeOf(in membership.Instance) *membership.Probe {
-	return &membership.Probe{About: in.Identity, Zone: in.Zone, Peer: in.Peer}
-}
-
 // Suspect probes the instance at an address that could not be reached.
 func (c *Control) Suspect(addr string) {
 	c.post(func(time.Time) {
 		for _, z := range c.members.View().Zones {
 			for _, in := range z.Instances {
 				if in.Peer == addr && in.State != membership.Gone {
-					c.exchange(addr, probeOf(in))
+					c.exchange(in)
 				}
 			}
 		}
 	})
 }
 
-// exchange sends this instance's records to an address and takes those of the
-// reply. A non-nil probe gets the outcome as evidence.
-func (c *Control) exchange(addr string, probe *membership.Probe) {
-	call := &peerpb.Call{Call: &peerpb.Call_Exchange{Exchange: c.exchangeMessage()}}
-	c.start(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-		defer cancel()
-		reply, body, err := c.Peers.Call(ctx, addr, call, nil)
-		if err == nil {
-			body.Close()
-		}
-		c.post(func(now time.Time) { c.exchanged(now, reply, err, probe) })
-	})
-}
-
-func (c *Control) exchangeMessage() *peerpb.Exchange {
-	return &peerpb.Exchange{
-		From: c.identity(), Zone: c.Self.Zone,
-		ConfigVersion: c.config.receiver.Version(), Self: c.selfRecord(), Records: c.records.list(),
-		Region: c.links.region, OwnersVersion: c.owners.machine.Version(), LinksVersion: c.linkVersion(),
-	}
-}
-
-func (c *Control) selfRecord() *peerpb.Record {
-	rec, err := instanceRecord(c.members.Self())
-	if err != nil {
-		c.Log.Error().Err(err).Msg("own_record_failed")
-	}
-	return rec
-}
-
-func instanceRecord(in membership.Instance) (*peerpb.Record, error) {
-	data, err := json.Marshal(in)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	return &peerpb.Record{
-		Owner: in.ID, Name: recordInstance, Incarnation: in.Incarnation, Sequence: in.RecordSequence(), Value: data,
-	}, nil
-}
-
-func (c *Control) exchanged(now time.Time, reply *peerpb.Reply, err error, probe *membership.Probe) {
-	ex := reply.GetExchange()
-	if err != nil || ex == nil {
-		c.failedExchange(now, err, probe)
-		return
-	}
-	if probe != nil {
-		c.members.Evidence(now, membership.Evidence{
-			Kind: membership.Answered, About: probe.About, Zone: probe.Zone, Peer: probe.Peer, Observed: identityOf(ex.From),
-		})
-	}
-	c.takeExchange(now, ex.From, ex.ConfigVersion, ex.Self, ex.Records)
-	c.hintRows(now, ex.Zone, ex.Region, ex.OwnersVersion, ex.LinksVersion)
-}
-
-func (c *Control) failedExchange(now time.Time, err error, probe *membership.Probe) {
-	if probe == nil {
-		return
-	}
-	kind := membership.TimedOut
-	var cerr *peer.CallError
-	if errors.As(err, &cerr) && cerr.Refused {
-		kind = membership.Refused
-	}
-	c.members.Evidence(now, membership.Evidence{Kind: kind, About: probe.About, Zone: probe.Zone, Peer: probe.Peer})
-}
-
-func identityOf(p *peerpb.Identity) membership.Identity {
-	return membership.Identity{ID: p.GetId(), Incarnation: p.GetIncarnation()}
-}
-
-// takeExchange merges what another instance sent of itself and of others.
-func (c *Control) takeExchange(now time.Time, from *peerpb.Identity, version uint64, self *peerpb.Record, recs []*peerpb.Record) {
-	if in, ok := decodeInstance(self); ok && in.Identity == identityOf(from) {
-		c.members.Heartbeat(now, in)
-		c.config.heard(publish.Source(in.ID), in.Peer, version)
-	}
-	var reports []membership.Instance
-	for _, rec := range c.records.merge(append(recs, self)) {
-		if rec.Name != recordInstance {
-			c.takeSteering(now, rec)
-		} else if in, ok := decodeInstance(rec); ok {
-			reports = append(reports, in)
-		}
-	}
-	c.members.Reports(now, reports)
-}
-
-func decodeInstance(rec *peerpb.Record) (membership.Instance, bool) {
-	var in membership.Instance
-	if rec == nil || rec.Name != recordInstance || json.Unmarshal(rec.Value, &in) != nil || in.ID != rec.Owner {
-		return in, false
-	}
-	return in, true
-}
-
 // settleMembers carries out what the membership machine wants done.
 func (c *Control) settleMembers(now time.Time) {
 	ready := c.members.Ready()
@@ -206,17 +96,17 @@
 		c.Log.Info().Str("about", ch.Instance.Identity.String()).Str("zone", ch.Instance.Zone).
 			Str("from", ch.From.String()).Str("to", ch.Instance.State.String()).Str("cause", string(ch.Cause)).Msg("instance_state")
 		if rec, err := instanceRecord(ch.Instance); err == nil {
-			c.records.merge([]*peerpb.Record{rec})
+			c.records.global.Put(now, rec)
 		}
 		if ch.Instance.State == membership.Gone {
-			c.instanceGone(ch.Instance)
+			c.instanceGone(now, ch.Instance)
 		}
 	}
 	for _, p := range ready.Probes {
-		c.exchange(p.Peer, &p)
+		c.probe(p)
 	}
 	if ready.Announce {
-		c.records.merge([]*peerpb.Record{c.selfRecord()})
+		c.records.global.Put(now, decodeRecord(c.selfRecord()))
 		c.sendHeartbeats()
 	}
 	if ready.Condemned {
@@ -224,7 +114,9 @@
 	}
 }
 
-func (c *Control) instanceGone(in membership.Instance) {
+func (c *Control) instanceGone(now time.Time, in membership.Instance) {
+	c.records.forget(now, in.Identity)
+	delete(c.steer.loads, in.Identity)
 	c.Keeper.Step(once.Gone{Home: once.Home{Zone: in.Zone, ID: in.ID, Incarnation: in.Incarnation}})
 	c.config.receiver.Forget(publish.Source(in.ID))
 }
--- a/internal/control/owners.go
+++ b/internal/control/owners.go
@@ -110,11 +110,11 @@
 		c.Log.Info().Str("backend", name).Msg("backend_given")
 	}
 	for _, p := range ready.Probes {
-		c.exchange(p.Peer, &p)
+		c.probe(p)
 	}
 	for _, h := range ready.Hints {
 		if in, ok := c.members.View().Instance(h.To); ok {
-			c.exchange(in.Peer, nil)
+			c.exchange(in)
 		}
 	}
 }
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
+	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
 )
 
@@ -43,14 +44,14 @@
 }
 
 // publishQuarantine writes the digest for other zones.
-func (c *Control) publishQuarantine() {
+func (c *Control) publishQuarantine(now time.Time) {
 	c.Guard.Tick()
 	if notices, changed := c.Guard.Digest(); changed {
-		c.logError("quarantine_record_failed", c.records.set(recordQuarantine, notices))
+		c.logError("quarantine_record_failed", c.records.set(now, c.records.global, recordQuarantine, notices))
 	}
 }
 
-func (c *Control) takeQuarantine(rec *peerpb.Record) {
+func (c *Control) takeQuarantine(rec refresh.Record) {
 	var notices []quarantine.Notice
 	if json.Unmarshal(rec.Value, &notices) == nil {
 		c.Guard.Hear(notices)
--- a/internal/control/ramp.go
+++ b/internal/control/ramp.go
@@ -2,14 +2,13 @@
 
 import (
 	"encoding/json"
-	"strings"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
+	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 	"github.com/banyandeal/banyandeal/internal/decide/shift"
 	"github.com/banyandeal/banyandeal/internal/estate"
-	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
 )
 
 const (
@@ -163,7 +162,7 @@
 	if len(status.Changed) > 0 {
 		c.rebuildTables(status.Changed)
 	}
-	c.publishRamp(status)
+	c.publishRamp(now, status)
 }
 
 // judgeZones marks zones without any instance that can be given work as lost,
@@ -199,61 +198,20 @@
 	}
 }
 
-// zoneLoad sums the reports of a zone's instances; it is as old as the oldest.
-func (c *Control) zoneLoad(zone, service string) (load.Report, bool) {
-	var rep load.Report
-	for _, in := range c.members.View().Zone(zone).Usable() {
-		l, ok := c.steer.loads[in.Identity][service]
-		if !ok {
-			continue
-		}
-		rep.Slots += l.Slots
-		rep.Busy += l.Busy
-		if rep.At.IsZero() || l.At.Before(rep.At) {
-			rep.At = l.At
-		}
-	}
-	return rep, rep.Slots > 0
-}
-
 // publishRamp tells others where shifts stand, while they move. One instance
 // of each zone is enough.
-func (c *Control) publishRamp(status shift.Status) {
+func (c *Control) publishRamp(now time.Time, status shift.Status) {
 	relays := c.members.View().Zone(c.Self.Zone).Relays
 	if len(relays) == 0 || relays[0] != c.Self.Identity || len(status.Changed) == 0 {
 		return
 	}
-	c.logError("ramp_record_failed", c.records.set(recordRamp, c.ramp.ramp.Position()))
+	c.logError("ramp_record_failed", c.records.set(now, c.records.global, recordRamp, c.ramp.ramp.Position()))
 }
 
-func (c *Control) takeRamp(rec *peerpb.Record) {
+func (c *Control) takeRamp(rec refresh.Record) {
 	var p shift.Position
 	if c.ramp.ticking || json.Unmarshal(rec.Value, &p) != nil || !p.At.After(c.ramp.position.At) {
 		return
 	}
 	c.ramp.position = p
 }
-
-// takeSteering takes a record that concerns steering.
-func (c *Control) takeSteering(now time.Time, rec *peerpb.Record) {
-	switch {
-	case rec.Name == recordLoad:
-		c.takeLoad(now, rec)
-	case rec.Name == recordRamp:
-		c.takeRamp(rec)
-	case rec.Name == recordQuarantine:
-		c.takeQuarantine(rec)
-	case strings.HasPrefix(rec.Name, recordMoved):
-		c.takeMoved(rec)
-	}
-}
-
-// ownLoad is this instance's part of the zone's load.
-func (c *Control) ownLoad(now time.Time) map[string]load.Report {
-	loads := make(map[string]load.Report, len(c.steer.estate.Services))
-	for _, s := range c.steer.estate.Services {
-		free, slots := c.Pool.Free(s.Name)
-		loads[s.Name] = load.Report{Busy: load.Milli(slots-free) * load.Slot, Slots: slots, At: now}
-	}
-	return loads
-}
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -2,80 +2,128 @@
 
 import (
 	"encoding/json"
-	"sort"
+	"time"
+
+	"github.com/juju/errors"
 
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
 )
 
-// Names of replicated records.
+// Names of replicated records. Local records stay inside their zone, global
+// ones reach every instance.
 const (
+	// recordInstance tells of an instance; global.
 	recordInstance = "instance"
-	recordLoad     = "load"
+	// recordLoad is the load of one instance; local.
+	recordLoad = "load"
+	// recordZoneLoad is the load of a zone; global.
+	recordZoneLoad = "zone-load"
 )
 
-type recordKey struct{ owner, name string }
-
-// records is the replicated soft state of this instance: for each owner and
-// name the record with the highest incarnation and sequence.
+// records is this instance's replica of the soft state that instances share.
 type records struct {
-	self membership.Identity
-	all  map[recordKey]*peerpb.Record
-	seq  uint64
+	self          membership.Identity
+	global, local *refresh.Set
+	neighbours    map[membership.Identity]*neighbour
+	seq           uint64
+}
+
+// neighbour is the exchange with one incarnation of an instance.
+type neighbour struct {
+	global, local refresh.Policy
+	// busy is set while an exchange is under way, again if another was wanted
+	// meanwhile.
+	busy, again bool
 }
 
 func newRecords(self membership.Identity) *records {
-	return &records{self: self, all: map[recordKey]*peerpb.Record{}}
+	return &records{
+		self: self, global: refresh.NewSet(refresh.Limits{}), local: refresh.NewSet(refresh.Limits{}),
+		neighbours: map[membership.Identity]*neighbour{},
+	}
+}
+
+func (r *records) neighbour(id membership.Identity) *neighbour {
+	n := r.neighbours[id]
+	if n == nil {
+		n = &neighbour{global: refresh.NewDelta(r.global), local: refresh.NewDelta(r.local)}
+		r.neighbours[id] = n
+	}
+	return n
 }
 
 // set stores a record of this instance.
-func (r *records) set(name string, value any) error {
+func (r *records) set(now time.Time, set *refresh.Set, name string, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return err
+		return errors.Trace(err)
 	}
 	r.seq++
-	r.all[recordKey{r.self.ID, name}] = &peerpb.Record{
-		Owner: r.self.ID, Name: name, Incarnation: r.self.Incarnation, Sequence: r.seq, Value: data,
-	}
+	set.Put(now, refresh.Record{Owner: r.self.ID, Name: name, Incarnation: r.self.Incarnation, Sequence: r.seq, Value: data})
 	return nil
 }
 
-// merge takes records from another instance and returns those that were news.
-func (r *records) merge(in []*peerpb.Record) []*peerpb.Record {
-	var news []*peerpb.Record
-	for _, rec := range in {
-		k := recordKey{rec.Owner, rec.Name}
-		if old := r.all[k]; old != nil && !newer(rec, old) {
-			continue
+// forget deletes what a dead incarnation told of itself. Every instance deletes
+// the same way, so that replicas stay equal.
+func (r *records) forget(now time.Time, id membership.Identity) {
+	delete(r.neighbours, id)
+	for _, at := range []struct {
+		set  *refresh.Set
+		name string
+	}{{r.local, recordLoad}, {r.global, recordZoneLoad}, {r.global, recordRamp}, {r.global, recordQuarantine}} {
+		if rec, ok := at.set.Get(id.ID, at.name); ok && rec.Incarnation == id.Incarnation {
+			rec.Sequence, rec.Deleted, rec.Value = rec.Sequence+1, true, nil
+			at.set.Put(now, rec)
 		}
-		if rec.Owner == r.self.ID && rec.Name != recordInstance {
-			continue
+	}
+}
+
+// news returns those of the records that the set does not have yet.
+func news(set *refresh.Set, recs []refresh.Record) []refresh.Record {
+	var out []refresh.Record
+	for _, rec := range recs {
+		old, ok := set.Get(rec.Owner, rec.Name)
+		if !rec.Deleted && (!ok || newer(rec, old)) {
+			out = append(out, rec)
 		}
-		r.all[k] = rec
-		news = append(news, rec)
 	}
-	return news
+	return out
 }
 
-func newer(a, b *peerpb.Record) bool {
+func newer(a, b refresh.Record) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
 	}
 	return a.Sequence > b.Sequence
 }
 
-// list returns all records by owner and name.
-func (r *records) list() []*peerpb.Record {
-	out := make([]*peerpb.Record, 0, len(r.all))
-	for _, rec := range r.all {
-		out = append(out, rec)
+func encodeRefresh(m refresh.Message) *peerpb.Refresh {
+	out := &peerpb.Refresh{Since: m.Since, Digest: m.Digest, Full: m.Full, Records: make([]*peerpb.Record, len(m.Records))}
+	for i, r := range m.Records {
+		out.Records[i] = encodeRecord(r)
 	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].Owner != out[j].Owner {
-			return out[i].Owner < out[j].Owner
-		}
-		return out[i].Name < out[j].Name
-	})
 	return out
 }
+
+func decodeRefresh(p *peerpb.Refresh) refresh.Message {
+	m := refresh.Message{Since: p.GetSince(), Digest: p.GetDigest(), Full: p.GetFull(), Records: make([]refresh.Record, len(p.GetRecords()))}
+	for i, r := range p.GetRecords() {
+		m.Records[i] = decodeRecord(r)
+	}
+	return m
+}
+
+func encodeRecord(r refresh.Record) *peerpb.Record {
+	return &peerpb.Record{
+		Owner: r.Owner, Name: r.Name, Incarnation: r.Incarnation, Sequence: r.Sequence, Value: r.Value, Deleted: r.Deleted,
+	}
+}
+
+func decodeRecord(p *peerpb.Record) refresh.Record {
+	return refresh.Record{
+		Owner: p.GetOwner(), Name: p.GetName(), Incarnation: p.GetIncarnation(), Sequence: p.GetSequence(),
+		Value: p.GetValue(), Deleted: p.GetDeleted(),
+	}
+}
--- a/internal/control/steer.go
+++ b/internal/control/steer.go
@@ -1,9 +1,6 @@
 package control
 
 import (
-	"encoding/json"
-	"time"
-
 	"github.com/banyandeal/banyandeal/internal/blocktable"
 	"github.com/banyandeal/banyandeal/internal/config"
 	"github.com/banyandeal/banyandeal/internal/config/publish"
@@ -11,7 +8,6 @@
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/estate"
-	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
 )
 
 // steerState is where requests are steered.
@@ -25,13 +21,17 @@
 	tables map[string]*placement.Table
 	// slots counts the declared slots that take work, by zone and service.
 	slots map[string]map[string]int
-	// loads holds what each incarnation last reported, by service.
-	loads map[membership.Identity]map[string]load.Report
+	// loads holds what each incarnation of the own zone last reported, zoneLoads
+	// what each other zone did; both by service.
+	loads     map[membership.Identity]map[string]load.Report
+	zoneLoads map[string]map[string]load.Report
+	// sent is what this instance last reported.
+	sent sentLoads
 }
 
 func newSteerState() *steerState {
 	return &steerState{
-		blocks: &blocktable.Table{}, tables: map[string]*placement.Table{}, loads: map[membership.Identity]map[string]load.Report{},
+		blocks: &blocktable.Table{}, tables: map[string]*placement.Table{}, loads: map[membership.Identity]map[string]load.Report{}, zoneLoads: map[string]map[string]load.Report{},
 	}
 }
 
@@ -149,39 +149,3 @@
 	z, _ := c.steer.estate.ZoneOf(c.Self.Zone)
 	return regionIndex(c.steer.estate, z.Region)
 }
-
-// loadReport is the value of a load record, by service.
-type loadReport map[string]reportedLoad
-
-// reportedLoad is what one instance has of a service.
-type reportedLoad struct {
-	Busy  load.Milli `json:"busy"`
-	Slots int        `json:"slots"`
-}
-
-// publishLoad writes this instance's load record.
-func (c *Control) publishLoad(now time.Time) {
-	if c.steer.estate == nil {
-		return
-	}
-	loads := c.ownLoad(now)
-	c.steer.loads[c.Self.Identity] = loads
-	report := loadReport{}
-	for name, l := range loads {
-		report[name] = reportedLoad{Busy: l.Busy, Slots: l.Slots}
-	}
-	c.logError("load_record_failed", c.records.set(recordLoad, report))
-}
-
-func (c *Control) takeLoad(now time.Time, rec *peerpb.Record) {
-	var report loadReport
-	if json.Unmarshal(rec.Value, &report) != nil {
-		return
-	}
-	loads := make(map[string]load.Report, len(report))
-	for name, l := range report {
-		loads[name] = load.Report{Busy: l.Busy, Slots: l.Slots, At: now}
-	}
-	c.steer.loads[membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}] = loads
-	c.dirty = true
-}
--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -147,7 +147,7 @@
 func TestSize(t *testing.T) {
 	r := record(1, 7)
 	r.Deleted = true
-	m := &peerpb.Exchange{Records: []*peerpb.Record{{
+	m := &peerpb.Refresh{Records: []*peerpb.Record{{
 		Owner: r.Owner, Name: r.Name, Incarnation: r.Incarnation, Sequence: r.Sequence, Value: r.Value, Deleted: true,
 	}}}
 	require.Equal(t, proto.Size(m), r.Size())
--- a/internal/filter/route/places.go
+++ b/internal/filter/route/places.go
@@ -105,7 +105,7 @@
 		return s.neighbour(in), true
 	}
 	z, _ := s.snap.ZoneOf(name)
-	in := s.instance(now, z)
+	in := s.instance(z)
 	if in == nil {
 		s.seen.zones[name] = perZone
 		return s.elsewhere(now)
@@ -177,23 +177,18 @@
 	return order
 }
 
-// instance returns the instance of another zone that reported most free slots.
-// Any of them can pass the request on within its zone.
-func (s *search) instance(now time.Time, z snapshot.Zone) *snapshot.Instance {
-	var best *snapshot.Instance
-	var most load.Milli
-	for i := range z.Instances {
-		in := &z.Instances[i]
-		if s.seen.instances[in.ID] {
-			continue
-		}
-		rep := in.Loads[s.r.Service.Name]
-		busy := load.Believe.Busy(now, rep.Slots, rep, s.Outbox.evidence(in.ID, s.r.Service.Name))
-		if free := load.Milli(rep.Slots)*load.Slot - busy; best == nil || free > most {
-			best, most = in, free
+// instance returns an instance of another zone, drawn at random. Any of them
+// can pass the request on within its zone, whose loads are not known here one
+// by one.
+func (s *search) instance(z snapshot.Zone) *snapshot.Instance {
+	n := len(z.Instances)
+	start := rand.IntN(max(n, 1))
+	for i := range n {
+		if in := &z.Instances[(start+i)%n]; !s.seen.instances[in.ID] {
+			return in
 		}
 	}
-	return best
+	return nil
 }
 
 func find(z snapshot.Zone, id string) *snapshot.Instance {
