config: store the manifest in pages

Cause: a change stored the full manifest anew, 260 kB at 670,000 blocks and 1,200 sites, which grows with the estate. Ruled out: a manifest every so many versions with deltas on top, since a new instance then needs a neighbour that has kept just these deltas. Before: one object of 259,797 bytes a change (BenchmarkFull/join). Conclusion: applier, receiver and neighbours ask only for pages that they lack; the scripts show the page fetches and are otherwise as before.

--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -121,9 +121,10 @@
 					b.Fatal(err)
 				}
 			}
-			data, err := m.Encode()
+			index, pages, err := m.Encode()
 			require.NoError(b, err)
-			b.ReportMetric(float64(len(data)), "bytes/manifest")
+			b.ReportMetric(float64(len(index)), "bytes/index")
+			b.ReportMetric(float64(len(pages[0])), "bytes/page")
 		})
 		b.Run(fmt.Sprintf("csv/blocks=%d", n), func(b *testing.B) {
 			var csv bytes.Buffer
--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/juju/errors"
@@ -82,20 +83,33 @@
 	require.Equal(t, KindCorrupt, e.Kind)
 }
 
-// FuzzManifest: a taken manifest is in the one form that Encode gives.
+// FuzzManifest: an index and a page, whatever they hold, are refused or are
+// the ones that Encode gives.
 func FuzzManifest(f *testing.F) {
 	_, m := mustSplit(f, mustLoad(f, "testdata/small"))
-	data, err := m.Encode()
+	index, pages, err := m.Encode()
 	require.NoError(f, err)
-	f.Add(data)
-	f.Fuzz(func(t *testing.T, data []byte) {
-		m, err := DecodeManifest(data)
+	for i, page := range pages {
+		if len(page) > len("null") {
+			f.Add(index, page, i)
+		}
+	}
+	f.Fuzz(func(t *testing.T, data, page []byte, i int) {
+		ix, err := DecodeIndex(data)
+		if err != nil {
+			requireCorrupt(t, err)
+			return
+		}
+		all := slices.Clone(pages)
+		i &= manifestPages - 1
+		all[i], ix.Pages[i] = page, DigestOf(page)
+		got, err := ix.Manifest(all)
 		if err != nil {
 			requireCorrupt(t, err)
 			return
 		}
-		require.Equal(t, rootOf(m.Entries).digest(), m.Root)
-		_, err = Join(m, func(Entry) ([]byte, error) { return nil, nil })
+		require.Equal(t, rootOf(got.Entries).digest(), got.Root)
+		_, err = Join(got, func(Entry) ([]byte, error) { return nil, nil })
 		requireCorrupt(t, err)
 	})
 }
--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -112,22 +112,88 @@
 	return Manifest{Root: rootOf(entries).digest(), Entries: entries}
 }
 
-// Encode returns the manifest as JSON.
-func (m Manifest) Encode() ([]byte, error) {
-	data, err := json.Marshal(m)
-	return data, errors.Annotate(err, "encode the manifest")
+// manifestPages is the number of pages that a manifest is stored in, so that a
+// change rewrites one page and the index of the pages.
+const manifestPages = 64
+
+// Index names the pages of a manifest. Its digest stands for the manifest.
+type Index struct {
+	Root Digest `json:"root"`
+	// Pages are in order of the page that an entry's name falls into.
+	Pages []Digest `json:"pages"`
+}
+
+// pageOf returns the page that an entry belongs to; it depends on the name
+// alone.
+func pageOf(name string) int {
+	sum := sha256.Sum256([]byte(name))
+	return int(sum[0]) % manifestPages
+}
+
+// Encode returns the index of the manifest and its pages, as JSON.
+func (m Manifest) Encode() (index []byte, pages [][]byte, err error) {
+	split := make([][]Entry, manifestPages)
+	for _, e := range m.Entries {
+		i := pageOf(e.Name)
+		split[i] = append(split[i], e)
+	}
+	ix := Index{Root: m.Root}
+	for _, entries := range split {
+		data, err := json.Marshal(entries)
+		if err != nil {
+			return nil, nil, errors.Annotate(err, "encode a page of the manifest")
+		}
+		pages = append(pages, data)
+		ix.Pages = append(ix.Pages, DigestOf(data))
+	}
+	index, err = json.Marshal(ix)
+	return index, pages, errors.Annotate(err, "encode the index of the manifest")
+}
+
+// DecodeIndex reads the index that Encode wrote.
+func DecodeIndex(data []byte) (Index, error) {
+	var ix Index
+	if err := decodeJSON("index", data, &ix); err != nil {
+		return Index{}, err
+	}
+	if len(ix.Pages) != manifestPages || !ix.Root.valid() {
+		return Index{}, corrupt("index", "it has no root, or %d pages instead of %d", len(ix.Pages), manifestPages)
+	}
+	for _, d := range ix.Pages {
+		if !d.valid() {
+			return Index{}, corrupt("index", "the digest of a page is not valid")
+		}
+	}
+	return ix, nil
 }
 
-// DecodeManifest reads what Encode wrote and checks it against its root.
-func DecodeManifest(data []byte) (Manifest, error) {
-	var m Manifest
-	if err := decodeJSON("manifest", data, &m); err != nil {
-		return Manifest{}, err
+// Manifest puts the pages together and checks them against the digests and the
+// root.
+func (ix Index) Manifest(pages [][]byte) (Manifest, error) {
+	if len(pages) != len(ix.Pages) {
+		return Manifest{}, corrupt("manifest", "pages are missing")
 	}
-	if err := checkEntries("manifest", m.Entries); err != nil {
-		return Manifest{}, err
+	var all []Entry
+	for i, data := range pages {
+		if DigestOf(data) != ix.Pages[i] {
+			return Manifest{}, corrupt("manifest", "page %d does not match its digest", i)
+		}
+		var entries []Entry
+		if err := decodeJSON("manifest", data, &entries); err != nil {
+			return Manifest{}, err
+		}
+		if err := checkEntries("manifest", entries); err != nil {
+			return Manifest{}, err
+		}
+		for _, e := range entries {
+			if pageOf(e.Name) != i {
+				return Manifest{}, corrupt("manifest", "%q is on the wrong page", e.Name)
+			}
+		}
+		all = append(all, entries...)
 	}
-	if rootOf(m.Entries).digest() != m.Root {
+	m := newManifest(all)
+	if m.Root != ix.Root {
 		return Manifest{}, corrupt("manifest", "the entries do not give the root")
 	}
 	return m, nil
--- a/internal/config/publish/applier.go
+++ b/internal/config/publish/applier.go
@@ -1,6 +1,7 @@
 package publish
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -66,7 +67,8 @@
 
 const (
 	readingHead applierState = iota
-	gettingManifest
+	gettingIndex
+	gettingPages
 	gettingParts
 	putting
 	committing
@@ -87,6 +89,12 @@
 	// head is the version that the change starts from.
 	head     Head
 	manifest config.Manifest
+	// fresh is the manifest of the change before it is stamped.
+	fresh config.Manifest
+	// index names the pages of manifest, and pages holds those that this
+	// instance has by digest.
+	index config.Index
+	pages map[config.Digest][]byte
 	// needs are the parts of the old content to compare with.
 	needs []config.Entry
 	next  Head
@@ -114,8 +122,10 @@
 	switch a.state {
 	case readingHead, settlingHead:
 		return Action{ReadHead: true}
-	case gettingManifest:
+	case gettingIndex:
 		return Action{Get: []config.Digest{a.head.Manifest}}
+	case gettingPages:
+		return Action{Get: a.missingPages()}
 	case gettingParts:
 		digests := make([]config.Digest, len(a.needs))
 		for i, e := range a.needs {
@@ -184,7 +194,7 @@
 	case head.Version == 0:
 		a.plan(nil)
 	default:
-		a.head, a.state = head, gettingManifest
+		a.head, a.state = head, gettingIndex
 	}
 }
 
@@ -195,8 +205,13 @@
 		a.walkDelta(objects, err)
 	case err != nil:
 		a.unavailable("reading the version in force", err)
-	case a.state == gettingManifest:
-		a.gotManifest(objects[0])
+	case a.state == gettingIndex:
+		a.gotIndex(objects[0])
+	case a.state == gettingPages:
+		for i, digest := range a.missingPages() {
+			a.pages[digest] = objects[i]
+		}
+		a.gotPages()
 	default:
 		known := make(map[config.Digest][]byte, len(objects))
 		for i, e := range a.needs {
@@ -206,8 +221,10 @@
 	}
 }
 
-func (a *Applier) gotManifest(data []byte) {
-	m, err := config.DecodeManifest(data)
+// gotIndex takes those pages of the version in force that are not the same in
+// the new one.
+func (a *Applier) gotIndex(data []byte) {
+	index, err := config.DecodeIndex(data)
 	if err != nil {
 		a.fail(err)
 		return
@@ -217,7 +234,43 @@
 		a.fail(err)
 		return
 	}
-	a.manifest, a.needs = m, config.StampNeeds(m, fresh)
+	_, pages, err := fresh.Encode()
+	if err != nil {
+		a.fail(err)
+		return
+	}
+	a.index, a.fresh, a.pages = index, fresh, map[config.Digest][]byte{}
+	for _, page := range pages {
+		a.pages[config.DigestOf(page)] = page
+	}
+	if len(a.missingPages()) > 0 {
+		a.state = gettingPages
+		return
+	}
+	a.gotPages()
+}
+
+func (a *Applier) missingPages() []config.Digest {
+	var out []config.Digest
+	for _, digest := range a.index.Pages {
+		if _, ok := a.pages[digest]; !ok && !slices.Contains(out, digest) {
+			out = append(out, digest)
+		}
+	}
+	return out
+}
+
+func (a *Applier) gotPages() {
+	pages := make([][]byte, len(a.index.Pages))
+	for i, digest := range a.index.Pages {
+		pages[i] = a.pages[digest]
+	}
+	m, err := a.index.Manifest(pages)
+	if err != nil {
+		a.fail(err)
+		return
+	}
+	a.manifest, a.needs = m, config.StampNeeds(m, a.fresh)
 	if len(a.needs) == 0 {
 		a.plan(nil)
 		return
@@ -254,12 +307,22 @@
 
 // planObjects adds the manifest and the delta.
 func (a *Applier) planObjects(m config.Manifest, parts []config.Part) error {
-	data, err := m.Encode()
+	data, pages, err := m.Encode()
 	if err != nil {
 		return err
 	}
 	a.next.Manifest = config.DigestOf(data)
 	a.put = append(a.put, data)
+	stored := map[config.Digest]bool{}
+	for _, digest := range a.index.Pages {
+		stored[digest] = true
+	}
+	for _, page := range pages {
+		if digest := config.DigestOf(page); !stored[digest] {
+			stored[digest] = true
+			a.put = append(a.put, page)
+		}
+	}
 	if a.head.Version == 0 {
 		return nil
 	}
--- a/internal/config/publish/apply.go
+++ b/internal/config/publish/apply.go
@@ -67,11 +67,7 @@
 
 // ReadContent returns the content of a head from the object store.
 func ReadContent(ctx context.Context, store Store, head Head) (*config.Assembly, error) {
-	data, err := store.GetObject(ctx, string(head.Manifest))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	m, err := config.DecodeManifest(data)
+	m, err := readManifest(ctx, store, head.Manifest)
 	if err != nil {
 		return nil, err
 	}
@@ -90,6 +86,22 @@
 	return config.Join(m, func(e config.Entry) ([]byte, error) { return byDigest[e.Digest], nil })
 }
 
+func readManifest(ctx context.Context, store Store, digest config.Digest) (config.Manifest, error) {
+	data, err := store.GetObject(ctx, string(digest))
+	if err != nil {
+		return config.Manifest{}, errors.Trace(err)
+	}
+	index, err := config.DecodeIndex(data)
+	if err != nil {
+		return config.Manifest{}, err
+	}
+	pages, err := getObjects(ctx, store, index.Pages)
+	if err != nil {
+		return config.Manifest{}, errors.Trace(err)
+	}
+	return index.Manifest(pages)
+}
+
 func readHead(ctx context.Context, store Store) (platform.Row, error) {
 	row, err := store.ReadRow(ctx, HeadRow)
 	var absent *platform.NotFound
--- a/internal/config/publish/apply_test.go
+++ b/internal/config/publish/apply_test.go
@@ -28,7 +28,7 @@
 	for _, tc := range []struct {
 		behind uint64
 		want   string
-	}{{maxChain, "delta 32->33"}, {maxChain + 1, "manifest"}} {
+	}{{maxChain, "delta 32->33"}, {maxChain + 1, "index"}} {
 		s := newFakeStore()
 		applyMany(t, s, 0, 1)
 		m := &model{store: s, receivers: []*instance{{Receiver: NewReceiver(Platform)}}}
--- a/internal/config/publish/fake_test.go
+++ b/internal/config/publish/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -136,21 +137,21 @@
 	if d, err := config.DecodeDelta(data); err == nil {
 		return fmt.Sprintf("delta %d->%d", d.From, d.To)
 	}
-	if _, err := config.DecodeManifest(data); err == nil {
-		return "manifest"
+	if _, err := config.DecodeIndex(data); err == nil {
+		return "index"
 	}
-	for _, data := range s.objects {
-		m, err := config.DecodeManifest(data)
-		if err != nil {
+	for _, page := range s.objects {
+		var entries []config.Entry
+		if page[0] != '[' || json.Unmarshal(page, &entries) != nil {
 			continue
 		}
-		for _, e := range m.Entries {
+		for _, e := range entries {
 			if e.Digest == digest {
 				return e.Name
 			}
 		}
 	}
-	return "unknown"
+	return "page"
 }
 
 // smallEstate is the small estate with another weight of its site west-a1.
--- a/internal/config/publish/receiver.go
+++ b/internal/config/publish/receiver.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/banyandeal/banyandeal/internal/config"
 )
@@ -36,6 +37,9 @@
 	objects map[config.Digest][]byte
 	// deltas orders objects, oldest first.
 	deltas []config.Digest
+	// once guards the making of pages, the manifest's index and pages.
+	once  sync.Once
+	pages map[config.Digest][]byte
 }
 
 // Object returns an object of this version, or of the deltas that led to it,
@@ -44,13 +48,32 @@
 	if data, ok := i.objects[digest]; ok {
 		return data, true
 	}
-	if digest == i.Head.Manifest {
-		data, err := i.Assembly.Manifest().Encode()
-		return data, err == nil && config.DigestOf(data) == digest
+	if data, ok := i.page(digest); ok {
+		return data, true
 	}
 	return i.Assembly.Object(digest)
 }
 
+// page returns the index or a page of this version's manifest. They are made
+// once, when first asked for.
+func (i *Installed) page(digest config.Digest) ([]byte, bool) {
+	if i == nil {
+		return nil, false
+	}
+	i.once.Do(func() {
+		index, pages, err := i.Assembly.Manifest().Encode()
+		if err != nil {
+			return
+		}
+		i.pages = map[config.Digest][]byte{config.DigestOf(index): index}
+		for _, page := range pages {
+			i.pages[config.DigestOf(page)] = page
+		}
+	})
+	data, ok := i.pages[digest]
+	return data, ok
+}
+
 // Fetch asks a source for an object; with an empty digest, for its head.
 type Fetch struct {
 	Source Source
--- a/internal/config/publish/target.go
+++ b/internal/config/publish/target.go
@@ -89,11 +89,7 @@
 }
 
 func (t *target) fromManifest() (*Installed, error) {
-	data, err := t.object(t.head.Manifest)
-	if err != nil {
-		return nil, err
-	}
-	m, err := config.DecodeManifest(data)
+	m, err := t.manifest()
 	if err != nil {
 		return nil, err
 	}
@@ -115,6 +111,34 @@
 	return i, nil
 }
 
+// manifest puts the manifest together from its index and pages. Pages that are
+// the same in the version in force are not asked for.
+func (t *target) manifest() (config.Manifest, error) {
+	data, err := t.object(t.head.Manifest)
+	if err != nil {
+		return config.Manifest{}, err
+	}
+	index, err := config.DecodeIndex(data)
+	if err != nil {
+		return config.Manifest{}, err
+	}
+	var missing error
+	pages := make([][]byte, len(index.Pages))
+	for i, digest := range index.Pages {
+		page, ok := t.base.page(digest)
+		if !ok {
+			if page, err = t.object(digest); err != nil {
+				missing = err
+			}
+		}
+		pages[i] = page
+	}
+	if missing != nil {
+		return config.Manifest{}, missing
+	}
+	return index.Manifest(pages)
+}
+
 func names(entries []config.Entry) []string {
 	out := make([]string, len(entries))
 	for i, e := range entries {
