--- a/internal/config/publish/script_test.go
+++ b/internal/config/publish/script_test.go
@@ -17,6 +17,7 @@
 //	begin  op= id= expect= weight=   an operator starts to apply
 //	step   op= [n=1]                 does its next actions
 //	run    op=                       does all of them
+//	apply  op= id= expect= weight=   begin and run
 //	versions                         the history of the head
 //	new    r= [ask=(a,b)]            an instance is born
 //	ask    r= from=                  it learns of a neighbour
@@ -83,8 +84,10 @@
 	case "store":
 		s.faults(t, d)
 	case "begin":
-		opts := options(arg(t, d, "op"), arg(t, d, "id"), uint64(number(t, d, "expect", 0)))
-		s.operators[opts.Author] = NewApplier(smallEstate(t, arg(t, d, "weight")), opts)
+		s.begin(t, d)
+	case "apply":
+		for a := s.begin(t, d); s.step(a); {
+		}
 	case "step":
 		for range number(t, d, "n", 1) {
 			s.step(s.operators[arg(t, d, "op")])
@@ -106,6 +109,13 @@
 	}
 }
 
+func (s *script) begin(t *testing.T, d *datadriven.TestData) *Applier {
+	opts := options(arg(t, d, "op"), arg(t, d, "id"), uint64(number(t, d, "expect", 0)))
+	a := NewApplier(smallEstate(t, arg(t, d, "weight")), opts)
+	s.operators[opts.Author] = a
+	return a
+}
+
 func (s *script) faults(t *testing.T, d *datadriven.TestData) {
 	switch {
 	case d.HasArg("down"):
