--- a/internal/decide/once/machine_test.go
+++ b/internal/decide/once/machine_test.go
@@ -1,6 +1,8 @@
 package once
 
 import (
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,6 +71,22 @@
 	require.Equal(t, outcome.KindOverloaded, res.Err.Kind)
 }
 
+func TestWaitingIsBounded(t *testing.T) {
+	m := testMachine(0)
+	var last []Action
+	for i := range MaxWaiting + 1 {
+		last = m.Step(epoch, Arrive{Attempt: AttemptID(i), Key: issue(t, time.Minute, 1)})
+	}
+	require.Equal(t, outcome.KindOverloaded, last[0].(Answer).Result.Err.Kind)
+	for i := range MaxUnrouted + 1 {
+		last = m.Step(epoch, Arrive{Attempt: AttemptID(1000 + i), Key: "chosen"})
+	}
+	require.Equal(t, outcome.KindOverloaded, last[0].(Answer).Result.Err.Kind)
+	m.Step(epoch, Cancel{Attempt: 1000})
+	last = m.Step(epoch, Arrive{Attempt: 9999, Key: "chosen"})
+	require.Equal(t, Join{Attempt: 9999, Key: "chosen"}, last[0])
+}
+
 func BenchmarkRunWhole(b *testing.B) {
 	m := testMachine(0)
 	body := make([]byte, 200)
@@ -87,3 +105,23 @@
 		m.Step(epoch, Finish{Run: run, Result: Result{Outcome: outcome.Done, Status: 200, Body: body}})
 	}
 }
+
+// BenchmarkKeptKey reports the heap that a settled key takes, beside what the
+// machine counts for it.
+func BenchmarkKeptKey(b *testing.B) {
+	const keys = 50_000
+	body := make([]byte, 200)
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m := testMachine(1 << 30)
+		for i := range keys {
+			runWhole(b, m, AttemptID(i), issue(b, time.Minute, uint64(i)), slices.Clone(body))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/keys, "heap-B/key")
+		b.ReportMetric(float64(m.Stats().Bytes)/keys, "counted-B/key")
+	}
+}
