--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -141,3 +141,27 @@
 		})
 	}
 }
+
+// BenchmarkParse reads base and overlays of n sites with 12 backend servers
+// each, without blocks.
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{12, 120, 1200} {
+		var base, sites, groups bytes.Buffer
+		files := Files{}
+		for i := range n {
+			fmt.Fprintf(&sites, "  s%d: {zone: z}\n", i)
+			fmt.Fprintf(&groups, "      - {site: s%d, name: \"b%d-{n}\", count: 12, address: \"10.%d.%d.1:80\", increment: ip}\n", i, i, i>>8, i&255)
+			files[overlayFile(fmt.Sprint("s", i))] = fmt.Appendf(nil, "site: s%d\nweight: 0.5\nbackends:\n  b%d-3: {state: draining}\n", i, i)
+		}
+		fmt.Fprintf(&base, "name: x\nregions: {r: {}}\nzones: {z: {region: r}}\nsites:\n%sservices:\n  a:\n    slots: 4\n    connections: 400\n"+
+			"    operations: {}\n    backends:\n%s", &sites, &groups)
+		files[baseFile] = base.Bytes()
+		b.Run(fmt.Sprintf("sites=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := Parse(files); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
