attempt: one watch for the whole of an answer

Cause: each read of an answer's body made a timer and a context of its own. Before, in the same run: 65 allocations and 6410 bytes an attempt; after: 58 and 5840, against 57 and 4907 of a plain transport (BenchmarkDo). The time could not be told apart on a busy machine. 20 runs under the race detector passed.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -207,7 +207,7 @@
 	before := conn.written()
 	w := c.watch(conn, cancel)
 	resp, err := conn.client.RoundTrip(req)
-	w.stop()
+	w.disarm()
 	if err != nil {
 		written := conn.seal() - before
 		c.pool.drop(conn)
@@ -215,7 +215,7 @@
 		cancel(nil)
 		return reply, written > 0
 	}
-	return c.read(rctx, cancel, conn, resp), true
+	return c.read(&body{client: c, conn: conn, resp: resp, ctx: rctx, cancel: cancel, watch: w}), true
 }
 
 // newRequest builds a request without GetBody, so that nothing could replay
@@ -251,9 +251,9 @@
 }
 
 // read takes the answer off the connection.
-func (c *Client) read(ctx context.Context, cancel context.CancelCauseFunc, conn *conn, resp *http.Response) *Reply {
+func (c *Client) read(body *body) *Reply {
+	resp := body.resp
 	StripHopHeaders(resp.Header)
-	body := &body{client: c, conn: conn, resp: resp, ctx: ctx, cancel: cancel}
 	reply := &Reply{
 		Outcome: outcome.Done, Status: resp.StatusCode, Header: resp.Header,
 		Draining: resp.Header.Get(HeaderDraining) == "true",
@@ -270,7 +270,7 @@
 	}
 	first, err := io.ReadAll(io.LimitReader(body, c.cfg.MaxBuffered+1))
 	if err != nil {
-		lost := failed(ctx, true, err)
+		lost := failed(body.ctx, true, err)
 		_ = body.Close()
 		lost.Draining = reply.Draining
 		return lost
--- a/internal/attempt/watch.go
+++ b/internal/attempt/watch.go
@@ -27,44 +27,56 @@
 	client *Client
 	conn   *conn
 	cancel context.CancelCauseFunc
-	// quit ends a check in progress.
-	quit     context.Context
-	quitFunc context.CancelFunc
-
-	mu      sync.Mutex
-	timer   *time.Timer
-	stopped bool
-	// since is when the watch began: what was quiet before does not count.
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// armed is set while an answer or a part of it is awaited; turn counts how
+	// often that began.
+	armed bool
+	turn  uint64
+	// since is when the turn began: what was quiet before does not count.
 	since time.Time
+	// quit ends a check in progress; nil when there is none.
+	quit context.CancelFunc
 }
 
+// watch returns an armed watch.
 func (c *Client) watch(conn *conn, cancel context.CancelCauseFunc) *watch {
-	w := &watch{client: c, conn: conn, cancel: cancel, since: time.Now()}
-	w.quit, w.quitFunc = context.WithCancel(context.Background())
+	w := &watch{client: c, conn: conn, cancel: cancel, armed: true, turn: 1, since: time.Now()}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(c.cfg.ProgressTimeout, w.expired)
 	return w
 }
 
-func (w *watch) stop() {
+func (w *watch) arm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.armed, w.since = true, time.Now()
+	w.turn++
+	w.timer.Reset(w.client.cfg.ProgressTimeout)
+}
+
+func (w *watch) disarm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stopped = true
+	w.armed = false
 	w.timer.Stop()
-	w.quitFunc()
+	if w.quit != nil {
+		w.quit()
+	}
 }
 
 // expired runs when the progress timeout has passed.
 func (w *watch) expired() {
-	if w.moved() {
-		return
-	}
-	works := w.client.check(w.quit)
-	if w.moved() {
-		return
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped {
+	if !w.armed || w.moved() {
+		return
+	}
+	turn := w.turn
+	works := w.check()
+	if !w.armed || w.turn != turn || w.moved() {
 		return
 	}
 	if !works {
@@ -75,14 +87,21 @@
 	w.client.pool.retireIdle()
 }
 
-// moved reports whether nothing is to be done, since the watch was stopped or
-// bytes have moved; for the latter it sets the timer to the time left.
-func (w *watch) moved() bool {
+// check asks over a new connection, with the lock released.
+func (w *watch) check() bool {
+	ctx, quit := context.WithCancel(context.Background())
+	defer quit()
+	w.quit = quit
+	w.mu.Unlock()
+	works := w.client.check(ctx)
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped {
-		return true
-	}
+	w.quit = nil
+	return works
+}
+
+// moved reports whether bytes have moved within the progress timeout, and sets
+// the timer to the time that is left of it then.
+func (w *watch) moved() bool {
 	quiet := min(w.conn.quiet(), time.Since(w.since))
 	left := w.client.cfg.ProgressTimeout - quiet
 	if left <= 0 {
@@ -129,6 +148,7 @@
 	resp   *http.Response
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	watch  *watch
 	// whole is set once the end of the body was read.
 	whole  bool
 	closed bool
@@ -139,9 +159,9 @@
 	if b.whole {
 		return 0, io.EOF
 	}
-	w := b.client.watch(b.conn, b.cancel)
+	b.watch.arm()
 	n, err := b.resp.Body.Read(p)
-	w.stop()
+	b.watch.disarm()
 	switch err {
 	case nil:
 		return n, nil
