--- a/internal/filter/accept/accept.go
+++ b/internal/filter/accept/accept.go
@@ -54,20 +54,35 @@
 	start := time.Now()
 	if !h.Slots.TryAcquire(1) {
 		h.Metrics.Count("accept.busy")
-		WriteError(w, outcome.NotRunError(outcome.KindOverloaded, busyRetryAfter, "this instance holds as many requests as it may"))
+		refuse(w, hr, outcome.NotRunError(outcome.KindOverloaded, busyRetryAfter, "this instance holds as many requests as it may"))
 		return
 	}
 	defer h.Slots.Release(1)
 	r, free, err := h.read(w, hr, start)
 	if err != nil {
 		h.Metrics.Count("accept." + string(err.Kind))
-		WriteError(w, err)
+		refuse(w, hr, err)
 		return
 	}
 	defer free()
 	h.serve(w, hr, r, start)
 }
 
+// refuse answers a request that was turned away here. One that brought a key is
+// told that its outcome is unknown: this instance has not asked the key's
+// authority, and another attempt may have run.
+func refuse(w http.ResponseWriter, hr *http.Request, err *outcome.Error) {
+	if hr.Header.Get(filter.HeaderKey) != "" {
+		told := *err
+		told.Outcome = outcome.Unknown
+		if told.RetryAfter > 0 {
+			told.Remedy = "send it again with the same key after the time in Retry-After; it runs at most once"
+		}
+		err = &told
+	}
+	WriteError(w, err)
+}
+
 func (h *Handler) serve(w http.ResponseWriter, hr *http.Request, r *filter.Request, start time.Time) {
 	ctx, cancel := context.WithDeadline(h.Recorder.Extract(hr.Context(), hr.Header.Get(trace.HeaderTraceParent)), r.Deadline)
 	defer cancel()
--- a/internal/filter/accept/accept_test.go
+++ b/internal/filter/accept/accept_test.go
@@ -92,6 +92,33 @@
 	require.True(t, h.Slots.TryAcquire(1))
 }
 
+// TestRefusalOfAKeyIsUnknown: an instance that turns a request away without
+// asking the authority of its key cannot know that no other attempt has run.
+func TestRefusalOfAKeyIsUnknown(t *testing.T) {
+	h := handler(echo)
+	h.Slots = semaphore.NewWeighted(0)
+	ask := func(header http.Header) (accept.ErrorBody, http.Header) {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest("POST", "/scoring/x", strings.NewReader("loan"))
+		r.Header = header
+		h.ServeHTTP(w, r)
+		var body accept.ErrorBody
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &body))
+		require.Equal(t, body.Outcome, w.Header().Get(filter.HeaderOutcome))
+		return body, w.Header()
+	}
+	body, _ := ask(http.Header{})
+	require.Equal(t, "not-run", body.Outcome)
+	body, header := ask(http.Header{filter.HeaderKey: {"k"}})
+	require.Equal(t, "unknown", body.Outcome)
+	require.Contains(t, body.Remedy, "same key")
+	require.Equal(t, "1", header.Get("Retry-After"))
+	h.Slots = semaphore.NewWeighted(1)
+	body, _ = ask(http.Header{filter.HeaderKey: {"k"}, filter.HeaderDeadline: {"soon"}})
+	require.Equal(t, "unknown", body.Outcome)
+	require.Equal(t, "bad_request", body.Kind)
+}
+
 // TestCutStreamBreaksTheConnection shows that a caller never takes a cut
 // answer for a whole one, also when its length was not declared.
 func TestCutStreamBreaksTheConnection(t *testing.T) {
