linkcap: bounded holders, and the next ledger only when it may differ

Cause: a tick of one of 800 holders took 2.5 s and the row 395 KB, since every holder's partners were ranked anew at each event. Ruled out: a binary row alone (smaller, still one line per instance). Conclusion: instances beyond the bound forward to a holder.

--- a/internal/decide/linkcap/machine.go
+++ b/internal/decide/linkcap/machine.go
@@ -25,6 +25,10 @@
 	// broken is set while the newest row cannot be decoded; nothing is written
 	// then.
 	broken bool
+	// changed is set when the next ledger has to be worked out anew; without
+	// it that is done at checkAt.
+	changed bool
+	checkAt time.Time
 	// own is this incarnation's entry of ledger, or nil.
 	own *Holder
 	// caps are the configured caps by target region; nil before they are known.
@@ -181,12 +185,14 @@
 	for _, in := range m.members {
 		m.states[in.Identity] = in.State
 	}
+	m.changed = true
 	m.advance(now)
 }
 
 // SetCaps takes the configured caps by target region, and the longest that a
 // request may be in flight.
 func (m *Machine) SetCaps(now time.Time, caps map[string]Rights, hold time.Duration) {
+	m.changed = true
 	m.caps, m.hold = maps.Clone(caps), max(hold, RateWindow)
 	m.advance(now)
 }
@@ -228,7 +234,7 @@
 
 // Leave begins the planned stop.
 func (m *Machine) Leave(now time.Time) {
-	m.leaving = true
+	m.leaving, m.changed = true, true
 	m.advance(now)
 }
 
@@ -257,7 +263,7 @@
 // rights.
 func (m *Machine) adopt(next *Ledger) {
 	m.ready.Lost = m.ready.Lost || (m.own != nil && next.holder(m.cfg.Self) == nil)
-	m.ledger = next
+	m.ledger, m.changed = next, true
 	m.own = next.holder(m.cfg.Self)
 	for id, l := range m.loans {
 		switch {
--- a/internal/decide/linkcap/model_test.go
+++ b/internal/decide/linkcap/model_test.go
@@ -28,6 +28,8 @@
 	nodes     []*node
 	caps      map[string]Rights
 	loseReply bool
+	// maxHolders is 0 for the default.
+	maxHolders int
 	// loseTransfers loses transfers between partners and their answers.
 	loseTransfers bool
 	requests      []*request
@@ -63,7 +65,7 @@
 		Instance: membership.Instance{Identity: membership.Identity{ID: id, Incarnation: inc}, Peer: id},
 		alive:    true, beliefs: map[membership.Identity]membership.State{},
 	}
-	n.m = New(Config{Self: n.Identity, Peer: id, Region: testRegion, Poll: 2 * time.Second}, w.now)
+	n.m = New(Config{Self: n.Identity, Peer: id, Region: testRegion, Poll: 2 * time.Second, MaxHolders: w.maxHolders}, w.now)
 	n.m.SetCaps(w.now, w.caps, testHold)
 	w.nodes = append(w.nodes, n)
 	w.believe(n, n, membership.Live)
@@ -429,6 +431,33 @@
 	}
 }
 
+// TestMaxHolders holds that the row is bounded and that those left out have no
+// rights until a holder is gone.
+func TestMaxHolders(t *testing.T) {
+	w := newWorld(map[string]Rights{"sfo": {30, 30}})
+	w.maxHolders = 3
+	for i := range 5 {
+		w.start(fmt.Sprintf("n%d", i))
+	}
+	holders := func() (n int, sum Rights) {
+		for _, o := range w.nodes {
+			if u := o.m.Usable("sfo"); o.alive && !u.isZero() {
+				n, sum = n+1, sum.add(u)
+			}
+		}
+		return n, sum
+	}
+	w.run(10*time.Second, 500*time.Millisecond, true)
+	n, sum := holders()
+	require.Equal(t, 3, n)
+	require.Equal(t, Rights{30, 30}, sum)
+	w.nodes[0].alive = false
+	w.run(30*time.Second, 500*time.Millisecond, true)
+	n, sum = holders()
+	require.Equal(t, 3, n)
+	require.Equal(t, Rights{30, 30}, sum)
+}
+
 func BenchmarkTryAcquire(b *testing.B) {
 	w := newWorld(map[string]Rights{"sfo": {1000, 1000}})
 	n := w.start("a")
--- a/internal/decide/linkcap/types.go
+++ b/internal/decide/linkcap/types.go
@@ -130,6 +130,9 @@
 	Self   membership.Identity
 	Peer   string
 	Region string
+	// MaxHolders bounds the live holders, and with them the row. An instance
+	// that is none has no rights and forwards to one that is.
+	MaxHolders int
 	// Poll is the period at which the row is read when nothing tells of a
 	// change.
 	Poll time.Duration
@@ -146,7 +149,8 @@
 
 // Defaults of Config.
 const (
-	DefaultPoll        = 10 * time.Second
+	DefaultMaxHolders  = 64
+	DefaultPoll        = 30 * time.Second
 	DefaultProbeEvery  = time.Second
 	DefaultClaimStep   = 250 * time.Millisecond
 	DefaultResendAfter = time.Second
@@ -160,9 +164,13 @@
 	// it too, up to maxPartners.
 	wantedPartners = 2
 	maxPartners    = 6
+	// checkEvery is how often the next ledger is worked out anew without an
+	// event, since spare rights change with the load.
+	checkEvery = time.Second
 )
 
 func (c Config) withDefaults() Config {
+	c.MaxHolders = cmp.Or(c.MaxHolders, DefaultMaxHolders)
 	c.Poll = cmp.Or(c.Poll, DefaultPoll)
 	c.ProbeEvery = cmp.Or(c.ProbeEvery, DefaultProbeEvery)
 	c.ClaimStep = cmp.Or(c.ClaimStep, DefaultClaimStep)
--- a/internal/decide/linkcap/write.go
+++ b/internal/decide/linkcap/write.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"reflect"
 	"slices"
 	"time"
 
@@ -12,9 +11,10 @@
 
 // write proposes the next ledger when it differs from the present one.
 func (m *Machine) write(now time.Time) {
-	if !m.row.CanWrite() {
+	if !m.row.CanWrite() || (!m.changed && now.Before(m.checkAt)) {
 		return
 	}
+	m.changed, m.checkAt = false, now.Add(checkEvery)
 	next := m.ledger.clone()
 	m.settle(next)
 	if m.leaving {
@@ -22,7 +22,10 @@
 	}
 	giving := m.giveSurplus(now, next)
 	m.common(now, next, len(giving) > 0)
-	if reflect.DeepEqual(next, m.ledger.clone()) {
+	if !m.freeSince.IsZero() {
+		m.checkAt = now.Add(m.cfg.ClaimStep)
+	}
+	if next.equal(m.ledger) {
 		return
 	}
 	value, err := json.Marshal(next)
@@ -153,7 +156,7 @@
 	m.removeDead(now, next)
 	m.grant(next)
 	switch {
-	case reflect.DeepEqual(own, next):
+	case own.equal(next):
 		m.freeSince = time.Time{}
 	case m.freeSince.IsZero():
 		m.freeSince = now
@@ -177,12 +180,15 @@
 	return time.Duration(rank) * m.cfg.ClaimStep
 }
 
-// joinLive adds entries for live instances and finds partners for this one and
-// the new ones.
+// joinLive adds entries for live instances while there is room, and finds
+// partners for holders that have too few.
 func (m *Machine) joinLive(next *Ledger) {
+	room := m.cfg.MaxHolders - len(m.takers(next))
 	for _, in := range m.members {
-		if in.State == membership.Live && !(in.Identity == m.cfg.Self && m.leaving) {
+		may := in.State == membership.Live && !(in.Identity == m.cfg.Self && m.leaving)
+		if may && room > 0 && next.holder(in.Identity) == nil {
 			next.join(in.Identity, in.Peer)
+			room--
 		}
 	}
 	takers := m.takers(next)
@@ -192,6 +198,9 @@
 }
 
 func (m *Machine) findPartners(next *Ledger, id membership.Identity, takers []membership.Identity) {
+	if len(next.holder(id).Partners) >= wantedPartners {
+		return
+	}
 	byName := map[string]membership.Identity{}
 	var names []string
 	for _, t := range takers {
--- a/internal/decide/ownership/types.go
+++ b/internal/decide/ownership/types.go
@@ -125,7 +125,7 @@
 // Defaults of Config.
 const (
 	DefaultPollRelay      = time.Second
-	DefaultPollOther      = 30 * time.Second
+	DefaultPollOther      = time.Minute
 	DefaultProbeEvery     = time.Second
 	DefaultClaimStep      = 250 * time.Millisecond
 	DefaultRebalanceAfter = 10 * time.Second
