linkcap: holders that are not known yet count against the bound

Cause: an instance that has just started knows only itself and took every place in the row for free.

--- a/internal/decide/linkcap/write.go
+++ b/internal/decide/linkcap/write.go
@@ -183,7 +183,13 @@
 // joinLive adds entries for live instances while there is room, and finds
 // partners for holders that have too few.
 func (m *Machine) joinLive(next *Ledger) {
-	room := m.cfg.MaxHolders - len(m.takers(next))
+	room := m.cfg.MaxHolders
+	for _, h := range next.Holders {
+		// One that is not known to be dead counts, known or not.
+		if _, isDead := m.deadSince[h.Identity]; !isDead {
+			room--
+		}
+	}
 	for _, in := range m.members {
 		may := in.State == membership.Live && !(in.Identity == m.cfg.Self && m.leaving)
 		if may && room > 0 && next.holder(in.Identity) == nil {
