--- a/internal/decide/ownership/bench_test.go
+++ b/internal/decide/ownership/bench_test.go
@@ -10,8 +10,9 @@
 	"github.com/banyandeal/banyandeal/internal/platform"
 )
 
-// BenchmarkTick measures a second of a settled machine of a zone with five
-// backend servers an instance, and reports the size of the zone's row.
+// BenchmarkTick measures working out the owners of a zone with five backend
+// servers an instance, as a settled machine does each second, and reports the
+// size of the zone's row.
 func BenchmarkTick(b *testing.B) {
 	for _, n := range []int{5, 50, 250} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
--- a/internal/decide/ownership/machine.go
+++ b/internal/decide/ownership/machine.go
@@ -41,10 +41,14 @@
 	// seen; zero when there are none.
 	orphansSince time.Time
 	probedAt     map[membership.Identity]time.Time
-	leaving      bool
-	abandoning   bool
-	attempts     uint64
-	ready        Ready
+	// changed is set when the wanted owners have to be worked out anew; without
+	// it that is done at checkAt.
+	changed    bool
+	checkAt    time.Time
+	leaving    bool
+	abandoning bool
+	attempts   uint64
+	ready      Ready
 }
 
 // phase is how far a holding is on its way out.
@@ -136,6 +140,7 @@
 	if !slices.Equal(receivers, m.receivers) {
 		m.receivers, m.viewChanged = receivers, now
 	}
+	m.changed = true
 	m.advance(now)
 }
 
@@ -145,6 +150,7 @@
 	for _, b := range backends {
 		m.backends[b.Name] = b
 	}
+	m.changed = true
 	m.advance(now)
 }
 
@@ -189,6 +195,7 @@
 func (m *Machine) Drained(now time.Time, backend string, attempt uint64) {
 	if h, ok := m.holdings[backend]; ok && h.phase == stopping && h.attempt == attempt {
 		h.phase = drained
+		m.changed = true
 	}
 	m.advance(now)
 }
@@ -196,7 +203,7 @@
 // Leave begins the planned stop: everything is handed over to the zone's live
 // instances. Without any this instance keeps serving.
 func (m *Machine) Leave(now time.Time) {
-	m.leaving = true
+	m.leaving, m.changed = true, true
 	m.receivers = slices.DeleteFunc(slices.Clone(m.receivers), func(id membership.Identity) bool { return id == m.cfg.Self })
 	m.advance(now)
 }
@@ -220,6 +227,7 @@
 
 func (m *Machine) took(now time.Time, isNew bool) error {
 	var err error
+	m.changed = m.changed || isNew
 	if row, _ := m.row.Current(); isNew && row.Version > 0 {
 		var t Table
 		err = json.Unmarshal(row.Value, &t)
@@ -236,11 +244,8 @@
 // advance does what the state calls for after any event.
 func (m *Machine) advance(now time.Time) {
 	m.sync(now)
-	if m.backends != nil && m.Known() {
-		want := m.want(now)
-		m.steer(now, want)
-		m.write(now, want)
-		m.probe(now)
+	if m.backends != nil && m.Known() && (m.changed || !now.Before(m.checkAt)) {
+		m.decide(now)
 	}
 	for range 2 {
 		read, write := m.row.Next(now)
@@ -251,6 +256,19 @@
 	}
 }
 
+// decide works out the wanted owners and acts on them.
+func (m *Machine) decide(now time.Time) {
+	m.changed = false
+	want := m.want(now)
+	m.steer(now, want)
+	m.write(now, want)
+	m.probe(now)
+	m.checkAt = now.Add(checkEvery)
+	if !m.orphansSince.IsZero() {
+		m.checkAt = now.Add(m.cfg.ClaimStep)
+	}
+}
+
 // sync brings the holdings in step with the row.
 func (m *Machine) sync(now time.Time) {
 	for _, name := range sortedKeys(m.holdings) {
--- a/internal/decide/ownership/types.go
+++ b/internal/decide/ownership/types.go
@@ -133,6 +133,10 @@
 	DefaultHoldTime       = time.Minute
 )
 
+// checkEvery is how often the wanted owners are worked out anew without an
+// event.
+const checkEvery = time.Second
+
 // maxClaimRank bounds the wait of the lowest-ranked instances.
 const maxClaimRank = 8
 
