--- a/internal/decide/ownership/types.go
+++ b/internal/decide/ownership/types.go
@@ -125,7 +125,7 @@
 // Defaults of Config.
 const (
 	DefaultPollRelay      = time.Second
-	DefaultPollOther      = 30 * time.Second
+	DefaultPollOther      = time.Minute
 	DefaultProbeEvery     = time.Second
 	DefaultClaimStep      = 250 * time.Millisecond
 	DefaultRebalanceAfter = 10 * time.Second
@@ -133,6 +133,10 @@
 	DefaultHoldTime       = time.Minute
 )
 
+// checkEvery is how often the wanted owners are worked out anew without an
+// event.
+const checkEvery = time.Second
+
 // maxClaimRank bounds the wait of the lowest-ranked instances.
 const maxClaimRank = 8
 
