control: an answer that comes too late is seen by nobody

Cause: ask gave up when the control goroutine ended, while the function it had handed over could still run and write the variable that the asker then read: TestScenarios failed with a data race in serveExchange in 2 of 17 runs with -race on the state before. Once queued, a question also waited past its timeout. Ruled out: waiting for the function to end in all cases; the goroutine may have ended without it. Conclusion: no variable is shared between asker and control goroutine.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -53,25 +53,32 @@
 }
 
 func (c *Control) serveExchange(ctx context.Context, ex *peerpb.Exchange) (*peerpb.Reply, io.ReadCloser) {
-	reply := &peerpb.Reply{Error: "the instance is stopping"}
-	c.ask(ctx, func(now time.Time) {
+	reply, ok := ask(ctx, c, func(now time.Time) *peerpb.Reply {
 		c.takeExchange(now, ex.From, ex.ConfigVersion, ex.Self, ex.Records)
 		c.hintRows(now, ex.Zone, ex.Region, ex.OwnersVersion, ex.LinksVersion)
-		reply = &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: &peerpb.ExchangeReply{
+		return &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: &peerpb.ExchangeReply{
 			From: c.identity(), Zone: c.Self.Zone, Region: c.links.region, ConfigVersion: c.config.receiver.Version(),
 			OwnersVersion: c.owners.machine.Version(), LinksVersion: c.linkVersion(),
 			Self: c.selfRecord(), Records: c.records.list(),
 		}}}
 	})
+	if !ok {
+		return &peerpb.Reply{Error: "the instance is stopping or too busy; ask another"}, nil
+	}
 	return reply, nil
 }
 
 func (c *Control) serveConfig(ctx context.Context, digest config.Digest) (*peerpb.Reply, io.ReadCloser) {
-	var data []byte
-	var found bool
-	c.ask(ctx, func(time.Time) { data, found = c.object(digest) })
-	reply := &peerpb.Reply{Reply: &peerpb.Reply_ConfigPart{ConfigPart: &peerpb.ConfigPart{Found: found}}}
-	return reply, io.NopCloser(bytes.NewReader(data))
+	type object struct {
+		data  []byte
+		found bool
+	}
+	o, _ := ask(ctx, c, func(time.Time) object {
+		data, found := c.object(digest)
+		return object{data, found}
+	})
+	reply := &peerpb.Reply{Reply: &peerpb.Reply_ConfigPart{ConfigPart: &peerpb.ConfigPart{Found: o.found}}}
+	return reply, io.NopCloser(bytes.NewReader(o.data))
 }
 
 // recordMoved names a record that tells where a home's authority went.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -129,22 +129,25 @@
 	}
 }
 
-// ask runs f in the control goroutine and waits for it. It reports false when
-// the goroutine has ended.
-func (c *Control) ask(ctx context.Context, f func(now time.Time)) bool {
-	done := make(chan struct{})
+// ask runs f in the control goroutine and returns its result. ok is false when
+// ctx or the control goroutine ends first; f may run all the same, so that it
+// must not write to what the caller of ask reads.
+func ask[T any](ctx context.Context, c *Control, f func(now time.Time) T) (result T, ok bool) {
+	done := make(chan T, 1)
 	select {
-	case c.events <- func(now time.Time) { f(now); close(done) }:
+	case c.events <- func(now time.Time) { done <- f(now) }:
 	case <-c.ctx.Done():
-		return false
+		return result, false
 	case <-ctx.Done():
-		return false
+		return result, false
 	}
 	select {
-	case <-done:
-		return true
+	case result = <-done:
+		return result, true
 	case <-c.ctx.Done():
-		return false
+		return result, false
+	case <-ctx.Done():
+		return result, false
 	}
 }
 
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -33,13 +33,14 @@
 // let callers' requests end. It returns early when ctx ends.
 func (c *Control) Leave(ctx context.Context) {
 	done := make(chan struct{})
-	ok := c.ask(ctx, func(now time.Time) {
+	_, ok := ask(ctx, c, func(now time.Time) struct{} {
 		c.leaving = &leavingState{servedUntil: now.Add(c.longestTTL() + c.Settings.Timing.StopMargin), done: done}
 		c.members.Leave(now)
 		c.owners.machine.Leave(now)
 		c.Links.With(func(m *linkcap.Machine) { m.Leave(now) })
 		c.dirty = true
 		c.Log.Info().Time("served_until", c.leaving.servedUntil).Msg("leaving")
+		return struct{}{}
 	})
 	if !ok {
 		return
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -20,8 +20,7 @@
 func (c *Control) Status() operator.Status {
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
-	var s operator.Status
-	c.ask(ctx, func(time.Time) { s = c.status() })
+	s, _ := ask(ctx, c, func(time.Time) operator.Status { return c.status() })
 	return s
 }
 
