--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/config"
+	"github.com/banyandeal/banyandeal/internal/config/publish"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
 	"github.com/banyandeal/banyandeal/internal/keys"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
@@ -63,22 +64,16 @@
 		}}}
 	})
 	if !ok {
-		return &peerpb.Reply{Error: "the instance is stopping or too busy; ask another"}, nil
+		return &peerpb.Reply{Error: "the instance is stopping or busy"}, nil
 	}
 	return reply, nil
 }
 
 func (c *Control) serveConfig(ctx context.Context, digest config.Digest) (*peerpb.Reply, io.ReadCloser) {
-	type object struct {
-		data  []byte
-		found bool
-	}
-	o, _ := ask(ctx, c, func(time.Time) object {
-		data, found := c.object(digest)
-		return object{data, found}
-	})
-	reply := &peerpb.Reply{Reply: &peerpb.Reply_ConfigPart{ConfigPart: &peerpb.ConfigPart{Found: o.found}}}
-	return reply, io.NopCloser(bytes.NewReader(o.data))
+	cur, _ := ask(ctx, c, func(time.Time) *publish.Installed { return c.config.receiver.Current() })
+	data, found := object(cur, digest)
+	reply := &peerpb.Reply{Reply: &peerpb.Reply_ConfigPart{ConfigPart: &peerpb.ConfigPart{Found: found}}}
+	return reply, io.NopCloser(bytes.NewReader(data))
 }
 
 // recordMoved names a record that tells where a home's authority went.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/banyandeal/banyandeal/internal/config/static"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/keys"
 	"github.com/banyandeal/banyandeal/internal/links"
 	"github.com/banyandeal/banyandeal/internal/peer"
@@ -38,10 +39,12 @@
 	Peers    *peer.Client
 	Pool     *pool.Pool
 	Links    *links.Gate
-	Keeper   *keys.Keeper
-	Guard    *quarantine.Guard
-	Metrics  *telemetry.Metrics
-	Log      zerolog.Logger
+	// Place spreads the demand over zones.
+	Place   func(placement.Input) (*placement.Plan, error)
+	Keeper  *keys.Keeper
+	Guard   *quarantine.Guard
+	Metrics *telemetry.Metrics
+	Log     zerolog.Logger
 	// Dial opens connections for probes; nil is a plain TCP dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -130,24 +133,23 @@
 }
 
 // ask runs f in the control goroutine and returns its result. ok is false when
-// ctx or the control goroutine ends first; f may run all the same, so that it
-// must not write to what the caller of ask reads.
-func ask[T any](ctx context.Context, c *Control, f func(now time.Time) T) (result T, ok bool) {
+// the goroutine has ended or ctx has; f may still run then.
+func ask[T any](ctx context.Context, c *Control, f func(now time.Time) T) (res T, ok bool) {
 	done := make(chan T, 1)
 	select {
 	case c.events <- func(now time.Time) { done <- f(now) }:
 	case <-c.ctx.Done():
-		return result, false
+		return res, false
 	case <-ctx.Done():
-		return result, false
+		return res, false
 	}
 	select {
-	case result = <-done:
-		return result, true
+	case res = <-done:
+		return res, true
 	case <-c.ctx.Done():
-		return result, false
+		return res, false
 	case <-ctx.Done():
-		return result, false
+		return res, false
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -61,8 +61,7 @@
 
 // Client keeps a session to each address it has called.
 type Client struct {
-	// Dial opens connections; nil is a plain TCP dialer. It is set before the
-	// first call.
+	// Dial opens connections. It is set before the first call.
 	Dial dialFunc
 
 	mu       sync.Mutex
@@ -81,9 +80,15 @@
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// NewClient returns a client without sessions.
-func NewClient() *Client {
-	return &Client{sessions: map[string]*session{}}
+// NewClient returns a client without sessions. It dials from localIP, so that
+// the other end sees the address that this instance is known by; where that is
+// nil or unspecified, from the address that the system chooses.
+func NewClient(localIP net.IP) *Client {
+	d := &net.Dialer{}
+	if localIP != nil && !localIP.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: localIP}
+	}
+	return &Client{Dial: d.DialContext, sessions: map[string]*session{}}
 }
 
 func sessionConfig() *yamux.Config {
@@ -192,9 +197,6 @@
 	if s.failed != nil && now.Before(s.retryAt) {
 		return false, s.failed
 	}
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := dial(ctx, "tcp", addr)
