telemetry: a log line is key=value pairs alone

Cause: the writer of the log library treats a field called caller as a place in the source: event=started showed '127.0.0.1:24101 >'. Before: TestLogLine failed on it. After: caller=127.0.0.1:24101.

--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -22,6 +22,7 @@
 		FormatTimestamp: func(v any) string { return fmt.Sprintf("time=%v", v) },
 		FormatLevel:     func(v any) string { return fmt.Sprintf("level=%v", v) },
 		FormatMessage:   func(v any) string { return fmt.Sprintf("event=%v", v) },
+		FormatCaller:    func(v any) string { return fmt.Sprintf("caller=%v", v) },
 	}
 	return zerolog.New(out).Level(lvl).With().Timestamp().Str("instance", instance).Logger()
 }
