quarantine: what is known against a request travels with it

Cause: one idempotent request brought down three backend servers, the promise is two. The first crash was told to neighbours beside the request, and the further attempt reached the next instance before the notice did, where it ran as any other and so proved nothing. A forwarded request now carries what its sender knows, and a failed reply what the replier learnt.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -13,6 +13,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 	"github.com/banyandeal/banyandeal/internal/keys"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	"github.com/banyandeal/banyandeal/internal/quarantine"
 )
 
 // askTimeout bounds the wait of a peer's call for the control goroutine.
@@ -48,7 +49,7 @@
 	case *peerpb.Call_RightsWanted:
 		return c.serveRightsWanted(m.RightsWanted), nil
 	case *peerpb.Call_Quarantine:
-		c.Guard.Hear(decodeNotices(m.Quarantine.Entries))
+		c.Guard.Hear(quarantine.Decode(m.Quarantine.Entries))
 		return ack(true, nil), nil
 	}
 	return &peerpb.Reply{Error: "unknown call; this instance runs an older version"}, nil
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	guard "github.com/banyandeal/banyandeal/internal/quarantine"
 )
 
 // recordQuarantine names the record that tells other zones which requests
@@ -17,7 +18,7 @@
 // TellQuarantine brings notices to the neighbours in the zone at once.
 func (c *Control) TellQuarantine(notices []quarantine.Notice) {
 	event := func(time.Time) {
-		call := &peerpb.Call{Call: &peerpb.Call_Quarantine{Quarantine: &peerpb.QuarantineNotice{Entries: encodeNotices(notices)}}}
+		call := &peerpb.Call{Call: &peerpb.Call_Quarantine{Quarantine: &peerpb.QuarantineNotice{Entries: guard.Encode(notices)}}}
 		for _, in := range c.members.View().Zone(c.Self.Zone).Usable() {
 			if in.Identity != c.Self.Identity {
 				c.tell(in.Peer, call)
@@ -57,32 +58,3 @@
 		c.Guard.Hear(notices)
 	}
 }
-
-func encodeNotices(ns []quarantine.Notice) []*peerpb.QuarantineEntry {
-	out := make([]*peerpb.QuarantineEntry, len(ns))
-	for i, n := range ns {
-		e := &peerpb.QuarantineEntry{
-			Fingerprint: uint64(n.Fingerprint), Quarantined: n.Quarantined, Cleared: n.Cleared, ExpiresMs: n.Expiry.UnixMilli(),
-		}
-		for _, incident := range n.Incidents {
-			e.Incidents = append(e.Incidents, uint64(incident))
-		}
-		out[i] = e
-	}
-	return out
-}
-
-func decodeNotices(es []*peerpb.QuarantineEntry) []quarantine.Notice {
-	out := make([]quarantine.Notice, len(es))
-	for i, e := range es {
-		n := quarantine.Notice{
-			Fingerprint: quarantine.Fingerprint(e.Fingerprint), Quarantined: e.Quarantined, Cleared: e.Cleared,
-			Expiry: time.UnixMilli(e.ExpiresMs),
-		}
-		for _, incident := range e.Incidents {
-			n.Incidents = append(n.Incidents, quarantine.Incident(incident))
-		}
-		out[i] = n
-	}
-	return out
-}
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -8,10 +8,12 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/banyandeal/banyandeal/internal/control"
+	decidequarantine "github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/filter"
 	"github.com/banyandeal/banyandeal/internal/forward"
 	"github.com/banyandeal/banyandeal/internal/outcome"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	"github.com/banyandeal/banyandeal/internal/quarantine"
 	"github.com/banyandeal/banyandeal/internal/trace"
 )
 
@@ -20,6 +22,7 @@
 type calls struct {
 	control  *control.Control
 	recorder *trace.Recorder
+	guard    *quarantine.Guard
 	// home runs a request as the authority of its key, run in this zone.
 	home, run filter.Handler
 }
@@ -33,9 +36,19 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(c.recorder.Extract(ctx, f.TraceParent), time.Duration(f.DeadlineMs)*time.Millisecond)
 	ctx, span := c.recorder.Start(ctx, "serve", attribute.String("request", f.RequestId))
-	answer, err := c.serve(ctx, f, body, start)
+	data, err := io.ReadAll(body)
+	var answer *filter.Answer
+	if err == nil {
+		answer, err = c.serve(ctx, f, data, start)
+	} else {
+		err = outcome.NotRunError(outcome.KindInternal, time.Second, "the request's body can't be read: %v", err)
+	}
 	trace.End(span, err)
 	reply, out := forward.ToReply(f, answer, err)
+	if err != nil {
+		fp := decidequarantine.FingerprintOf(f.Service, f.Method, f.Path, data)
+		reply.GetForward().Suspicion = quarantine.Encode(c.guard.Notice(fp))
+	}
 	if out == nil {
 		cancel()
 		return reply, nil
@@ -43,19 +56,16 @@
 	return reply, &endBody{out, cancel}
 }
 
-func (c *calls) serve(ctx context.Context, f *peerpb.Forward, body io.Reader, start time.Time) (*filter.Answer, error) {
+func (c *calls) serve(ctx context.Context, f *peerpb.Forward, data []byte, start time.Time) (*filter.Answer, error) {
 	snap := c.control.Snapshot()
 	if to := f.To; to.GetIncarnation() != 0 && (to.Id != snap.Self.ID || to.Incarnation != snap.Self.Incarnation) {
 		return nil, outcome.UnknownError(outcome.KindHomeGone, "incarnation %d of instance %s, the home of the key, is gone", to.Incarnation, to.Id)
 	}
-	data, err := io.ReadAll(body)
-	if err != nil {
-		return nil, outcome.NotRunError(outcome.KindInternal, time.Second, "the request's body can't be read: %v", err)
-	}
 	r, bad := forward.ToRequest(snap.Estate, f, data, start)
 	if bad != nil {
 		return nil, bad
 	}
+	c.guard.Hear(quarantine.Decode(f.Suspicion))
 	if r.Stage == filter.StageHome {
 		return c.home.Serve(ctx, r)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -179,12 +179,15 @@
 		Caller: s.Advertise.Caller, Peer: s.Advertise.Peer, Operator: s.Advertise.Operator,
 	}
 	d.home = once.Home{Zone: s.Zone, ID: s.ID, Incarnation: self.Incarnation}
-	d.sender = &forward.Sender{Client: d.peers, Recorder: d.recorder, Region: d.region, Unreachable: func(addr string) { d.control.Suspect(addr) }}
+	d.guard = quarantine.NewGuard(s.ID, d.network.Dial, func(ns []decidequarantine.Notice) { d.control.TellQuarantine(ns) })
+	d.sender = &forward.Sender{
+		Client: d.peers, Recorder: d.recorder, Region: d.region, Guard: d.guard,
+		Unreachable: func(addr string) { d.control.Suspect(addr) },
+	}
 	t := &transport{sender: d.sender, peers: d.peers, platform: d.platform, self: d.home}
 	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: maxKeyTTL, ClaimTTL: claimTTL}, t)
 	d.pool = pool.New(d.policy.balance, func(r pool.Result) { d.control.BackendResult(r) })
 	d.pool.Dial = d.network.Dial
-	d.guard = quarantine.NewGuard(s.ID, d.network.Dial, func(ns []decidequarantine.Notice) { d.control.TellQuarantine(ns) })
 	d.control = control.New(control.Deps{
 		Settings: s, Self: self, Platform: d.platform, Peers: d.peers, Pool: d.pool, Links: d.links,
 		Place: d.policy.place, Keeper: d.keeper, Guard: d.guard, Metrics: d.metrics, Log: d.log, Dial: d.network.Dial,
@@ -219,7 +222,7 @@
 	controlDone := make(chan struct{})
 	d.control.Bind(stopped)
 	go func() { defer close(controlDone); d.control.Run() }()
-	peers := peer.NewServer(&calls{control: d.control, recorder: d.recorder, home: home, run: run})
+	peers := peer.NewServer(&calls{control: d.control, recorder: d.recorder, guard: d.guard, home: home, run: run})
 	go peers.Serve(d.peerListener)
 	callers := d.callerServer(enter)
 	go callers.Serve(d.callerListener)
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -231,6 +231,15 @@
 	return digest
 }
 
+// Notice returns what is known of a request that is not clear, to be told
+// together with the request itself.
+func (m *Machine) Notice(now time.Time, fp Fingerprint) (n Notice, ok bool) {
+	if m.Verdict(now, fp) == Clear {
+		return Notice{}, false
+	}
+	return m.notice(fp), true
+}
+
 func (m *Machine) notice(fp Fingerprint) Notice {
 	e := m.entries[fp]
 	return Notice{Fingerprint: fp, Incidents: slices.Clone(e.incidents), Quarantined: e.quarantined, Expiry: e.expiry}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/banyandeal/banyandeal/internal/outcome"
 	"github.com/banyandeal/banyandeal/internal/peer"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	"github.com/banyandeal/banyandeal/internal/quarantine"
 	"github.com/banyandeal/banyandeal/internal/trace"
 )
 
@@ -36,6 +37,8 @@
 	Recorder *trace.Recorder
 	// Region is the region of this instance.
 	Region func() string
+	// Guard knows requests that bring backend servers down.
+	Guard *quarantine.Guard
 	// Unreachable is told of an address that a request could not be sent to.
 	Unreachable func(addr string)
 }
@@ -56,12 +59,13 @@
 	if left <= 0 {
 		return nil, &Failed{Err: outcome.NotRunError(outcome.KindDeadline, 0, "the deadline passed before the request was passed on")}
 	}
+	fp := quarantine.Fingerprint(r)
 	call := &peerpb.Call{Call: &peerpb.Call_Forward{Forward: &peerpb.Forward{
 		RequestId: r.ID, Service: r.Service.Name, Method: r.Method, Path: r.Path, Headers: ToHeaders(r.Header),
 		BodyLength: int64(len(r.Body)), DeadlineMs: max(left.Milliseconds(), 1), Key: r.Key, Stage: int32(stage),
 		TraceParent: s.Recorder.Inject(ctx), Idempotent: r.Idempotent, Operation: r.Operation,
 		To: &peerpb.Identity{Id: to.ID, Incarnation: to.Incarnation}, FromRegion: s.Region(), Caller: r.Caller.String(),
-		Hops: int32(r.Hops + 1),
+		Hops: int32(r.Hops + 1), Suspicion: quarantine.Encode(s.Guard.Notice(fp)),
 	}}}
 	reply, body, err := s.Client.Call(ctx, to.Address, call, bodyOf(r.Body))
 	if err != nil {
@@ -71,6 +75,9 @@
 		}
 		return nil, failed
 	}
+	if known := reply.GetForward().GetSuspicion(); len(known) > 0 {
+		s.Guard.Hear(quarantine.Decode(known))
+	}
 	answer, err := s.answer(r, to, reply, body)
 	if err != nil {
 		body.Close()
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -186,6 +186,17 @@
 	}
 }
 
+// Notice returns what is known of a request that is not clear: it travels with
+// the request, so that the next instance judges it by what the last one saw.
+func (g *Guard) Notice(fp quarantine.Fingerprint) []quarantine.Notice {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n, ok := g.machine.Notice(time.Now(), fp); ok {
+		return []quarantine.Notice{n}
+	}
+	return nil
+}
+
 // Tick lets time pass.
 func (g *Guard) Tick() {
 	g.mu.Lock()
