scenario: scripts for each promise; the stand-in's health endpoint says that it drains

Cause: the stand-in answered a bare 503 when draining, which control takes for a failure and not for a notice. Before: leaving_by_health was not closed within 2 s. After: it is, from the probe alone. timing.delist_after is a setting now, so that a paused holder that the list has dropped can be tested without waiting a minute.

--- a/internal/config/static/static.go
+++ b/internal/config/static/static.go
@@ -25,6 +25,7 @@
 	DefaultTick              = 100 * time.Millisecond
 	DefaultHeartbeat         = 500 * time.Millisecond
 	DefaultStopMargin        = 2 * time.Second
+	DefaultDelistAfter       = time.Minute
 	DefaultMaxInFlight       = 4096
 	DefaultMaxHeaderBytes    = 32 << 10
 	DefaultBodyMemory        = 64 << 20
@@ -96,6 +97,9 @@
 	ListPoll   time.Duration `yaml:"list_poll"`
 	// StopMargin is added to the longest look-up TTL at a planned stop.
 	StopMargin time.Duration `yaml:"stop_margin"`
+	// DelistAfter is how long an instance must be absent from the platform's
+	// lists to count as dead; it must exceed the most that the list can lag.
+	DelistAfter time.Duration `yaml:"delist_after"`
 }
 
 // Trace tells where spans go.
@@ -122,7 +126,7 @@
 		},
 		Timing: Timing{
 			Tick: DefaultTick, Heartbeat: DefaultHeartbeat, ConfigPoll: DefaultConfigPoll,
-			ListPoll: DefaultListPoll, StopMargin: DefaultStopMargin,
+			ListPoll: DefaultListPoll, StopMargin: DefaultStopMargin, DelistAfter: DefaultDelistAfter,
 		},
 		Trace: Trace{Spans: DefaultTraceSpans},
 		Log:   Log{Level: DefaultLogLevel},
@@ -221,7 +225,7 @@
 	}{
 		{"platform.timeout", s.Platform.Timeout}, {"timing.tick", s.Timing.Tick},
 		{"timing.heartbeat", s.Timing.Heartbeat}, {"timing.config_poll", s.Timing.ConfigPoll},
-		{"timing.list_poll", s.Timing.ListPoll}, {"timing.stop_margin", s.Timing.StopMargin},
+		{"timing.list_poll", s.Timing.ListPoll}, {"timing.stop_margin", s.Timing.StopMargin}, {"timing.delist_after", s.Timing.DelistAfter},
 		{"limits.read_header_timeout", s.Limits.ReadHeaderTimeout}, {"limits.read_timeout", s.Limits.ReadTimeout},
 	} {
 		if d.value <= 0 {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -54,7 +54,9 @@
 	snap    atomic.Pointer[snapshot.Snapshot]
 	events  chan func(now time.Time)
 	ctx     context.Context
-	io      sync.WaitGroup
+	// ended is closed when Run handles no more events.
+	ended chan struct{}
+	io    sync.WaitGroup
 
 	members *membership.Machine
 	records *records
@@ -82,8 +84,8 @@
 // New returns the control state of an instance at its start.
 func New(d Deps, now time.Time) *Control {
 	c := &Control{
-		Deps: d, started: now, events: make(chan func(time.Time), eventQueue),
-		members: membership.New(membership.Config{Self: d.Self}, now),
+		Deps: d, started: now, events: make(chan func(time.Time), eventQueue), ended: make(chan struct{}),
+		members: membership.New(membership.Config{Self: d.Self, DelistAfter: d.Settings.Timing.DelistAfter}, now),
 		records: newRecords(d.Self.Identity), steer: newSteerState(), ramp: newRampState(), owners: newOwnerState(d.Self, now),
 		health: newHealthState(d.Dial),
 		fatal:  make(chan error, 1),
@@ -106,6 +108,7 @@
 	ticker := time.NewTicker(c.Settings.Timing.Tick)
 	defer ticker.Stop()
 	defer c.io.Wait()
+	defer close(c.ended)
 	c.tick(time.Now())
 	for {
 		select {
@@ -140,10 +143,12 @@
 	case <-ctx.Done():
 		return false
 	}
+	// The event may still run when the context has ended; what it writes must
+	// not be read before the goroutine has.
 	select {
 	case <-done:
 		return true
-	case <-c.ctx.Done():
+	case <-c.ended:
 		return false
 	}
 }
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -13,9 +13,9 @@
 //	send NAME           start a request: METHOD PATH at=ID [key=K] [like=NAME] [deadline=D]
 //	flood NAME          start many: n=N METHOD PATH at=ID [key=new]
 //	cancel NAME         the caller goes away
-//	outcome NAME...     wait for the ends of requests and print them
+//	outcome NAME...     wait for the ends of requests and print them; kinds=no: outcomes alone
 //	runs NAME...        how often backend servers began to run a request
-//	total NAME          counts of the ends of a flood; kinds: the ends alone
+//	total NAME          counts of the ends of a flood; counts=no, kinds=no leave these out
 //	served NAME         runs that a backend server has begun so far
 //	peak [NAME...]      whether backend servers ever had more at once than slots
 //	exit ID             wait for the end of an instance
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -216,11 +216,14 @@
 		if strings.HasPrefix(end, "done by") {
 			end = "done"
 		}
+		if a.text("kinds", "yes") == "no" {
+			end, _, _ = strings.Cut(end, " ")
+		}
 		counts[end]++
 	}
 	var lines []string
 	for end, n := range counts {
-		if slices.Contains(a.words[1:], "kinds") {
+		if a.text("counts", "yes") == "no" {
 			lines = append(lines, end+"\n")
 			continue
 		}
@@ -242,6 +245,9 @@
 		if a.text("names", "no") == "no" && strings.HasPrefix(end, "done by") {
 			end = "done"
 		}
+		if a.text("kinds", "yes") == "no" {
+			end, _, _ = strings.Cut(end, " ")
+		}
 		fmt.Fprintf(&b, "%s: %s\n", name, end)
 	}
 	return b.String(), nil
--- a/internal/scenario/wait.go
+++ b/internal/scenario/wait.go
@@ -35,6 +35,10 @@
 //	free at=ID zone=Z n=N          slots reported free, as the instance knows
 //	platform at=ID state=up|down   as the instance sees it
 //	backend at=ID NAME STATE       healthy, suspect, ejected, draining or cold
+//	closed BACKEND                 its owner gives it no new work
+//	rights FROM TO N               rights of all running instances on a link add up to N
+//	right at=ID FROM TO            the instance has a right on a link
+//	links FROM TO N                what they have in flight on a link adds up to N
 //	first at=ID from=REGION ZONE   first zone of a look-up
 //	share at=ID from=REGION zone=Z min=X max=X
 //	                               share of callers whose first zone it is, in percent
@@ -53,6 +57,10 @@
 	"free":     (*world).freeIs,
 	"platform": func(w *world, a args) bool { return w.platformSeen(a.text("at", "")) == a.text("state", "up") },
 	"backend":  (*world).backendIs,
+	"closed":   (*world).closed,
+	"rights":   func(w *world, a args) bool { return w.linkSum(a, linkRights) == atoi(a.word(2)) },
+	"links":    func(w *world, a args) bool { return w.linkSum(a, linkInFlight) == atoi(a.word(2)) },
+	"right":    (*world).hasRight,
 	"first":    (*world).firstIs,
 	"share":    (*world).shareIs,
 	"absent":   (*world).absent,
@@ -246,6 +254,42 @@
 	return false
 }
 
+func (w *world) closed(a args) bool {
+	for _, id := range w.running() {
+		for _, b := range w.status(id).Backends {
+			if b.Name == a.word(0) && b.Owner == id {
+				return b.State != "healthy" && b.State != "cold" && b.State != "suspect"
+			}
+		}
+	}
+	return false
+}
+
+func linkRights(l operator.LinkStatus) int   { return l.RightsInFlight }
+func linkInFlight(l operator.LinkStatus) int { return l.InFlight }
+
+func (w *world) hasRight(a args) bool {
+	for _, l := range w.status(a.text("at", "")).Links {
+		if l.From == a.word(0) && l.To == a.word(1) {
+			return l.RightsInFlight > 0
+		}
+	}
+	return false
+}
+
+// linkSum adds up a figure of a link over the running instances.
+func (w *world) linkSum(a args, figure func(operator.LinkStatus) int) int {
+	sum := 0
+	for _, id := range w.running() {
+		for _, l := range w.status(id).Links {
+			if l.From == a.word(0) && l.To == a.word(1) {
+				sum += figure(l)
+			}
+		}
+	}
+	return sum
+}
+
 func (w *world) firstIs(a args) bool {
 	answer, err := w.lookup(a.text("at", ""), a.text("service", "loans"), w.caller(a.text("from", ""), a.number("n", 0)))
 	return err == nil && answer.Instances[0].Zone == a.word(0)
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -118,6 +118,7 @@
 	s.Timing = static.Timing{
 		Tick: 20 * time.Millisecond, Heartbeat: 100 * time.Millisecond, ConfigPoll: 100 * time.Millisecond,
 		ListPoll: 100 * time.Millisecond, StopMargin: 100 * time.Millisecond,
+		DelistAfter: time.Second,
 	}
 	s.Log.Level = "debug"
 	for _, in := range w.instances {
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -168,6 +168,8 @@
 	fail := s.load.at(time.Duration(f.LagMS) * time.Millisecond).Draining
 	if f.Health != "" {
 		fail = f.Health == HealthFail
+	} else if fail {
+		w.Header().Set(HeaderDraining, "true")
 	}
 	if fail {
 		http.Error(w, HealthFail, http.StatusServiceUnavailable)
