--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/banyandeal/banyandeal/internal/config/static"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
 	"github.com/banyandeal/banyandeal/internal/keys"
 	"github.com/banyandeal/banyandeal/internal/links"
 	"github.com/banyandeal/banyandeal/internal/peer"
@@ -38,10 +39,12 @@
 	Peers    *peer.Client
 	Pool     *pool.Pool
 	Links    *links.Gate
-	Keeper   *keys.Keeper
-	Guard    *quarantine.Guard
-	Metrics  *telemetry.Metrics
-	Log      zerolog.Logger
+	// Place spreads the demand over zones.
+	Place   func(placement.Input) (*placement.Plan, error)
+	Keeper  *keys.Keeper
+	Guard   *quarantine.Guard
+	Metrics *telemetry.Metrics
+	Log     zerolog.Logger
 	// Dial opens connections for probes; nil is a plain TCP dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -54,9 +57,7 @@
 	snap    atomic.Pointer[snapshot.Snapshot]
 	events  chan func(now time.Time)
 	ctx     context.Context
-	// ended is closed when Run handles no more events.
-	ended chan struct{}
-	io    sync.WaitGroup
+	io      sync.WaitGroup
 
 	members *membership.Machine
 	records *records
@@ -84,7 +85,7 @@
 // New returns the control state of an instance at its start.
 func New(d Deps, now time.Time) *Control {
 	c := &Control{
-		Deps: d, started: now, events: make(chan func(time.Time), eventQueue), ended: make(chan struct{}),
+		Deps: d, started: now, events: make(chan func(time.Time), eventQueue),
 		members: membership.New(membership.Config{Self: d.Self, DelistAfter: d.Settings.Timing.DelistAfter}, now),
 		records: newRecords(d.Self.Identity), steer: newSteerState(), ramp: newRampState(), owners: newOwnerState(d.Self, now),
 		health: newHealthState(d.Dial),
@@ -108,7 +109,6 @@
 	ticker := time.NewTicker(c.Settings.Timing.Tick)
 	defer ticker.Stop()
 	defer c.io.Wait()
-	defer close(c.ended)
 	c.tick(time.Now())
 	for {
 		select {
@@ -132,24 +132,24 @@
 	}
 }
 
-// ask runs f in the control goroutine and waits for it. It reports false when
-// the goroutine has ended.
-func (c *Control) ask(ctx context.Context, f func(now time.Time)) bool {
-	done := make(chan struct{})
+// ask runs f in the control goroutine and returns its result. ok is false when
+// the goroutine has ended or ctx has; f may still run then.
+func ask[T any](ctx context.Context, c *Control, f func(now time.Time) T) (res T, ok bool) {
+	done := make(chan T, 1)
 	select {
-	case c.events <- func(now time.Time) { f(now); close(done) }:
+	case c.events <- func(now time.Time) { done <- f(now) }:
 	case <-c.ctx.Done():
-		return false
+		return res, false
 	case <-ctx.Done():
-		return false
+		return res, false
 	}
-	// The event may still run when the context has ended; what it writes must
-	// not be read before the goroutine has.
 	select {
-	case <-done:
-		return true
-	case <-c.ended:
-		return false
+	case res = <-done:
+		return res, true
+	case <-c.ctx.Done():
+		return res, false
+	case <-ctx.Done():
+		return res, false
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,7 +18,6 @@
 
 	"github.com/banyandeal/banyandeal/internal/config/static"
 	"github.com/banyandeal/banyandeal/internal/control"
-	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
 	decidequarantine "github.com/banyandeal/banyandeal/internal/decide/quarantine"
@@ -73,6 +72,7 @@
 	platform *platform.Client
 	sender   *forward.Sender
 	home     once.Home
+	policy   policy
 
 	callerListener, peerListener, operatorListener net.Listener
 }
@@ -103,14 +103,19 @@
 
 // NewOn is New on a network of the caller's.
 func NewOn(n Network, s static.Settings, logs io.Writer) (*Daemon, error) {
+	peers := peer.NewClient(localIP(s))
 	if n.Listen == nil {
 		n.Listen = net.Listen
 	}
 	if n.Dial == nil {
 		n.Dial = (&net.Dialer{}).DialContext
+	} else {
+		peers.Dial = n.Dial
+	}
+	d := &Daemon{
+		settings: s, network: n, killed: make(chan struct{}), log: telemetry.NewLogger(logs, s.Log.Level, s.ID),
+		metrics: telemetry.NewMetrics(), links: links.New(), peers: peers, policy: policyOf(s.Policy),
 	}
-	d := &Daemon{settings: s, network: n, killed: make(chan struct{}), log: telemetry.NewLogger(logs, s.Log.Level, s.ID), metrics: telemetry.NewMetrics(), links: links.New(), peers: peer.NewClient()}
-	d.peers.Dial = n.Dial
 	var spans io.Writer
 	if s.Trace.File != "" {
 		f, err := os.OpenFile(s.Trace.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
@@ -132,6 +137,16 @@
 	return d, nil
 }
 
+// localIP is the address that sessions to other instances are dialled from:
+// that of the peer listener, since the advertised one need not be bound here.
+func localIP(s static.Settings) net.IP {
+	host, _, err := net.SplitHostPort(s.Listen.Peer)
+	if err != nil {
+		return nil
+	}
+	return net.ParseIP(host)
+}
+
 // listen binds the peer listener last, since an instance that can be reached
 // there counts as alive.
 func (d *Daemon) listen() error {
@@ -167,12 +182,12 @@
 	d.sender = &forward.Sender{Client: d.peers, Recorder: d.recorder, Region: d.region, Unreachable: func(addr string) { d.control.Suspect(addr) }}
 	t := &transport{sender: d.sender, peers: d.peers, platform: d.platform, self: d.home}
 	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: maxKeyTTL, ClaimTTL: claimTTL}, t)
-	d.pool = pool.New(balance.LeastLoaded, func(r pool.Result) { d.control.BackendResult(r) })
+	d.pool = pool.New(d.policy.balance, func(r pool.Result) { d.control.BackendResult(r) })
 	d.pool.Dial = d.network.Dial
 	d.guard = quarantine.NewGuard(s.ID, d.network.Dial, func(ns []decidequarantine.Notice) { d.control.TellQuarantine(ns) })
 	d.control = control.New(control.Deps{
 		Settings: s, Self: self, Platform: d.platform, Peers: d.peers, Pool: d.pool, Links: d.links,
-		Keeper: d.keeper, Guard: d.guard, Metrics: d.metrics, Log: d.log, Dial: d.network.Dial,
+		Place: d.policy.place, Keeper: d.keeper, Guard: d.guard, Metrics: d.metrics, Log: d.log, Dial: d.network.Dial,
 	}, now)
 	t.control = d.control
 }
@@ -185,7 +200,7 @@
 func (d *Daemon) pipeline() (enter, home, run filter.Handler) {
 	attempt := limit.Handler{Pool: d.pool, Guard: d.guard, Recorder: d.recorder}
 	router := route.Filter{
-		Snapshot: d.control.Snapshot, Sender: d.sender, Slots: d.pool, Links: d.links, Budgets: route.NewBudgets(),
+		Policy: d.policy.route, Snapshot: d.control.Snapshot, Sender: d.sender, Slots: d.pool, Links: d.links, Budgets: route.NewBudgets(),
 		Outbox: route.NewOutbox(), Metrics: d.metrics, Recorder: d.recorder,
 	}
 	run = filter.Chain(attempt, filterquarantine.Filter{Guard: d.guard}, router)
@@ -277,6 +292,7 @@
 	mux.Handle("GET /v1/lookup", &lookup.Handler{Snapshot: d.control.Snapshot, Metrics: d.metrics})
 	mux.Handle("/", &accept.Handler{
 		Estate: func() *estate.Estate { return d.control.Snapshot().Estate }, Next: enter, Region: d.region,
+		Leaving: func() bool { return d.control.Snapshot().Leaving },
 		Metrics: d.metrics, Recorder: d.recorder,
 		Slots: semaphore.NewWeighted(int64(l.MaxInFlight)), Memory: semaphore.NewWeighted(l.BodyMemory),
 	})
--- a/internal/decide/ownership/model_test.go
+++ b/internal/decide/ownership/model_test.go
@@ -106,7 +106,8 @@
 
 // tick lets time pass at n: its work ends, its machine goes on.
 func (w *world) tick(n *node) {
-	for name, attempt := range n.stops {
+	for _, name := range sortedKeys(n.stops) {
+		attempt := n.stops[name]
 		if w.inFlight(n, name) == 0 {
 			delete(n.stops, name)
 			n.m.Drained(w.now, name, attempt)
@@ -273,16 +274,13 @@
 	}
 	const step, settle = 500 * time.Millisecond, 60 * time.Second
 	for range int(settle / step) {
-		w.pass(step)
-		for w.net.Len() > 0 {
-			w.net.Deliver(0)
-		}
 		for _, n := range w.nodes {
-			if !n.alive {
-				continue
+			if n.alive {
+				w.truth(n)
 			}
-			w.truth(n)
-			w.tick(n)
+		}
+		w.run(step, step)
+		for _, n := range w.nodes {
 			if n.m.Released() {
 				w.kill(n)
 			}
@@ -291,6 +289,24 @@
 	}
 }
 
+// run lets time pass in steps; what is sent in a step arrives in it, but for
+// what paused nodes have to take.
+func (w *world) run(d, step time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.pass(step)
+		for range 10 {
+			for range w.net.Len() {
+				w.net.Deliver(0)
+			}
+		}
+		for _, n := range w.nodes {
+			if w.up(n) {
+				w.tick(n)
+			}
+		}
+	}
+}
+
 // truth gives n the right beliefs.
 func (w *world) truth(n *node) {
 	for _, o := range w.nodes {
@@ -359,7 +375,11 @@
 			w.net.Send(func() { w.write(n, w.lastWrite(n), true) })
 		}
 	case 9:
-		w.begin(n, w.backends[rapid.IntRange(0, len(w.backends)-1).Draw(t, "backend")].Name, testDeadline)
+		for _, b := range w.backends {
+			for range rapid.IntRange(0, testSlots).Draw(t, "requests") {
+				w.begin(n, b.Name, testDeadline)
+			}
+		}
 	case 10, 11:
 		w.deliver(t)
 	case 12:
