--- a/internal/decide/retry/request.go
+++ b/internal/decide/retry/request.go
@@ -50,8 +50,16 @@
 // a hedge.
 type Tick struct{ Headroom float64 }
 
-// Cancel tells that nobody waits for the answer.
-type Cancel struct{}
+// Cancel tells that nobody waits for the answer; Expired is set when that is
+// since the deadline has passed.
+type Cancel struct{ Expired bool }
+
+func (c Cancel) end() End {
+	if c.Expired {
+		return Expired
+	}
+	return Stopped
+}
 
 func (Begin) event()      {}
 func (Ended) event()      {}
@@ -100,6 +108,9 @@
 	// reached is set once a backend server may have run an attempt that has
 	// ended. A request that is not idempotent is not sent again then.
 	reached bool
+	// lost counts the attempts that ended Lost; after maxLost there is no
+	// further one, since the request itself may bring backend servers down.
+	lost int
 	// delivering is the attempt whose answer is being passed on, or 0.
 	delivering int
 	// due is when the next attempt is to be sent; zero when none is planned.
@@ -140,7 +151,7 @@
 	case Tick:
 		r.tick(now, e.Headroom)
 	case Cancel:
-		r.fail(Ended{End: Stopped})
+		r.fail(Ended{End: e.end()})
 	}
 	return r.out
 }
@@ -185,6 +196,9 @@
 		return
 	}
 	r.reached = r.reached || e.End.Reached()
+	if e.End == Lost {
+		r.lost++
+	}
 	r.last = e
 	if e.Attempt == r.delivering || e.End == Stopped {
 		r.fail(e)
@@ -208,11 +222,14 @@
 	return false
 }
 
+// maxLost is how many backend servers one request may take along.
+const maxLost = 2
+
 // plan sends the next attempt, sets its time, or gives up. Giving up is
 // immediate: the caller is never held until its deadline.
 func (r *Request) plan(now time.Time, e Ended) {
 	wait := max(Backoff(r.sent, r.cfg.Backoff, r.cfg.MaxBackoff, e.Random), e.RetryAfter)
-	if e.RetryAfter > r.cfg.MaxBackoff || !r.mayFollow(e.End) || r.sent >= r.cfg.MaxAttempts || !r.timeFor(now.Add(wait)) || !r.budget.Take(now) {
+	if e.RetryAfter > r.cfg.MaxBackoff || !r.mayFollow(e.End) || r.lost >= maxLost || r.sent >= r.cfg.MaxAttempts || !r.timeFor(now.Add(wait)) || !r.budget.Take(now) {
 		r.fail(e)
 		return
 	}
@@ -283,6 +300,12 @@
 	case notRun:
 		return outcome.NotRunError(rules[e.End].kind, e.RetryAfter, "the last of %d attempts ended %s", r.sent, e.End)
 	}
+	if e.Err != nil && e.Err.Kind == outcome.KindQuarantined {
+		// Sending it again is what must not happen.
+		final := *e.Err
+		final.Outcome = outcome.Unknown
+		return &final
+	}
 	err := outcome.UnknownError(rules[e.End].kind, "the last of %d attempts ended %s", r.sent, e.End)
 	if r.cfg.Idempotent {
 		err.Remedy = "send it again; the operation is idempotent"
--- a/internal/decide/retry/retry_test.go
+++ b/internal/decide/retry/retry_test.go
@@ -20,6 +20,20 @@
 	return End(slices.IndexFunc(rules[:], func(r rule) bool { return r.name == name }))
 }
 
+// failureOf returns the error that an end brings: kind=K, of unknown outcome
+// unless the end is "refused" or "stopped".
+func failureOf(d *datadriven.TestData) *outcome.Error {
+	arg, ok := d.Arg("kind")
+	if !ok {
+		return nil
+	}
+	e := &outcome.Error{Outcome: outcome.Unknown, Kind: outcome.Kind(arg.Vals[0]), Message: "as told"}
+	if !endNamed(d.CmdArgs[1].Key).Reached() {
+		e.Outcome = outcome.NotRun
+	}
+	return e
+}
+
 func render(actions []Action) string {
 	var b strings.Builder
 	for _, a := range actions {
@@ -42,10 +56,10 @@
 // TestScripts runs the requests of testdata. Commands:
 //
 //	request [idempotent] [attempts=N] [hedge=D] [tokens=N]   begin a new one
-//	end ATTEMPT END [after=D]
+//	end ATTEMPT END [after=D] [kind=K]
 //	delivering ATTEMPT
 //	tick D [headroom=F]        at the time since the beginning
-//	cancel
+//	cancel [expired]
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var r *Request
@@ -74,7 +88,7 @@
 				r = New(cfg, NewBudget(BudgetConfig{Burst: float64(tokens)}, epoch))
 				return render(r.Step(now, Begin{}))
 			case "end":
-				return render(r.Step(now, Ended{Attempt: attempt(), End: endNamed(d.CmdArgs[1].Key), RetryAfter: duration("after"), Random: 0.5}))
+				return render(r.Step(now, Ended{Attempt: attempt(), End: endNamed(d.CmdArgs[1].Key), RetryAfter: duration("after"), Random: 0.5, Err: failureOf(d)}))
 			case "delivering":
 				return render(r.Step(now, Delivering{Attempt: attempt()}))
 			case "tick":
@@ -88,7 +102,7 @@
 				require.NoError(t, err)
 				return render(r.Step(now, Tick{Headroom: h}))
 			case "cancel":
-				return render(r.Step(now, Cancel{}))
+				return render(r.Step(now, Cancel{Expired: d.HasArg("expired")}))
 			}
 			t.Fatalf("unknown command %s", d.Cmd)
 			return ""
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -94,6 +94,16 @@
 	a.names = append(a.names, name)
 }
 
+// Remove takes a backend server out again: its connection failed and not it.
+func (a *Avoid) Remove(name string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.names = slices.DeleteFunc(a.names, func(n string) bool { return n == name })
+}
+
 // Names returns the backend servers in the set.
 func (a *Avoid) Names() []string {
 	if a == nil {
--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -63,6 +63,9 @@
 		Method: r.Method, Path: r.Path, Header: h.header(ctx, r), Body: r.Body, Idempotent: r.Idempotent,
 	})
 	if rep.Outcome != outcome.Done {
+		if rep.Silent {
+			r.Avoid.Remove(lease.Name())
+		}
 		h.failed(ctx, rep, lease, use)
 		lease.Release(rep)
 		trace.End(span, rep.Err)
--- a/internal/filter/route/attempts.go
+++ b/internal/filter/route/attempts.go
@@ -89,7 +89,7 @@
 		case <-a.timer.C:
 			actions = a.step(retry.Tick{Headroom: a.headroom()})
 		case <-ctx.Done():
-			actions = a.step(retry.Cancel{})
+			actions = a.step(retry.Cancel{Expired: ctx.Err() == context.DeadlineExceeded})
 		}
 	}
 }
