route: another backend server is tried when one sheds

Only a walk that found no place at all ends the request now. A neighbour that refused is asked again as a last resort after 5 ms.

--- a/internal/filter/route/attempts.go
+++ b/internal/filter/route/attempts.go
@@ -145,7 +145,17 @@
 		return retry.Ended{Attempt: res.attempt, End: retry.Answered}
 	}
 	e := outcome.AsError(res.err)
-	return retry.Ended{Attempt: res.attempt, End: endOf(res.err), Err: e, RetryAfter: e.RetryAfter, Random: rand.Float64()}
+	return retry.Ended{Attempt: res.attempt, End: endOf(res.err), Err: e, RetryAfter: hopeless(e), Random: rand.Float64()}
+}
+
+// hopeless returns how long no further attempt has a chance: only when no place
+// had room does the time in the error concern all of them. A backend server
+// that sheds speaks for itself alone.
+func hopeless(e *outcome.Error) time.Duration {
+	if e.Kind == outcome.KindNoCapacity || e.Kind == outcome.KindLinkFull {
+		return e.RetryAfter
+	}
+	return 0
 }
 
 // headroom is the free share of the own slots.
--- a/internal/filter/route/places.go
+++ b/internal/filter/route/places.go
@@ -16,6 +16,9 @@
 const (
 	// perZone is how many instances of another zone are tried.
 	perZone = 2
+	// askPause is how long a neighbour that refused is not asked again without
+	// a report of room.
+	askPause = 5 * time.Millisecond
 	// ownAttempts is how many own backend servers are tried before others.
 	ownAttempts = 2
 )
@@ -120,7 +123,7 @@
 	start := rand.IntN(max(len(neighbours), 1))
 	for i := range neighbours {
 		n := neighbours[(start+i)%len(neighbours)]
-		if n.Slots > 0 && now.Sub(n.Evidence.Refused) >= load.Believe.RefusalHold {
+		if n.Slots > 0 && now.Sub(n.Evidence.Refused) >= askPause {
 			return n.Name, true
 		}
 	}
