--- a/internal/filter/route/places.go
+++ b/internal/filter/route/places.go
@@ -95,6 +95,9 @@
 		zones = s.zones()
 	}
 	name, ok := balance.Forward(now, load.Believe, neighbours, zones, rand.Uint64())
+	if !ok {
+		name, ok = lastResort(now, neighbours)
+	}
 	if !ok {
 		return place{}, false
 	}
@@ -102,7 +105,7 @@
 		return s.neighbour(in), true
 	}
 	z, _ := s.snap.ZoneOf(name)
-	in := s.instance(now, z)
+	in := s.instance(z)
 	if in == nil {
 		s.seen.zones[name] = perZone
 		return s.elsewhere(now)
@@ -110,6 +113,20 @@
 	return s.zone(z, in), true
 }
 
+// lastResort returns a neighbour whose report says full but that has not
+// refused a request lately: slots come free faster than reports come in, and
+// asking a neighbour costs less than turning the caller away.
+func lastResort(now time.Time, neighbours []balance.Peer) (name string, ok bool) {
+	start := rand.IntN(max(len(neighbours), 1))
+	for i := range neighbours {
+		n := neighbours[(start+i)%len(neighbours)]
+		if n.Slots > 0 && now.Sub(n.Evidence.Refused) >= load.Believe.RefusalHold {
+			return n.Name, true
+		}
+	}
+	return "", false
+}
+
 // neighbours returns the other instances of the zone.
 func (s *search) neighbours(z snapshot.Zone) []balance.Peer {
 	var out []balance.Peer
@@ -160,23 +177,18 @@
 	return order
 }
 
-// instance returns the instance of another zone that reported most free slots.
-// Any of them can pass the request on within its zone.
-func (s *search) instance(now time.Time, z snapshot.Zone) *snapshot.Instance {
-	var best *snapshot.Instance
-	var most load.Milli
-	for i := range z.Instances {
-		in := &z.Instances[i]
-		if s.seen.instances[in.ID] {
-			continue
-		}
-		rep := in.Loads[s.r.Service.Name]
-		busy := load.Believe.Busy(now, rep.Slots, rep, s.Outbox.evidence(in.ID, s.r.Service.Name))
-		if free := load.Milli(rep.Slots)*load.Slot - busy; best == nil || free > most {
-			best, most = in, free
+// instance returns an instance of another zone, drawn at random. Any of them
+// can pass the request on within its zone, whose loads are not known here one
+// by one.
+func (s *search) instance(z snapshot.Zone) *snapshot.Instance {
+	n := len(z.Instances)
+	start := rand.IntN(max(n, 1))
+	for i := range n {
+		if in := &z.Instances[(start+i)%n]; !s.seen.instances[in.ID] {
+			return in
 		}
 	}
-	return best
+	return nil
 }
 
 func find(z snapshot.Zone, id string) *snapshot.Instance {
