--- a/internal/attempt/pool.go
+++ b/internal/attempt/pool.go
@@ -11,6 +11,9 @@
 	"github.com/juju/errors"
 )
 
+// maxHeader is the largest header of an answer, in bytes.
+const maxHeader = 64 << 10
+
 // errNoRoom is returned by pool.get when all connections are in use.
 const errNoRoom = errors.ConstError("all connections are in use")
 
@@ -110,7 +113,8 @@
 		p.max--
 	}
 	p.transport = &http.Transport{
-		DisableCompression: true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeader,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, cfg.DialTimeout)
 			defer cancel()
