--- a/internal/decide/linkcap/guard_test.go
+++ b/internal/decide/linkcap/guard_test.go
@@ -99,3 +99,20 @@
 	require.False(t, b.alive, "released")
 	require.Equal(t, Rights{12, 12}, a.m.Usable("sfo"))
 }
+
+// TestDecode holds that a ledger that this package could not have written is
+// refused.
+func TestDecode(t *testing.T) {
+	for name, value := range map[string]string{
+		"no JSON":         `{`,
+		"out of order":    `{"holders":[{"id":"b"},{"id":"a"}]}`,
+		"one twice":       `{"holders":[{"id":"a"},{"id":"a"}]}`,
+		"a link twice":    `{"holders":[{"id":"a","links":[{"to":"x"},{"to":"x"}]}]}`,
+		"negative rights": `{"caps":[{"to":"x","rate":5}],"holders":[{"id":"a","links":[{"to":"x","rate":-5}]}]}`,
+		"no cap":          `{"holders":[{"id":"a","links":[{"to":"x","rate":1}]}]}`,
+		"above the cap":   `{"caps":[{"to":"x","rate":5}],"holders":[{"id":"a","links":[{"to":"x","rate":3}]},{"id":"b","links":[{"to":"x","rate":3}]}]}`,
+	} {
+		_, err := decode([]byte(value))
+		require.Error(t, err, name)
+	}
+}
--- a/internal/decide/linkcap/ledger.go
+++ b/internal/decide/linkcap/ledger.go
@@ -2,11 +2,56 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 
+	"github.com/juju/errors"
+
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 )
 
+// decode reads a row's value. One whose holders or links are out of order or
+// stand twice, or whose rights are above its caps, was not written by this
+// package.
+func decode(value []byte) (*Ledger, error) {
+	l := &Ledger{}
+	if err := json.Unmarshal(value, l); err != nil {
+		return nil, errors.Trace(err)
+	}
+	sorted := slices.IsSortedFunc(l.Holders, func(a, b Holder) int { return strict(a.Compare(b.Identity)) }) && ordered(l.Caps)
+	for _, h := range l.Holders {
+		sorted = sorted && ordered(h.Links)
+	}
+	if !sorted {
+		return nil, errors.NotValidf("ledger out of order")
+	}
+	for _, h := range l.Holders {
+		for _, r := range h.Links {
+			if c := l.cap(r.To); r.InFlight < 0 || r.Rate < 0 || r.InFlight > c.InFlight || r.Rate > c.Rate {
+				return nil, errors.NotValidf("rights of %s to %s", h.Identity, r.To)
+			}
+		}
+	}
+	for _, c := range l.Caps {
+		if t := l.total(c.To); t.InFlight > c.InFlight || t.Rate > c.Rate {
+			return nil, errors.NotValidf("ledger with more rights than its cap to %s", c.To)
+		}
+	}
+	return l, nil
+}
+
+func ordered(links []LinkRights) bool {
+	return slices.IsSortedFunc(links, func(a, b LinkRights) int { return strict(cmp.Compare(a.To, b.To)) })
+}
+
+// strict makes equal neighbours count as out of order.
+func strict(c int) int {
+	if c == 0 {
+		return -1
+	}
+	return c
+}
+
 // clone returns a copy that shares nothing with l.
 func (l *Ledger) clone() *Ledger {
 	out := &Ledger{Caps: slices.Clone(l.Caps), Holders: slices.Clone(l.Holders)}
--- a/internal/decide/linkcap/machine.go
+++ b/internal/decide/linkcap/machine.go
@@ -1,7 +1,6 @@
 package linkcap
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -244,8 +243,8 @@
 func (m *Machine) took(now time.Time, isNew bool) error {
 	var err error
 	if row, _ := m.row.Current(); isNew && row.Version > 0 {
-		next := &Ledger{}
-		err = json.Unmarshal(row.Value, next)
+		var next *Ledger
+		next, err = decode(row.Value)
 		m.broken = err != nil
 		if !m.broken {
 			m.adopt(next)
--- a/internal/decide/ownership/machine.go
+++ b/internal/decide/ownership/machine.go
@@ -230,10 +230,8 @@
 	m.changed = m.changed || isNew
 	if row, _ := m.row.Current(); isNew && row.Version > 0 {
 		var t Table
-		err = json.Unmarshal(row.Value, &t)
-		m.broken = err != nil
-		if !m.broken {
-			slices.SortFunc(t.Assignments, func(a, b Assignment) int { return cmp.Compare(a.Backend, b.Backend) })
+		t, err = decode(row.Value)
+		if m.broken = err != nil; !m.broken {
 			m.table = t
 		}
 	}
@@ -536,6 +534,21 @@
 	}
 }
 
+// decode reads a row's value. Each backend server may stand there once.
+func decode(value []byte) (Table, error) {
+	var t Table
+	if err := json.Unmarshal(value, &t); err != nil {
+		return Table{}, errors.Trace(err)
+	}
+	slices.SortFunc(t.Assignments, func(a, b Assignment) int { return cmp.Compare(a.Backend, b.Backend) })
+	for i := range len(t.Assignments) - 1 {
+		if name := t.Assignments[i].Backend; name == t.Assignments[i+1].Backend {
+			return Table{}, errors.NotValidf("two owners of backend server %q", name)
+		}
+	}
+	return t, nil
+}
+
 // find returns the index of a backend server's assignment.
 func (t *Table) find(backend string) (int, bool) {
 	return slices.BinarySearchFunc(t.Assignments, backend, func(a Assignment, n string) int { return cmp.Compare(a.Backend, n) })
