worldtest: one world of fakes for the machines that keep a row

Cause: the tests of ownership and linkcap each had nodes, beliefs, a table's faults and scripts of their own, twice the same logic. Conclusion: a script's commands mean the same in both packages.

--- a/internal/decide/decidetest/seed.go
+++ b/internal/decide/decidetest/seed.go
@@ -1,3 +1,4 @@
+// Package decidetest fixes what random tests of decision packages draw.
 package decidetest
 
 import "flag"
--- a/internal/decide/linkcap/model_test.go
+++ b/internal/decide/linkcap/model_test.go
@@ -9,9 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/banyandeal/banyandeal/internal/decide/decidetest"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
-	"github.com/banyandeal/banyandeal/internal/platform"
+	"github.com/banyandeal/banyandeal/internal/decide/worldtest"
 )
 
 const (
@@ -19,15 +18,14 @@
 	testHold   = 10 * time.Second
 )
 
-// world is several machines of one region, a table, a network and the requests
-// under way on its links.
+// node is one incarnation.
+type node = worldtest.Node[*Machine, struct{}]
+
+// world is several machines of one region and the requests under way on its
+// links.
 type world struct {
-	now       time.Time
-	table     *decidetest.Table
-	net       decidetest.Network
-	nodes     []*node
-	caps      map[string]Rights
-	loseReply bool
+	worldtest.World[*Machine, struct{}]
+	caps map[string]Rights
 	// maxHolders is 0 for the default.
 	maxHolders int
 	// loseTransfers loses transfers between partners and their answers.
@@ -42,178 +40,76 @@
 	started, ends time.Time
 }
 
-type node struct {
-	membership.Instance
-	m       *Machine
-	alive   bool
-	paused  bool
-	beliefs map[membership.Identity]membership.State
-}
-
 func newWorld(caps map[string]Rights) *world {
-	return &world{now: time.Unix(0, 0), table: decidetest.NewTable(), caps: caps}
-}
-
-func (w *world) start(id string) *node {
-	inc := uint64(1)
-	for _, n := range w.nodes {
-		if n.ID == id {
-			inc = n.Incarnation + 1
-		}
-	}
-	n := &node{
-		Instance: membership.Instance{Identity: membership.Identity{ID: id, Incarnation: inc}, Peer: id},
-		alive:    true, beliefs: map[membership.Identity]membership.State{},
-	}
-	n.m = New(Config{Self: n.Identity, Peer: id, Region: testRegion, Poll: 2 * time.Second, MaxHolders: w.maxHolders}, w.now)
-	n.m.SetCaps(w.now, w.caps, testHold)
-	w.nodes = append(w.nodes, n)
-	w.believe(n, n, membership.Live)
-	return n
-}
-
-func (w *world) up(n *node) bool { return n.alive && !n.paused }
-
-func (w *world) believe(n, about *node, s membership.State) {
-	if n.beliefs[about.Identity] == membership.Gone {
-		return
-	}
-	n.beliefs[about.Identity] = s
-	var members []membership.Instance
-	for _, o := range w.nodes {
-		if s, ok := n.beliefs[o.Identity]; ok {
-			in := o.Instance
-			in.State = s
-			members = append(members, in)
-		}
-	}
-	n.m.SetMembers(w.now, members)
-	w.obey(n)
-}
-
-// truth gives n the right beliefs.
-func (w *world) truth(n *node) {
-	for _, o := range w.nodes {
-		s := membership.Live
-		switch {
-		case !o.alive:
-			s = membership.Gone
-		case o.m.leaving:
-			s = membership.Leaving
-		}
-		if old, ok := n.beliefs[o.Identity]; !ok || old != s {
-			w.believe(n, o, s)
-		}
-	}
+	w := &world{caps: caps}
+	w.Now, w.Table, w.RowName = time.Unix(0, 0), worldtest.NewTable(), RowPrefix+testRegion
+	w.New = func(n *node) {
+		n.M = New(Config{Self: n.Identity, Peer: n.Peer, Region: testRegion, Poll: 2 * time.Second, MaxHolders: w.maxHolders}, w.Now)
+		n.M.SetCaps(w.Now, w.caps, testHold)
+	}
+	w.SetView = func(n *node, view []membership.Instance) { n.M.SetMembers(w.Now, view) }
+	w.Obey, w.Pass, w.Ticking = w.obey, w.end, w.stop
+	return w
 }
 
-func (w *world) find(id membership.Identity) *node {
-	for _, n := range w.nodes {
-		if n.Identity == id {
-			return n
-		}
+// stop ends a leaving node that has nothing left.
+func (w *world) stop(n *node) {
+	if n.M.Released() && w.taken(n, "sfo").isZero() && w.taken(n, "bgi").isZero() {
+		n.Alive = false
 	}
-	return nil
 }
 
 // obey does what the machine asks for.
 func (w *world) obey(n *node) {
-	r := n.m.Ready()
+	r := n.M.Ready()
 	if r.Lost {
 		panic(fmt.Sprintf("%s lost its rights though it lives", n.Identity))
 	}
 	for _, t := range r.Transfers {
 		w.toPartner(t.To, func(o *node) {
-			if o.m.Transferred(w.now, n.Identity, t.Link, t.Total) {
-				w.toPartner(n.Identity, func(n *node) { n.m.Acked(t) })
+			if o.M.Transferred(w.Now, n.Identity, t.Link, t.Total) {
+				w.toPartner(n.Identity, func(n *node) { n.M.Acked(t) })
 			}
 		})
 	}
 	for _, want := range r.Wants {
-		if o := w.find(want.To); o != nil {
-			w.reply(o, func() { o.m.Wanted(w.now, n.Identity, want.Link, want.Rights) })
+		if o := w.Find(want.To); o != nil {
+			w.Reply(o, func() { o.M.Wanted(w.Now, n.Identity, want.Link, want.Rights) })
 		}
 	}
 	for _, p := range r.Probes {
-		if o := w.find(p.About); o != nil && !o.alive {
-			w.reply(n, func() { w.believe(n, o, membership.Gone) })
-		}
-	}
-	if r.Read {
-		w.net.Send(func() { w.read(n, 0) })
-	}
-	if r.Write != nil {
-		w.net.Send(func() { w.write(n, *r.Write) })
+		w.Probe(n, p)
 	}
+	w.Send(n, r.Read, r.Write)
 }
 
 // toPartner delivers a message to an incarnation; a paused one takes it later.
 func (w *world) toPartner(id membership.Identity, take func(*node)) {
-	if o := w.find(id); o != nil && !w.loseTransfers {
-		w.reply(o, func() { take(o) })
-	}
-}
-
-func (w *world) read(n *node, ago int) {
-	row, failed := w.table.ReadStale(RowPrefix+testRegion, ago), w.table.Down
-	w.reply(n, func() {
-		if failed {
-			n.m.ReadFailed(w.now)
-		} else if err := n.m.Row(w.now, row); err != nil {
-			panic(err)
-		}
-	})
-}
-
-func (w *world) write(n *node, txn platform.Txn) {
-	var reply platform.TxnReply
-	if !w.table.Down {
-		reply = w.table.Apply(txn)
+	if o := w.Find(id); o != nil && !w.loseTransfers {
+		w.Reply(o, func() { take(o) })
 	}
-	lost := w.table.Down || w.loseReply
-	w.loseReply = false
-	w.reply(n, func() {
-		if lost {
-			n.m.WriteFailed(w.now, txn.ID)
-		} else if err := n.m.Written(w.now, txn.ID, reply); err != nil {
-			panic(err)
-		}
-	})
-}
-
-// reply hands something to n; a paused process takes it once it goes on.
-func (w *world) reply(n *node, take func()) {
-	w.net.Send(func() {
-		switch {
-		case w.up(n):
-			take()
-			w.obey(n)
-		case n.alive:
-			w.reply(n, take)
-		}
-	})
 }
 
 func (w *world) begin(n *node, to string, d time.Duration) bool {
-	if !w.up(n) || !n.m.TryAcquire(to, w.now) {
+	if !w.Up(n) || !n.M.TryAcquire(to, w.Now) {
 		return false
 	}
-	w.requests = append(w.requests, &request{to: to, by: n, started: w.now, ends: w.now.Add(d)})
+	w.requests = append(w.requests, &request{to: to, by: n, started: w.Now, ends: w.Now.Add(d)})
 	return true
 }
 
-func (w *world) pass(d time.Duration) {
-	w.now = w.now.Add(d)
+// end ends the requests whose time has come.
+func (w *world) end() {
 	for _, r := range w.requests {
-		if !r.ends.IsZero() && !w.now.Before(r.ends) {
+		if !r.ends.IsZero() && !w.Now.Before(r.ends) {
 			r.ends = time.Time{}
-			if r.by.alive {
-				r.by.m.Release(r.to)
+			if r.by.Alive {
+				r.by.M.Release(r.to)
 			}
 		}
 	}
 	w.requests = slices.DeleteFunc(w.requests, func(r *request) bool {
-		return r.ends.IsZero() && w.now.Sub(r.started) >= RateWindow
+		return r.ends.IsZero() && w.Now.Sub(r.started) >= RateWindow
 	})
 }
 
@@ -227,7 +123,7 @@
 		if !r.ends.IsZero() {
 			sum.InFlight++
 		}
-		if w.now.Sub(r.started) < RateWindow {
+		if w.Now.Sub(r.started) < RateWindow {
 			sum.Rate++
 		}
 	}
@@ -239,59 +135,32 @@
 func (w *world) check(t require.TestingT) {
 	for to, capacity := range w.caps {
 		var sum Rights
-		for _, n := range w.nodes {
+		for _, n := range w.Nodes {
 			taken := w.taken(n, to)
-			if n.alive {
-				taken = taken.max(n.m.Usable(to))
+			if n.Alive {
+				taken = taken.max(n.M.Usable(to))
 			}
 			sum = sum.add(taken)
 		}
-		require.LessOrEqual(t, sum.InFlight, capacity.InFlight, "in flight to %s at %s", to, w.now)
-		require.LessOrEqual(t, sum.Rate, capacity.Rate, "rate to %s at %s", to, w.now)
-	}
-}
-
-// run lets time pass in steps; what is sent in a step arrives in it.
-func (w *world) run(d, step time.Duration, truth bool) {
-	for end := w.now.Add(d); w.now.Before(end); {
-		w.pass(step)
-		for range 10 {
-			for range w.net.Len() {
-				w.net.Deliver(0)
-			}
-		}
-		for _, n := range w.nodes {
-			if !w.up(n) {
-				continue
-			}
-			if truth {
-				w.truth(n)
-			}
-			n.m.Tick(w.now)
-			w.obey(n)
-			if n.m.Released() && w.taken(n, "sfo").isZero() && w.taken(n, "bgi").isZero() {
-				n.alive = false
-			}
-		}
+		require.LessOrEqual(t, sum.InFlight, capacity.InFlight, "in flight to %s at %s", to, w.Now)
+		require.LessOrEqual(t, sum.Rate, capacity.Rate, "rate to %s at %s", to, w.Now)
 	}
 }
 
 // heal ends all faults and holds that the rights add up to the cap again.
 func (w *world) heal(t require.TestingT) {
-	w.table.Down, w.loseTransfers, w.loseReply = false, false, false
-	for _, n := range w.nodes {
-		n.paused = false
-	}
-	w.start("last")
+	w.Heal()
+	w.loseTransfers = false
+	w.Start("last")
 	for range 60 {
-		w.run(time.Second, 500*time.Millisecond, true)
+		w.Run(time.Second, 500*time.Millisecond, true)
 		w.check(t)
 	}
 	for to, capacity := range w.caps {
 		var sum Rights
-		for _, n := range w.nodes {
-			if n.alive {
-				sum = sum.add(n.m.Usable(to))
+		for _, n := range w.Nodes {
+			if n.Alive {
+				sum = sum.add(n.M.Usable(to))
 			}
 		}
 		require.Equal(t, capacity, sum, "rights to %s", to)
@@ -300,88 +169,17 @@
 
 // fault makes one random step.
 func (w *world) fault(t *rapid.T) {
-	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
-	o := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "other")]
-	to := rapid.SampledFrom([]string{"bgi", "sfo"}).Draw(t, "link")
-	switch rapid.IntRange(0, 16).Draw(t, "step") {
+	switch rapid.IntRange(0, 8).Draw(t, "step") {
 	case 0:
-		w.pass(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
-	case 1:
-		if !n.alive && w.named(n.ID) == n {
-			w.start(n.ID)
-		} else if len(w.nodes) < 10 {
-			w.start(fmt.Sprintf("n%d", len(w.nodes)))
-		}
-	case 2:
-		n.alive = false
-	case 3:
-		n.paused = !n.paused
-	case 4:
-		if w.up(n) {
-			n.m.Leave(w.now)
-			w.obey(n)
-		}
-	case 5:
-		w.table.Down = !w.table.Down
-	case 6:
 		w.loseTransfers = !w.loseTransfers
-	case 7, 8:
-		w.randomBelief(t, n, o)
-	case 9:
-		w.loseReply = true
-	case 10, 11:
+	case 1, 2:
+		n, to := w.Any(t), rapid.SampledFrom([]string{"bgi", "sfo"}).Draw(t, "link")
 		for range rapid.IntRange(1, 6).Draw(t, "requests") {
 			w.begin(n, to, time.Duration(rapid.IntRange(1, 10).Draw(t, "seconds"))*time.Second)
 		}
-	case 12:
-		if w.up(n) {
-			w.read(n, rapid.IntRange(0, 3).Draw(t, "stale"))
-		}
-	case 13:
-		w.run(time.Second, 500*time.Millisecond, rapid.Bool().Draw(t, "truth"))
 	default:
-		if w.up(n) {
-			n.m.Tick(w.now)
-			w.obey(n)
-		}
-		for range rapid.IntRange(0, 6).Draw(t, "deliveries") {
-			w.deliver(t)
-		}
-	}
-}
-
-// randomBelief gives n any belief of o but a false death.
-func (w *world) randomBelief(t *rapid.T, n, o *node) {
-	if !w.up(n) || n == o {
-		return
-	}
-	s := membership.State(rapid.IntRange(0, 2).Draw(t, "belief"))
-	if !o.alive && rapid.Bool().Draw(t, "evidence") {
-		s = membership.Gone
-	}
-	w.believe(n, o, s)
-}
-
-func (w *world) deliver(t *rapid.T) {
-	if w.net.Len() == 0 {
-		return
-	}
-	i := rapid.IntRange(0, w.net.Len()-1).Draw(t, "message")
-	if rapid.IntRange(0, 9).Draw(t, "repeat") == 0 {
-		w.net.Repeat(i)
-		return
-	}
-	w.net.Deliver(i)
-}
-
-// named returns the latest incarnation of a node.
-func (w *world) named(id string) *node {
-	for i := len(w.nodes) - 1; i >= 0; i-- {
-		if w.nodes[i].ID == id {
-			return w.nodes[i]
-		}
+		w.Faults(t)
 	}
-	panic("no node " + id)
 }
 
 // TestCapHolds holds over random faults that rights never add up to more than a
@@ -393,10 +191,10 @@
 		}
 		w := newWorld(map[string]Rights{"bgi": draw("bgi"), "sfo": draw("sfo")})
 		for i := range rapid.IntRange(1, 4).Draw(t, "nodes") {
-			w.start(fmt.Sprintf("n%d", i))
+			w.Start(fmt.Sprintf("n%d", i))
 		}
 		if rapid.Bool().Draw(t, "settled") {
-			w.run(5*time.Second, 500*time.Millisecond, true)
+			w.Run(5*time.Second, 500*time.Millisecond, true)
 		}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			w.fault(t)
@@ -412,20 +210,20 @@
 func TestLowerCap(t *testing.T) {
 	w := newWorld(map[string]Rights{"sfo": {100, 100}})
 	for _, id := range []string{"a", "b", "c"} {
-		w.start(id)
+		w.Start(id)
 	}
-	w.run(10*time.Second, 500*time.Millisecond, true)
+	w.Run(10*time.Second, 500*time.Millisecond, true)
 	for _, lower := range []Rights{{50, 70}, {10, 10}, {200, 150}} {
 		w.caps = map[string]Rights{"sfo": lower}
-		for _, n := range w.nodes {
-			n.m.SetCaps(w.now, w.caps, testHold)
+		for _, n := range w.Nodes {
+			n.M.SetCaps(w.Now, w.caps, testHold)
 		}
 		w.check(t)
-		w.run(20*time.Second, 500*time.Millisecond, true)
+		w.Run(20*time.Second, 500*time.Millisecond, true)
 		w.check(t)
 		var sum Rights
-		for _, n := range w.nodes {
-			sum = sum.add(n.m.Usable("sfo"))
+		for _, n := range w.Nodes {
+			sum = sum.add(n.M.Usable("sfo"))
 		}
 		require.Equal(t, lower, sum)
 	}
@@ -437,22 +235,22 @@
 	w := newWorld(map[string]Rights{"sfo": {30, 30}})
 	w.maxHolders = 3
 	for i := range 5 {
-		w.start(fmt.Sprintf("n%d", i))
+		w.Start(fmt.Sprintf("n%d", i))
 	}
 	holders := func() (n int, sum Rights) {
-		for _, o := range w.nodes {
-			if u := o.m.Usable("sfo"); o.alive && !u.isZero() {
+		for _, o := range w.Nodes {
+			if u := o.M.Usable("sfo"); o.Alive && !u.isZero() {
 				n, sum = n+1, sum.add(u)
 			}
 		}
 		return n, sum
 	}
-	w.run(10*time.Second, 500*time.Millisecond, true)
+	w.Run(10*time.Second, 500*time.Millisecond, true)
 	n, sum := holders()
 	require.Equal(t, 3, n)
 	require.Equal(t, Rights{30, 30}, sum)
-	w.nodes[0].alive = false
-	w.run(30*time.Second, 500*time.Millisecond, true)
+	w.Nodes[0].Alive = false
+	w.Run(30*time.Second, 500*time.Millisecond, true)
 	n, sum = holders()
 	require.Equal(t, 3, n)
 	require.Equal(t, Rights{30, 30}, sum)
@@ -460,15 +258,15 @@
 
 func BenchmarkTryAcquire(b *testing.B) {
 	w := newWorld(map[string]Rights{"sfo": {1000, 1000}})
-	n := w.start("a")
-	w.run(5*time.Second, 500*time.Millisecond, true)
-	now := w.now
+	n := w.Start("a")
+	w.Run(5*time.Second, 500*time.Millisecond, true)
+	now := w.Now
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
-		if !n.m.TryAcquire("sfo", now) {
+		if !n.M.TryAcquire("sfo", now) {
 			b.Fatal("refused")
 		}
-		n.m.Release("sfo")
+		n.M.Release("sfo")
 	}
 }
--- a/internal/decide/linkcap/script_test.go
+++ b/internal/decide/linkcap/script_test.go
@@ -4,26 +4,22 @@
 	"encoding/json"
 	"fmt"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 
-	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/worldtest"
 )
 
-// TestScripts runs the sessions in testdata. Commands, one a block:
+// TestScripts runs the sessions in testdata. Beside the commands of
+// worldtest.World.Command there are:
 //
 //	world in-flight=N rate=N       a link to sfo with these caps
-//	start|kill|pause|resume|leave NODE...
-//	know                           every node learns the truth
-//	suspect NODE OTHER             NODE suspects OTHER
-//	table up|down|lose-reply       the table's faults
 //	transfers lost|arrive          what happens between partners
 //	acquire NODE N SECONDS         N requests begin if the rights allow
-//	run SECONDS                    time passes, messages arrive
 //	rights                         usable rights, and the ledger
 func TestScripts(t *testing.T) {
 	paths, err := filepath.Glob("testdata/*.txt")
@@ -50,33 +46,14 @@
 }
 
 func (w *world) command(t *testing.T, cmd string, args []string) string {
+	if w.Command(cmd, args) {
+		return ""
+	}
 	switch cmd {
-	case "start":
-		for _, id := range args {
-			w.start(id)
-		}
-	case "kill", "pause", "resume", "leave":
-		for _, id := range args {
-			w.control(cmd, w.named(id))
-		}
-	case "know":
-		for _, n := range w.nodes {
-			if w.up(n) {
-				w.truth(n)
-			}
-		}
-	case "suspect":
-		w.believe(w.named(args[0]), w.named(args[1]), membership.Suspect)
-	case "table":
-		w.table.Down, w.loseReply = args[0] == "down", args[0] == "lose-reply"
 	case "transfers":
 		w.loseTransfers = args[0] == "lost"
 	case "acquire":
-		return w.acquire(t, w.named(args[0]), args[1], args[2])
-	case "run":
-		d, err := time.ParseDuration(args[0] + "s")
-		require.NoError(t, err)
-		w.run(d, 100*time.Millisecond, false)
+		return w.acquire(t, w.Named(args[0]), args[1], args[2])
 	case "rights":
 		return w.rights(t)
 	default:
@@ -85,26 +62,12 @@
 	return ""
 }
 
-func (w *world) control(cmd string, n *node) {
-	switch cmd {
-	case "kill":
-		n.alive = false
-	case "pause", "resume":
-		n.paused = cmd == "pause"
-	case "leave":
-		n.m.Leave(w.now)
-		w.obey(n)
-	}
-}
-
 func (w *world) acquire(t *testing.T, n *node, count, secs string) string {
-	var want, got int
-	_, err := fmt.Sscan(count, &want)
-	require.NoError(t, err)
-	d, err := time.ParseDuration(secs + "s")
+	got := 0
+	want, err := strconv.Atoi(count)
 	require.NoError(t, err)
 	for range want {
-		if w.begin(n, "sfo", d) {
+		if w.begin(n, "sfo", worldtest.Seconds(secs)) {
 			got++
 		}
 	}
@@ -114,15 +77,15 @@
 func (w *world) rights(t *testing.T) string {
 	var b strings.Builder
 	var sum Rights
-	for _, n := range w.nodes {
-		if n.alive {
-			u := n.m.Usable("sfo")
+	for _, n := range w.Nodes {
+		if n.Alive {
+			u := n.M.Usable("sfo")
 			sum = sum.add(u)
 			fmt.Fprintf(&b, "%s usable in-flight=%d rate=%d\n", n.Identity, u.InFlight, u.Rate)
 		}
 	}
 	fmt.Fprintf(&b, "sum in-flight=%d rate=%d\n", sum.InFlight, sum.Rate)
-	if row := w.table.Read(RowPrefix + testRegion); row.Version > 0 {
+	if row := w.Table.Read(RowPrefix + testRegion); row.Version > 0 {
 		var l Ledger
 		require.NoError(t, json.Unmarshal(row.Value, &l))
 		for _, h := range l.Holders {
--- a/internal/decide/ownership/compare_test.go
+++ b/internal/decide/ownership/compare_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/worldtest"
 )
 
 const (
@@ -42,19 +43,19 @@
 // the holder's backend server had no free slot in anyone's hands.
 func (c comparison) evidence() time.Duration {
 	w := newWorld(1)
-	a := w.start("a")
-	w.run(time.Second, compareStep)
-	b := w.start("b")
-	w.believe(a, b, membership.Live)
-	w.believe(b, a, membership.Live)
+	a := w.Start("a")
+	w.Run(time.Second, compareStep, false)
+	b := w.Start("b")
+	w.Believe(a, b, membership.Live)
+	w.Believe(b, a, membership.Live)
 	lost := time.Duration(0)
 	for at := time.Second; at < c.length; at += compareStep {
-		a.paused, a.alive = c.paused(at), !c.killed(at)
-		w.table.Down = c.tableDown(at)
+		a.Paused, a.Alive = c.paused(at), !c.killed(at)
+		w.Table.Down = c.tableDown(at)
 		if c.killed(at - detectTime) {
-			w.believe(b, a, membership.Gone)
+			w.Believe(b, a, membership.Gone)
 		}
-		w.run(compareStep, compareStep)
+		w.Run(compareStep, compareStep, false)
 		if !w.serves(a) && !w.serves(b) {
 			lost += compareStep
 		}
@@ -63,7 +64,7 @@
 }
 
 func (w *world) serves(n *node) bool {
-	return w.up(n) && n.open["s00"] && !w.now.Before(n.occupied["s00"])
+	return w.Up(n) && n.State.open["s00"] && !w.Now.Before(n.State.occupied["s00"])
 }
 
 // lease is the policy weighed against it: a holder renews in the table every
@@ -102,9 +103,9 @@
 		for _, a := range d.CmdArgs {
 			switch a.Key {
 			case "pause":
-				c.pause = seconds(t, a.Vals[0])
+				c.pause = worldtest.Seconds(a.Vals[0])
 			case "down":
-				c.down = seconds(t, a.Vals[0])
+				c.down = worldtest.Seconds(a.Vals[0])
 			case "kill":
 				c.kill = true
 			}
--- a/internal/decide/ownership/guard_test.go
+++ b/internal/decide/ownership/guard_test.go
@@ -15,12 +15,12 @@
 func giverWorld(t *testing.T) (w *world, a, b *node) {
 	t.Helper()
 	w = newWorld(1)
-	a = w.start("a")
-	w.run(time.Second, compareStep)
-	require.True(t, a.open["s00"])
-	b = w.start("b")
-	w.believe(a, b, membership.Live)
-	a.m.Leave(w.now)
+	a = w.Start("a")
+	w.Run(time.Second, compareStep, false)
+	require.True(t, a.State.open["s00"])
+	b = w.Start("b")
+	w.Believe(a, b, membership.Live)
+	a.M.Leave(w.Now)
 	return w, a, b
 }
 
@@ -28,28 +28,28 @@
 // effect does not go on, also when the receiver is no longer wanted.
 func TestNoResumeWhileWritePending(t *testing.T) {
 	w, a, b := giverWorld(t)
-	r := a.m.Ready()
+	r := a.M.Ready()
 	require.Len(t, r.Stops, 1)
-	a.m.Drained(w.now, "s00", r.Stops[0].Attempt)
-	r = a.m.Ready()
+	a.M.Drained(w.Now, "s00", r.Stops[0].Attempt)
+	r = a.M.Ready()
 	require.NotNil(t, r.Write, "the row is given")
-	a.m.SetView(w.now, membership.ZoneView{Instances: []membership.Instance{a.Instance, suspect(b.Instance)}})
-	require.Empty(t, a.m.Ready().Starts, "the write may still take effect")
-	a.m.WriteFailed(w.now, r.Write.ID)
-	require.Empty(t, a.m.Ready().Starts, "the write may have taken effect")
+	a.M.SetView(w.Now, membership.ZoneView{Instances: []membership.Instance{a.Instance, suspect(b.Instance)}})
+	require.Empty(t, a.M.Ready().Starts, "the write may still take effect")
+	a.M.WriteFailed(w.Now, r.Write.ID)
+	require.Empty(t, a.M.Ready().Starts, "the write may have taken effect")
 
 	// The row as before shows only that the write has not taken effect yet.
-	before := w.table.Read(RowPrefix + testZone)
-	require.NoError(t, a.m.Row(w.now, before))
-	again := a.m.Ready()
+	before := w.Table.Read(RowPrefix + testZone)
+	require.NoError(t, a.M.Row(w.Now, before))
+	again := a.M.Ready()
 	require.Empty(t, again.Starts)
 	require.Equal(t, r.Write.ID, again.Write.ID, "the same write is sent again")
 
 	// Another's write makes it void.
 	after := before
 	after.Version++
-	require.NoError(t, a.m.Row(w.now, after))
-	starts := a.m.Ready().Starts
+	require.NoError(t, a.M.Row(w.Now, after))
+	starts := a.M.Ready().Starts
 	require.Len(t, starts, 1)
 	require.True(t, starts[0].Resumed)
 }
@@ -58,61 +58,61 @@
 // does not count for the next one.
 func TestDrainedOfEarlierStop(t *testing.T) {
 	w, a, b := giverWorld(t)
-	first := a.m.Ready().Stops[0].Attempt
+	first := a.M.Ready().Stops[0].Attempt
 	live := membership.ZoneView{Instances: []membership.Instance{a.Instance, b.Instance}}
-	a.m.SetView(w.now, membership.ZoneView{Instances: []membership.Instance{a.Instance, suspect(b.Instance)}})
-	require.Len(t, a.m.Ready().Starts, 1)
-	a.m.SetView(w.now, live)
-	second := a.m.Ready().Stops[0].Attempt
-	a.m.Drained(w.now, "s00", first)
-	require.Nil(t, a.m.Ready().Write, "work may have started since")
-	a.m.Drained(w.now, "s00", second)
-	require.NotNil(t, a.m.Ready().Write)
+	a.M.SetView(w.Now, membership.ZoneView{Instances: []membership.Instance{a.Instance, suspect(b.Instance)}})
+	require.Len(t, a.M.Ready().Starts, 1)
+	a.M.SetView(w.Now, live)
+	second := a.M.Ready().Stops[0].Attempt
+	a.M.Drained(w.Now, "s00", first)
+	require.Nil(t, a.M.Ready().Write, "work may have started since")
+	a.M.Drained(w.Now, "s00", second)
+	require.NotNil(t, a.M.Ready().Write)
 }
 
 // TestStaleRead holds that an old version of the row starts nothing.
 func TestStaleRead(t *testing.T) {
 	w, a, b := giverWorld(t)
-	old := w.table.Read(RowPrefix + testZone)
-	a.m.Drained(w.now, "s00", a.m.Ready().Stops[0].Attempt)
-	w.write(a, *a.m.Ready().Write, false)
-	w.run(time.Second, compareStep)
-	require.True(t, b.open["s00"])
-	require.NoError(t, a.m.Row(w.now, old))
-	require.Empty(t, a.m.Ready().Starts)
-	require.False(t, a.m.Holds("s00"))
+	old := w.Table.Read(RowPrefix + testZone)
+	a.M.Drained(w.Now, "s00", a.M.Ready().Stops[0].Attempt)
+	w.Write(a, *a.M.Ready().Write)
+	w.Run(time.Second, compareStep, false)
+	require.True(t, b.State.open["s00"])
+	require.NoError(t, a.M.Row(w.Now, old))
+	require.Empty(t, a.M.Ready().Starts)
+	require.False(t, a.M.Holds("s00"))
 }
 
 // TestBrokenRow holds that a row that cannot be decoded is neither obeyed nor
 // written over.
 func TestBrokenRow(t *testing.T) {
 	w := newWorld(1)
-	a := w.start("a")
-	w.run(time.Second, compareStep)
-	row := w.table.Read(RowPrefix + testZone)
+	a := w.Start("a")
+	w.Run(time.Second, compareStep, false)
+	row := w.Table.Read(RowPrefix + testZone)
 	row.Version++
 	row.Value = []byte(`{"assignments":7}`)
-	require.ErrorContains(t, a.m.Row(w.now, row), "restore it")
-	b := w.start("b")
-	w.believe(a, b, membership.Live)
-	a.m.Leave(w.now)
-	r := a.m.Ready()
-	a.m.Drained(w.now, "s00", r.Stops[0].Attempt)
-	require.Nil(t, a.m.Ready().Write)
+	require.ErrorContains(t, a.M.Row(w.Now, row), "restore it")
+	b := w.Start("b")
+	w.Believe(a, b, membership.Live)
+	a.M.Leave(w.Now)
+	r := a.M.Ready()
+	a.M.Drained(w.Now, "s00", r.Stops[0].Attempt)
+	require.Nil(t, a.M.Ready().Write)
 	require.Empty(t, r.Lost)
 }
 
 // TestRetryIsOneWrite holds that a write sent twice takes effect once.
 func TestRetryIsOneWrite(t *testing.T) {
 	w, a, b := giverWorld(t)
-	a.m.Drained(w.now, "s00", a.m.Ready().Stops[0].Attempt)
-	txn := *a.m.Ready().Write
-	require.True(t, w.table.Apply(txn).Committed)
-	reply := w.table.Apply(txn)
-	require.Equal(t, platform.TxnReply{Rows: []platform.Row{w.table.Read(RowPrefix + testZone)}}, reply)
-	require.NoError(t, a.m.Written(w.now, txn.ID, reply))
-	require.Equal(t, []string{"s00"}, a.m.Ready().Gave)
-	owner, _ := a.m.OwnerOf("s00")
+	a.M.Drained(w.Now, "s00", a.M.Ready().Stops[0].Attempt)
+	txn := *a.M.Ready().Write
+	require.True(t, w.Table.Apply(txn).Committed)
+	reply := w.Table.Apply(txn)
+	require.Equal(t, platform.TxnReply{Rows: []platform.Row{w.Table.Read(RowPrefix + testZone)}}, reply)
+	require.NoError(t, a.M.Written(w.Now, txn.ID, reply))
+	require.Equal(t, []string{"s00"}, a.M.Ready().Gave)
+	owner, _ := a.M.OwnerOf("s00")
 	require.Equal(t, b.Identity, owner.Owner)
 }
 
--- a/internal/decide/ownership/model_test.go
+++ b/internal/decide/ownership/model_test.go
@@ -11,9 +11,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/banyandeal/banyandeal/internal/decide/decidetest"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
-	"github.com/banyandeal/banyandeal/internal/platform"
+	"github.com/banyandeal/banyandeal/internal/decide/worldtest"
 )
 
 const (
@@ -22,19 +21,25 @@
 	testDeadline = 10 * time.Second
 )
 
-// world is several machines, a table, a network and the backend servers' work.
+// node is one incarnation with the part of the daemon that obeys its machine.
+type node = worldtest.Node[*Machine, *gates]
+
+// gates is what a node does with backend servers.
+type gates struct {
+	// open are the backend servers whose gate is open.
+	open     map[string]bool
+	stops    map[string]uint64
+	occupied map[string]time.Time
+}
+
+// world is several machines and the backend servers' work.
 type world struct {
-	now      time.Time
-	table    *decidetest.Table
-	net      decidetest.Network
-	nodes    []*node
+	worldtest.World[*Machine, *gates]
 	backends []Backend
 	// work is what runs on the backend servers; it outlives its instance.
 	work []*work
 	// log is what the nodes did, for scripts.
 	log strings.Builder
-	// loseReply loses the reply to the next write.
-	loseReply bool
 }
 
 type work struct {
@@ -43,91 +48,50 @@
 	ends    time.Time
 }
 
-// node is one incarnation with the part of the daemon that obeys its machine.
-type node struct {
-	membership.Instance
-	m      *Machine
-	alive  bool
-	paused bool
-	// beliefs are the states that this node holds of others.
-	beliefs map[membership.Identity]membership.State
-	// open are the backend servers whose gate is open.
-	open     map[string]bool
-	stops    map[string]uint64
-	occupied map[string]time.Time
-}
-
 func newWorld(backends int) *world {
-	w := &world{now: time.Unix(0, 0), table: decidetest.NewTable()}
+	w := &world{}
 	for i := range backends {
 		w.backends = append(w.backends, Backend{Name: fmt.Sprintf("s%02d", i), Slots: testSlots, Deadline: testDeadline})
 	}
-	return w
-}
-
-func (w *world) start(id string) *node {
-	inc := uint64(1)
-	for _, n := range w.nodes {
-		if n.ID == id {
-			inc = n.Incarnation + 1
-		}
+	w.Now, w.Table, w.RowName = time.Unix(0, 0), worldtest.NewTable(), RowPrefix+testZone
+	w.New = func(n *node) {
+		n.State = &gates{open: map[string]bool{}, stops: map[string]uint64{}, occupied: map[string]time.Time{}}
+		n.M = New(Config{Self: n.Identity, Peer: n.Peer, Zone: testZone, PollOther: 2 * time.Second}, w.Now)
+		n.M.SetBackends(w.Now, w.backends)
 	}
-	n := &node{
-		Instance: membership.Instance{Identity: membership.Identity{ID: id, Incarnation: inc}, Zone: testZone, Peer: id},
-		alive:    true, beliefs: map[membership.Identity]membership.State{},
-		open: map[string]bool{}, stops: map[string]uint64{}, occupied: map[string]time.Time{},
+	w.SetView = func(n *node, view []membership.Instance) {
+		n.M.SetView(w.Now, membership.ZoneView{Name: testZone, Instances: view})
 	}
-	n.m = New(Config{Self: n.Identity, Peer: id, Zone: testZone, PollOther: 2 * time.Second}, w.now)
-	n.m.SetBackends(w.now, w.backends)
-	w.nodes = append(w.nodes, n)
-	w.believe(n, n, membership.Live)
-	return n
+	w.Obey, w.Pass, w.Ticking = w.obey, w.end, w.drain
+	return w
 }
 
-func (w *world) believe(n, about *node, s membership.State) {
-	if n.beliefs[about.Identity] == membership.Gone {
-		return
-	}
-	n.beliefs[about.Identity] = s
-	view := membership.ZoneView{Name: testZone}
-	for _, o := range w.nodes {
-		if s, ok := n.beliefs[o.Identity]; ok {
-			in := o.Instance
-			in.State = s
-			view.Instances = append(view.Instances, in)
+// drain tells n's machine which backend servers are empty.
+func (w *world) drain(n *node) {
+	for _, name := range sortedKeys(n.State.stops) {
+		if attempt := n.State.stops[name]; w.inFlight(n, name) == 0 {
+			delete(n.State.stops, name)
+			n.M.Drained(w.Now, name, attempt)
 		}
 	}
-	slices.SortFunc(view.Instances, func(a, b membership.Instance) int { return a.Compare(b.Identity) })
-	n.m.SetView(w.now, view)
-	w.obey(n)
 }
 
-func (w *world) up(n *node) bool { return n.alive && !n.paused }
-
-// tick lets time pass at n: its work ends, its machine goes on.
-func (w *world) tick(n *node) {
-	for _, name := range sortedKeys(n.stops) {
-		attempt := n.stops[name]
-		if w.inFlight(n, name) == 0 {
-			delete(n.stops, name)
-			n.m.Drained(w.now, name, attempt)
-		}
-	}
-	n.m.Tick(w.now)
-	w.obey(n)
+// end ends the work whose time has come.
+func (w *world) end() {
+	w.work = slices.DeleteFunc(w.work, func(k *work) bool { return !w.Now.Before(k.ends) })
 }
 
 // obey does what the machine asks for.
 func (w *world) obey(n *node) {
-	r := n.m.Ready()
+	r := n.M.Ready()
 	for _, s := range r.Stops {
-		delete(n.open, s.Backend)
-		n.stops[s.Backend] = s.Attempt
+		delete(n.State.open, s.Backend)
+		n.State.stops[s.Backend] = s.Attempt
 		w.note(n, "stops %s", s.Backend)
 	}
 	for _, s := range r.Starts {
-		n.open[s.Backend], n.occupied[s.Backend] = true, s.OccupiedUntil
-		delete(n.stops, s.Backend)
+		n.State.open[s.Backend], n.State.occupied[s.Backend] = true, s.OccupiedUntil
+		delete(n.State.stops, s.Backend)
 		w.note(n, "starts %s epoch=%d%s", s.Backend, s.Epoch, w.occupiedNote(s))
 	}
 	for _, name := range r.Gave {
@@ -137,28 +101,18 @@
 		panic(fmt.Sprintf("%s lost %s though it lives", n.Identity, name))
 	}
 	for _, h := range r.Hints {
-		w.net.Send(func() {
-			for _, to := range w.nodes {
-				if to.Identity == h.To && w.up(to) {
-					to.m.Hint(w.now, h.Version)
-					w.obey(to)
-				}
-			}
-		})
+		if to := w.Find(h.To); to != nil {
+			w.Reply(to, func() { to.M.Hint(w.Now, h.Version) })
+		}
 	}
 	for _, p := range r.Probes {
-		w.probe(n, p)
-	}
-	if r.Read {
-		w.net.Send(func() { w.read(n, 0) })
-	}
-	if r.Write != nil {
-		w.net.Send(func() { w.write(n, *r.Write, false) })
+		w.Probe(n, p)
 	}
+	w.Send(n, r.Read, r.Write)
 }
 
 func (w *world) note(n *node, format string, args ...any) {
-	at := w.now.Sub(time.Unix(0, 0)).Seconds()
+	at := w.Now.Sub(time.Unix(0, 0)).Seconds()
 	fmt.Fprintf(&w.log, "%.1fs %s %s\n", at, n.Identity, fmt.Sprintf(format, args...))
 }
 
@@ -169,62 +123,7 @@
 	case s.OccupiedUntil.IsZero():
 		return ""
 	}
-	return fmt.Sprintf(" occupied=%s", s.OccupiedUntil.Sub(w.now))
-}
-
-// probe shows the truth: refused when no incarnation listens at the address.
-func (w *world) probe(n *node, p membership.Probe) {
-	for _, o := range w.nodes {
-		if o.Identity == p.About && !o.alive {
-			w.net.Send(func() {
-				if w.up(n) {
-					w.believe(n, o, membership.Gone)
-				}
-			})
-		}
-	}
-}
-
-// read reads the row as it was a number of versions ago.
-func (w *world) read(n *node, ago int) {
-	row, failed := w.table.ReadStale(RowPrefix+testZone, ago), w.table.Down
-	w.reply(n, func() {
-		if failed {
-			n.m.ReadFailed(w.now)
-		} else if err := n.m.Row(w.now, row); err != nil {
-			panic(err)
-		}
-	})
-}
-
-// write applies a transaction; lost loses its reply.
-func (w *world) write(n *node, txn platform.Txn, lost bool) {
-	var reply platform.TxnReply
-	if !w.table.Down {
-		reply = w.table.Apply(txn)
-	}
-	lost = lost || w.table.Down || w.loseReply
-	w.loseReply = false
-	w.reply(n, func() {
-		if lost {
-			n.m.WriteFailed(w.now, txn.ID)
-		} else if err := n.m.Written(w.now, txn.ID, reply); err != nil {
-			panic(err)
-		}
-	})
-}
-
-// reply hands an outcome to n; a paused process takes it once it goes on.
-func (w *world) reply(n *node, take func()) {
-	w.net.Send(func() {
-		switch {
-		case w.up(n):
-			take()
-			w.obey(n)
-		case n.alive:
-			w.reply(n, take)
-		}
-	})
+	return fmt.Sprintf(" occupied=%s", s.OccupiedUntil.Sub(w.Now))
 }
 
 func (w *world) inFlight(n *node, backend string) int {
@@ -239,25 +138,18 @@
 
 // begin starts work at n on a backend server that it may use.
 func (w *world) begin(n *node, backend string, d time.Duration) {
-	free := n.open[backend] && !w.now.Before(n.occupied[backend]) && w.inFlight(n, backend) < testSlots
-	if w.up(n) && free {
-		w.work = append(w.work, &work{backend: backend, by: n, ends: w.now.Add(d)})
+	free := n.State.open[backend] && !w.Now.Before(n.State.occupied[backend]) && w.inFlight(n, backend) < testSlots
+	if w.Up(n) && free {
+		w.work = append(w.work, &work{backend: backend, by: n, ends: w.Now.Add(d)})
 	}
 }
 
-func (w *world) pass(d time.Duration) {
-	w.now = w.now.Add(d)
-	w.work = slices.DeleteFunc(w.work, func(k *work) bool { return !w.now.Before(k.ends) })
-}
-
-func (w *world) kill(n *node) { n.alive = false }
-
 // check holds the promises that are true at every moment.
 func (w *world) check(t require.TestingT) {
 	for _, b := range w.backends {
 		var users []string
-		for _, n := range w.nodes {
-			if n.alive && (n.open[b.Name] || w.inFlight(n, b.Name) > 0) {
+		for _, n := range w.Nodes {
+			if n.Alive && (n.State.open[b.Name] || w.inFlight(n, b.Name) > 0) {
 				users = append(users, n.Identity.String())
 			}
 		}
@@ -268,67 +160,23 @@
 
 // heal ends all faults and lets the machines settle.
 func (w *world) heal(t require.TestingT) {
-	w.table.Down = false
-	for _, n := range w.nodes {
-		n.paused = false
-	}
 	const step, settle = 500 * time.Millisecond, 60 * time.Second
+	w.Heal()
 	for range int(settle / step) {
-		for _, n := range w.nodes {
-			if n.alive {
-				w.truth(n)
-			}
-		}
-		w.run(step, step)
-		for _, n := range w.nodes {
-			if n.m.Released() {
-				w.kill(n)
-			}
+		w.Run(step, step, true)
+		for _, n := range w.Nodes {
+			n.Alive = n.Alive && !n.M.Released()
 		}
 		w.check(t)
 	}
 }
 
-// run lets time pass in steps; what is sent in a step arrives in it, but for
-// what paused nodes have to take.
-func (w *world) run(d, step time.Duration) {
-	for end := w.now.Add(d); w.now.Before(end); {
-		w.pass(step)
-		for range 10 {
-			for range w.net.Len() {
-				w.net.Deliver(0)
-			}
-		}
-		for _, n := range w.nodes {
-			if w.up(n) {
-				w.tick(n)
-			}
-		}
-	}
-}
-
-// truth gives n the right beliefs.
-func (w *world) truth(n *node) {
-	for _, o := range w.nodes {
-		s := membership.Live
-		switch {
-		case !o.alive:
-			s = membership.Gone
-		case o.m.leaving:
-			s = membership.Leaving
-		}
-		if old, ok := n.beliefs[o.Identity]; !ok || old != s {
-			w.believe(n, o, s)
-		}
-	}
-}
-
 // owned checks that every backend server is in use by a live instance.
 func (w *world) owned(t require.TestingT) {
 	for _, b := range w.backends {
 		users := 0
-		for _, n := range w.nodes {
-			if n.alive && n.open[b.Name] {
+		for _, n := range w.Nodes {
+			if n.Alive && n.State.open[b.Name] {
 				users++
 			}
 		}
@@ -338,91 +186,22 @@
 
 // fault makes one random step.
 func (w *world) fault(t *rapid.T) {
-	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
-	o := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "other")]
-	switch rapid.IntRange(0, 15).Draw(t, "step") {
+	n := w.Any(t)
+	switch rapid.IntRange(0, 5).Draw(t, "step") {
 	case 0:
-		w.pass(time.Duration(rapid.IntRange(0, 15000).Draw(t, "ms")) * time.Millisecond)
-	case 1:
-		if !n.alive && w.latest(n) {
-			w.start(n.ID)
-		} else if len(w.nodes) < 12 {
-			w.start(fmt.Sprintf("n%d", len(w.nodes)))
-		}
-	case 2:
-		w.kill(n)
-	case 3:
-		n.paused = !n.paused
-	case 4:
-		if w.up(n) {
-			n.m.Leave(w.now)
-			w.obey(n)
-		}
-	case 5:
-		w.table.Down = !w.table.Down
-	case 6, 7:
-		if !w.up(n) || n == o {
-			return
-		}
-		// Any belief but a false death.
-		s := membership.State(rapid.IntRange(0, 2).Draw(t, "belief"))
-		if !o.alive && rapid.Bool().Draw(t, "evidence") {
-			s = membership.Gone
-		}
-		w.believe(n, o, s)
-	case 8:
-		if w.up(n) {
-			w.net.Send(func() { w.write(n, w.lastWrite(n), true) })
-		}
-	case 9:
 		for _, b := range w.backends {
 			for range rapid.IntRange(0, testSlots).Draw(t, "requests") {
 				w.begin(n, b.Name, testDeadline)
 			}
 		}
-	case 10, 11:
-		w.deliver(t)
-	case 12:
-		if w.up(n) {
-			w.read(n, rapid.IntRange(0, 3).Draw(t, "stale"))
+	case 1:
+		if p := n.M.row.Pending(); p != nil {
+			// The network repeats what n last sent.
+			w.Send(n, false, p)
 		}
 	default:
-		if w.up(n) {
-			w.tick(n)
-		}
-		for range rapid.IntRange(0, 4).Draw(t, "deliveries") {
-			w.deliver(t)
-		}
-	}
-}
-
-// lastWrite returns what n last sent, as when the network repeats it.
-func (w *world) lastWrite(n *node) platform.Txn {
-	if p := n.m.row.Pending(); p != nil {
-		return *p
-	}
-	return platform.Txn{}
-}
-
-func (w *world) latest(n *node) bool {
-	for _, o := range w.nodes {
-		if o.ID == n.ID && o.Incarnation > n.Incarnation {
-			return false
-		}
-	}
-	return true
-}
-
-func (w *world) deliver(t *rapid.T) {
-	if w.net.Len() == 0 {
-		return
-	}
-	i := rapid.IntRange(0, w.net.Len()-1).Draw(t, "message")
-	if rapid.IntRange(0, 9).Draw(t, "repeat") == 0 {
-		w.net.Repeat(i)
-		return
+		w.Faults(t)
 	}
-	w.net.Deliver(i)
 }
 
 // TestOneOwner holds over random faults that no two live incarnations use one
@@ -432,14 +211,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.IntRange(1, 6).Draw(t, "backends"))
 		for i := range rapid.IntRange(1, 4).Draw(t, "nodes") {
-			w.start(fmt.Sprintf("n%d", i))
+			w.Start(fmt.Sprintf("n%d", i))
 		}
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			w.fault(t)
 			w.check(t)
 		}
 		if rapid.IntRange(0, 3).Draw(t, "heal") == 0 {
-			w.start("last")
+			w.Start("last")
 			w.heal(t)
 			w.owned(t)
 		}
--- a/internal/decide/ownership/script_test.go
+++ b/internal/decide/ownership/script_test.go
@@ -3,26 +3,22 @@
 import (
 	"fmt"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 
-	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/worldtest"
 )
 
-// TestScripts runs the sessions in testdata. Commands, one a block:
+// TestScripts runs the sessions in testdata. Beside the commands of
+// worldtest.World.Command there are:
 //
 //	world backends=N               a zone with N backend servers
-//	start|kill|pause|resume|leave NODE...
-//	know                           every node learns the truth
-//	suspect NODE OTHER             NODE suspects OTHER
-//	table up|down|lose-reply       the table's faults
 //	work NODE BACKEND SECONDS      work begins if the owner has a free slot
 //	stale NODE VERSIONS            NODE reads an old version of the row
-//	run SECONDS                    time passes, messages arrive
 //	owners                         the row, and who uses what
 //
 // Every command prints what the nodes did meanwhile.
@@ -51,37 +47,18 @@
 }
 
 func (w *world) command(t *testing.T, cmd string, args []string) string {
+	if w.Command(cmd, args) {
+		return ""
+	}
 	switch cmd {
-	case "start":
-		for _, id := range args {
-			w.start(id)
-		}
-	case "kill", "pause", "resume", "leave":
-		for _, id := range args {
-			w.control(cmd, w.named(t, id))
-		}
-	case "know":
-		for _, n := range w.nodes {
-			if w.up(n) {
-				w.truth(n)
-			}
-		}
-	case "suspect":
-		w.believe(w.named(t, args[0]), w.named(t, args[1]), membership.Suspect)
-	case "table":
-		w.table.Down = args[0] == "down"
-		w.loseReply = args[0] == "lose-reply"
 	case "work":
 		before := len(w.work)
-		w.begin(w.named(t, args[0]), args[1], seconds(t, args[2]))
+		w.begin(w.Named(args[0]), args[1], worldtest.Seconds(args[2]))
 		return fmt.Sprintf("began=%t\n", len(w.work) > before)
 	case "stale":
-		var ago int
-		_, err := fmt.Sscan(args[1], &ago)
+		ago, err := strconv.Atoi(args[1])
 		require.NoError(t, err)
-		w.read(w.named(t, args[0]), ago)
-	case "run":
-		w.run(seconds(t, args[0]), compareStep)
+		w.Read(w.Named(args[0]), ago)
 	case "owners":
 		return w.owners()
 	default:
@@ -90,44 +67,15 @@
 	return ""
 }
 
-func (w *world) control(cmd string, n *node) {
-	switch cmd {
-	case "kill":
-		w.kill(n)
-	case "pause", "resume":
-		n.paused = cmd == "pause"
-	case "leave":
-		n.m.Leave(w.now)
-		w.obey(n)
-	}
-}
-
-// named returns the latest incarnation of a node.
-func (w *world) named(t *testing.T, id string) *node {
-	for i := len(w.nodes) - 1; i >= 0; i-- {
-		if w.nodes[i].ID == id {
-			return w.nodes[i]
-		}
-	}
-	t.Fatalf("no node %q", id)
-	return nil
-}
-
-func seconds(t *testing.T, s string) time.Duration {
-	d, err := time.ParseDuration(s + "s")
-	require.NoError(t, err)
-	return d
-}
-
 func (w *world) owners() string {
 	var b strings.Builder
 	for _, s := range w.backends {
 		users, owner := []string{}, "nobody"
-		for _, n := range w.nodes {
-			if n.alive && n.open[s.Name] {
+		for _, n := range w.Nodes {
+			if n.Alive && n.State.open[s.Name] {
 				users = append(users, n.Identity.String())
 			}
-			if a, ok := n.m.OwnerOf(s.Name); ok && w.up(n) {
+			if a, ok := n.M.OwnerOf(s.Name); ok && w.Up(n) {
 				owner = a.Owner.String()
 			}
 		}
--- a/internal/decide/decidetest/table.go
+++ b/internal/decide/worldtest/table.go
@@ -1,7 +1,7 @@
-// Package decidetest holds the fakes that tests of decision packages share: a
-// table with versions and history, and a network that delays and loses what is
-// sent over it.
-package decidetest
+// Package worldtest holds the fakes that tests of row-keeping machines share:
+// nodes that start, pause and die, a table with versions and history, and a
+// network that delays, repeats and loses what is sent over it.
+package worldtest
 
 import (
 	"github.com/banyandeal/banyandeal/internal/platform"
