--- a/internal/decide/linkcap/guard_test.go
+++ b/internal/decide/linkcap/guard_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
 )
 
 // TestNoLendingOn holds that what a holder lends is backed by rights of its
@@ -115,3 +117,46 @@
 		require.Error(t, err, name)
 	}
 }
+
+// TestGiverFirst holds that rights are out of use before the write that gives
+// them can take effect, and until it is known that it cannot.
+func TestGiverFirst(t *testing.T) {
+	w := newWorld(map[string]Rights{"sfo": {12, 12}})
+	a := w.Start("a")
+	w.Run(5*time.Second, 500*time.Millisecond, true)
+	require.Equal(t, Rights{12, 12}, a.M.Usable("sfo"))
+	b := w.Start("b")
+	a.M.SetMembers(w.Now, []membership.Instance{a.Instance, b.Instance})
+	join := a.M.Ready().Write
+	require.NoError(t, a.M.Written(w.Now, join.ID, w.Table.Apply(*join)))
+	txn := a.M.Ready().Write
+	require.NotNil(t, txn, "b has joined and gets its share")
+	require.Equal(t, Rights{6, 6}, a.M.Usable("sfo"))
+	a.M.WriteFailed(w.Now, txn.ID)
+	require.Equal(t, Rights{6, 6}, a.M.Usable("sfo"))
+	before := w.Table.Read(w.RowName)
+	require.NoError(t, a.M.Row(w.Now, before))
+	require.Equal(t, Rights{6, 6}, a.M.Usable("sfo"), "it may still take effect")
+	require.Equal(t, txn.ID, a.M.Ready().Write.ID, "the same write is sent again")
+}
+
+// TestLowerCapWithRightsInUse holds that a lower cap binds new requests also
+// while the rights above it are in use and cannot be given up.
+func TestLowerCapWithRightsInUse(t *testing.T) {
+	w := newWorld(map[string]Rights{"sfo": {99, 99}})
+	for _, id := range []string{"a", "b", "c"} {
+		w.Start(id)
+	}
+	w.Run(10*time.Second, 500*time.Millisecond, true)
+	for _, n := range w.Nodes {
+		for range 33 {
+			require.True(t, w.begin(n, "sfo", 9*time.Second))
+		}
+	}
+	var sum Rights
+	for _, n := range w.Nodes {
+		n.M.SetCaps(w.Now, map[string]Rights{"sfo": {50, 40}}, testHold)
+		sum = sum.add(n.M.Usable("sfo"))
+	}
+	require.Equal(t, Rights{48, 39}, sum, "three shares, rounded down")
+}
--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -269,3 +269,23 @@
 		})
 	}
 }
+
+// TestRequestRepeats holds that changes are sent until an answer came, and that
+// all are sent when the log is too short for them.
+func TestRequestRepeats(t *testing.T) {
+	for _, p := range policies[1:] {
+		a, b := NewSet(Limits{Log: 4}), NewSet(Limits{Log: 4})
+		pa, pb := p.make(a), p.make(b)
+		a.Put(epoch, record(0, 1))
+		require.Len(t, pa.Request().Records, 1, p.name)
+		require.Len(t, pa.Request().Records, 1, "the first was lost")
+		exchange(pa, pb)
+		require.Empty(t, pa.Request().Records)
+		for i := range 10 {
+			a.Put(epoch, record(i, 2))
+		}
+		require.Len(t, pa.Request().Records, 10)
+		exchange(pa, pb)
+		require.True(t, pa.InSync())
+	}
+}
