capacity: measure how the costs of an instance grow

The size of two years from now was only spoken of in single benchmarks. `make capacity` drives the machines and codecs over three sizes each, fits a line and prints the value at that size, told apart as measured or computed. Processor time is that of the process, so a busy machine disturbs it little. Ruled out: go test -bench, whose figures no program can read back into a budget.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,7 @@
 # was broken.
 demo: build
 	./bin/demo --estate examples/$(ESTATE)
+
+# Measures how costs grow and prints the tables of docs/CAPACITY.md.
+capacity:
+	go run ./cmd/capacity
--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,17 @@
+// Command capacity measures what the parts of an instance cost and prints the
+// tables of docs/CAPACITY.md.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/banyandeal/banyandeal/internal/capacity"
+)
+
+func main() {
+	if err := capacity.Run(os.Stdout, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/capacity/measure.go
@@ -0,0 +1,27 @@
+package capacity
+
+import "github.com/juju/errors"
+
+// Names lists the series in the order in which they are printed.
+var Names = []string{
+	blockTable, blockRebuild, blockContent, blockEstate, blockSplit, blockJoin, blockChange, blockApply, blockChoose,
+	siteContent, siteChange, siteApply, sitePlan, zonePlan, zoneTables, zoneRamp, zoneRest,
+	memberHeap, memberTick, memberChange, memberPublish, memberRecords, zoneLoads,
+	ownerRow, ownerTick, ownerHeap, linkRow, linkTick, linkHeap, claimRow, keyHeap,
+	wireHeartbeats, wireCalls, wireLookups, wireAnswer,
+}
+
+// Measure measures all series. progress is told each name.
+func Measure(progress func(name string)) (Results, error) {
+	out := Results{}
+	add := func(s Series) {
+		out[s.Name] = s
+		progress(s.Name)
+	}
+	for _, m := range []func(func(Series)) error{measureWire, measureMembers, measureRows, measureZones, measureSites, measureBlocks} {
+		if err := m(add); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/capacity/members.go
@@ -0,0 +1,132 @@
+package capacity
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banyandeal/banyandeal/internal/decide/load"
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
+	"github.com/banyandeal/banyandeal/internal/snapshot"
+)
+
+// Names of the series over members.
+const (
+	memberHeap    = "membership, memory"
+	memberTick    = "membership tick, processor"
+	memberChange  = "one member's state changed, processor"
+	memberPublish = "snapshot published, processor"
+	memberRecords = "member records, bytes"
+	zoneLoads     = "load records of a zone, bytes"
+)
+
+// start is the time at which measurements begin.
+var start = time.UnixMilli(1_764_000_000_000).UTC()
+
+// memberSteps are numbers of instances.
+var memberSteps = []int{100, 1000, Letter.Nodes}
+
+// newMembership returns the machine of the last instance, which is no relay,
+// with all instances known.
+func newMembership(n int) *membership.Machine {
+	all := newInstances(n, Letter.Zones)
+	m := membership.New(membership.Config{Self: all[n-1]}, start)
+	m.Reports(start, all)
+	m.Ready()
+	return m
+}
+
+// measureMembers measures what grows with the number of instances known.
+func measureMembers(add func(Series)) error {
+	known := over{add: add, variable: "instances", steps: memberSteps, target: Letter.Nodes}
+	known.measure(memberHeap, Bytes, "internal/decide/membership", func(n int) float64 {
+		return heap(func() any { return newMembership(n) })
+	})
+	known.measure(memberTick, Seconds, "internal/decide/membership", func(n int) float64 {
+		m := newMembership(n)
+		return seconds(func() { m.Tick(start) })
+	})
+	known.measure(memberChange, Seconds, "internal/decide/membership", changeTime)
+	known.measure(memberPublish, Seconds, "internal/snapshot", publishTime)
+	known.measure(memberRecords, Bytes, "internal/peer/peerpb", func(n int) float64 {
+		ex := &peerpb.Exchange{}
+		for _, in := range newInstances(n, Letter.Zones) {
+			ex.Records = append(ex.Records, instanceRecord(in))
+		}
+		return float64(proto.Size(ex))
+	})
+	zone := over{add: add, variable: "instances of the zone", steps: []int{20, 80, Letter.ZoneNodes()}, target: Letter.ZoneNodes()}
+	zone.measure(zoneLoads, Bytes, "internal/peer/peerpb", func(n int) float64 {
+		ex := &peerpb.Exchange{}
+		for k := range n {
+			ex.Records = append(ex.Records, loadRecord(newInstance(0, k)))
+		}
+		return float64(proto.Size(ex))
+	})
+	return nil
+}
+
+func changeTime(n int) float64 {
+	m := newMembership(n)
+	in := newInstances(n, Letter.Zones)[0]
+	return seconds(func() {
+		in.Sequence++
+		in.State = membership.Leaving - in.State
+		m.Report(start, in)
+		m.Ready()
+	})
+}
+
+// publishTime makes the parts of a snapshot that follow the view, as control
+// does at each change of a load record.
+func publishTime(n int) float64 {
+	view := newMembership(n).View()
+	return seconds(func() {
+		s := &snapshot.Snapshot{Peers: map[membership.Identity]string{}}
+		for _, z := range view.Zones {
+			v := snapshot.Zone{Name: z.Name}
+			for _, in := range z.Instances {
+				s.Peers[in.Identity] = in.Peer
+			}
+			for _, in := range z.Usable() {
+				v.Instances = append(v.Instances, snapshot.Instance{
+					ID: in.ID, Incarnation: in.Incarnation, Zone: in.Zone, Caller: in.Caller, Peer: in.Peer,
+				})
+			}
+			s.Zones = append(s.Zones, v)
+		}
+	})
+}
+
+// instanceRecord returns the replicated record of an instance as control makes
+// it.
+func instanceRecord(in membership.Instance) *peerpb.Record {
+	return &peerpb.Record{
+		Owner: in.ID, Name: "instance", Incarnation: in.Incarnation, Sequence: in.RecordSequence(), Value: mustJSON(in),
+	}
+}
+
+// loadRecord returns an instance's load record as control makes it.
+func loadRecord(in membership.Instance) *peerpb.Record {
+	type reported struct {
+		Busy  load.Milli `json:"busy"`
+		Slots int        `json:"slots"`
+	}
+	report := map[string]reported{}
+	for _, s := range newEstate(Size{Services: Letter.Services}).Services {
+		report[s.Name] = reported{Busy: 2500, Slots: 8}
+	}
+	return &peerpb.Record{Owner: in.ID, Name: "load", Incarnation: in.Incarnation, Sequence: 100_000, Value: mustJSON(report)}
+}
+
+// mustJSON encodes strings and numbers.
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(errors.Trace(err))
+	}
+	return data
+}
