linkcap: rank partners only for holders that lack some

A step of the machine ranked all instances of the region for each of them, and compared ledgers by reflection after copying them. At 787 instances in a region a tick took 2.65 s of processor time, ten times a second. Golden scripts and the model are unchanged. Ruled out: a longer tick, which would slow takeovers and still not carry the size. The measured ledger now has partners, and a test holds that it is at rest.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -35,3 +36,15 @@
 		require.NotZero(t, c.Restart.Exchanges, p.Name)
 	}
 }
+
+// TestMeasuredAtRest holds that the machines whose ticks are measured have
+// nothing to write, so that no tick is one of a change.
+func TestMeasuredAtRest(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Minute} {
+		owners, links := newOwnership(100), newLinks(100)
+		owners.Tick(start.Add(after))
+		links.Tick(start.Add(after))
+		require.Nil(t, owners.Ready().Write)
+		require.Nil(t, links.Ready().Write)
+	}
+}
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -122,7 +122,8 @@
 }
 
 // ledgerOf returns the row of a region whose n instances hold equal rights on
-// the links to all other regions.
+// the links to all other regions, each with the next and the one before as
+// partners.
 func ledgerOf(n int) linkcap.Ledger {
 	var l linkcap.Ledger
 	each := linkcap.Rights{InFlight: rightsEach, Rate: rightsEach}
@@ -136,6 +137,11 @@
 		in := newInstance(0, k)
 		l.Holders = append(l.Holders, linkcap.Holder{Identity: in.Identity, Peer: in.Peer, Links: slices.Clone(links)})
 	}
+	for k := range l.Holders {
+		h := &l.Holders[k]
+		h.Partners = []membership.Identity{l.Holders[(k+1)%n].Identity, l.Holders[(k+n-1)%n].Identity}
+		slices.SortFunc(h.Partners, membership.Identity.Compare)
+	}
 	return l
 }
 
--- a/internal/decide/linkcap/ledger.go
+++ b/internal/decide/linkcap/ledger.go
@@ -17,6 +17,13 @@
 	return out
 }
 
+// equal reports whether l and o say the same.
+func (l *Ledger) equal(o *Ledger) bool {
+	return slices.Equal(l.Caps, o.Caps) && slices.EqualFunc(l.Holders, o.Holders, func(a, b Holder) bool {
+		return a.Identity == b.Identity && a.Peer == b.Peer && slices.Equal(a.Links, b.Links) && slices.Equal(a.Partners, b.Partners)
+	})
+}
+
 // holder returns the entry of id, or nil.
 func (l *Ledger) holder(id membership.Identity) *Holder {
 	i, ok := slices.BinarySearchFunc(l.Holders, id, func(h Holder, d membership.Identity) int { return h.Compare(d) })
--- a/internal/decide/linkcap/write.go
+++ b/internal/decide/linkcap/write.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"reflect"
 	"slices"
 	"time"
 
@@ -22,7 +21,7 @@
 	}
 	giving := m.giveSurplus(now, next)
 	m.common(now, next, len(giving) > 0)
-	if reflect.DeepEqual(next, m.ledger.clone()) {
+	if next.equal(m.ledger) {
 		return
 	}
 	value, err := json.Marshal(next)
@@ -66,12 +65,18 @@
 	if own == nil {
 		return giving
 	}
+	takers := m.takers(next)
 	for _, to := range m.links() {
-		keep := m.fair(to, next)
-		poor := m.deficit(to, next, keep)
+		keep := m.fair(to, takers)
 		if m.leaving {
 			keep = Rights{}
-			poor = own.rights(to)
+		}
+		if own.rights(to).sub(keep).positive().isZero() {
+			continue
+		}
+		poor := own.rights(to)
+		if !m.leaving {
+			poor = m.deficit(to, next, keep, takers)
 		}
 		// Only unlent rights of this instance's own can be written off.
 		backed := m.ledgerRights(to).sub(m.lent(to)).positive()
@@ -107,16 +112,16 @@
 }
 
 // fair returns an equal share of a link.
-func (m *Machine) fair(to string, next *Ledger) Rights {
-	n := int64(max(1, len(m.takers(next))))
+func (m *Machine) fair(to string, takers []membership.Identity) Rights {
+	n := int64(max(1, len(takers)))
 	return Rights{m.caps[to].InFlight / n, m.caps[to].Rate / n}
 }
 
 // deficit returns how much is missing to the others' fair shares beyond what is
 // free, and what the ledger holds above the configured cap.
-func (m *Machine) deficit(to string, next *Ledger, fair Rights) Rights {
+func (m *Machine) deficit(to string, next *Ledger, fair Rights, takers []membership.Identity) Rights {
 	var sum Rights
-	for _, id := range m.takers(next) {
+	for _, id := range takers {
 		if id != m.cfg.Self {
 			sum = sum.add(fair.sub(next.holder(id).rights(to)).positive())
 		}
@@ -153,7 +158,7 @@
 	m.removeDead(now, next)
 	m.grant(next)
 	switch {
-	case reflect.DeepEqual(own, next):
+	case own.equal(next):
 		m.freeSince = time.Time{}
 	case m.freeSince.IsZero():
 		m.freeSince = now
@@ -191,7 +196,13 @@
 	}
 }
 
+// findPartners pairs a holder until it has as many partners as wanted. Ranking
+// all takers is left out for the many that have: it would cost the square of
+// the region's instances at every step.
 func (m *Machine) findPartners(next *Ledger, id membership.Identity, takers []membership.Identity) {
+	if len(next.holder(id).Partners) >= wantedPartners {
+		return
+	}
 	byName := map[string]membership.Identity{}
 	var names []string
 	for _, t := range takers {
@@ -239,7 +250,7 @@
 		if len(takers) == 0 || free.isZero() {
 			continue
 		}
-		fair := m.fair(to, next)
+		fair := m.fair(to, takers)
 		for _, id := range takers {
 			h := next.holder(id)
 			d := fair.sub(h.rights(to)).positive().min(free)
