linkcap, ownership, membership: a tick at rest costs nothing

Ticks come ten times a second and went over all backend servers of the zone, all instances of the region and all members each time. A machine now knows when only an event can bring it something to do: then a tick passes on what its row wants and no more. Membership keeps lists of whom it watches, suspects and holds for gone. The membership scripts hold the lists equal to a scan. Ruled out: a slower tick, which would delay takeovers.

--- a/internal/decide/linkcap/machine.go
+++ b/internal/decide/linkcap/machine.go
@@ -49,7 +49,12 @@
 	// turn spreads wants over partners.
 	turn    int
 	leaving bool
-	ready   Ready
+	// surplus is set when the last step saw more in own than a fair share.
+	surplus bool
+	// atRest is set when nothing but an event other than Tick can call for a
+	// write or a probe.
+	atRest bool
+	ready  Ready
 }
 
 // loan is the account between this instance and one partner, by link. Totals
@@ -233,7 +238,15 @@
 }
 
 // Tick lets time pass.
-func (m *Machine) Tick(now time.Time) { m.advance(now) }
+func (m *Machine) Tick(now time.Time) {
+	if !m.atRest {
+		m.advance(now)
+		return
+	}
+	m.resend(now)
+	m.want(now)
+	m.askRow(now)
+}
 
 func (m *Machine) took(now time.Time, isNew bool) error {
 	var err error
@@ -289,6 +302,21 @@
 			m.probe(now)
 		}
 	}
+	m.askRow(now)
+	m.atRest = m.restful()
+}
+
+// restful reports whether, until the next event, the ledger needs no change and
+// no holder is in doubt. Time matters only to what is free, dead or leaving,
+// and traffic only to a surplus.
+func (m *Machine) restful() bool {
+	_, known := m.row.Current()
+	due := !m.freeSince.IsZero() || m.row.Pending() != nil || m.surplus || m.leaving
+	return known && m.caps != nil && !m.broken && !due && len(m.deadSince) == 0 && len(m.probedAt) == 0
+}
+
+// askRow passes on what the row wants sent.
+func (m *Machine) askRow(now time.Time) {
 	for range 2 {
 		read, write := m.row.Next(now)
 		m.ready.Read = m.ready.Read || read
--- a/internal/decide/linkcap/model_test.go
+++ b/internal/decide/linkcap/model_test.go
@@ -232,6 +232,21 @@
 	return sum
 }
 
+// tick lets time pass. When the machine leaves its step out, it is made here and
+// must want nothing.
+func tick(m *Machine, now time.Time) {
+	rested := m.atRest
+	m.Tick(now)
+	if !rested {
+		return
+	}
+	probes, pending := len(m.ready.Probes), m.row.Pending()
+	m.advance(now)
+	if len(m.ready.Probes) != probes || m.row.Pending() != pending || !m.atRest {
+		panic("a machine at rest had something to do")
+	}
+}
+
 // check holds that the usable rights, and what runs under rights of the dead,
 // never add up to more than a cap.
 func (w *world) check(t require.TestingT) {
@@ -265,7 +280,7 @@
 			if truth {
 				w.truth(n)
 			}
-			n.m.Tick(w.now)
+			tick(n.m, w.now)
 			w.obey(n)
 			if n.m.Released() && w.taken(n, "sfo").isZero() && w.taken(n, "bgi").isZero() {
 				n.alive = false
@@ -339,7 +354,7 @@
 		w.run(time.Second, 500*time.Millisecond, rapid.Bool().Draw(t, "truth"))
 	default:
 		if w.up(n) {
-			n.m.Tick(w.now)
+			tick(n.m, w.now)
 			w.obey(n)
 		}
 		for range rapid.IntRange(0, 6).Draw(t, "deliveries") {
--- a/internal/decide/linkcap/write.go
+++ b/internal/decide/linkcap/write.go
@@ -61,6 +61,7 @@
 // are granted to others by the same write.
 func (m *Machine) giveSurplus(now time.Time, next *Ledger) map[string]Rights {
 	giving := map[string]Rights{}
+	m.surplus = false
 	own := next.holder(m.cfg.Self)
 	if own == nil {
 		return giving
@@ -74,6 +75,7 @@
 		if own.rights(to).sub(keep).positive().isZero() {
 			continue
 		}
+		m.surplus = true
 		poor := own.rights(to)
 		if !m.leaving {
 			poor = m.deficit(to, next, keep, takers)
--- a/internal/decide/membership/machine.go
+++ b/internal/decide/membership/machine.go
@@ -28,7 +28,10 @@
 	view    *View
 	stale   map[string]bool
 	targets []Identity
-	ready   Ready
+	// watched holds the expected members, suspects and gone those in these
+	// states; all are sorted, and made with the view.
+	watched, suspects, gone []Identity
+	ready                   Ready
 }
 
 // member is one known incarnation.
@@ -265,9 +268,9 @@
 }
 
 func (m *Machine) suspectSilent(now time.Time) {
-	for _, id := range m.sorted() {
+	for _, id := range m.watched {
 		mb := m.members[id]
-		if mb.expected && mb.State < Suspect && now.Sub(mb.heard) >= m.cfg.SuspectAfter {
+		if mb.State < Suspect && now.Sub(mb.heard) >= m.cfg.SuspectAfter {
 			m.setState(mb, Suspect, CauseSilence)
 		}
 	}
@@ -277,10 +280,13 @@
 	if !m.view.Zone(m.self.Zone).IsRelay(m.self.Identity) {
 		return
 	}
+	silent := func(zone string) bool { return now.Sub(m.zoneHeard[zone]) >= m.cfg.ZoneSuspectAfter }
+	if !slices.ContainsFunc(m.view.Zones, func(z ZoneView) bool { return z.Name != m.self.Zone && silent(z.Name) }) {
+		return
+	}
 	for _, id := range m.sorted() {
 		mb := m.members[id]
-		silent := now.Sub(m.zoneHeard[mb.Zone]) >= m.cfg.ZoneSuspectAfter
-		if mb.Zone != m.self.Zone && silent && mb.State < Suspect {
+		if mb.Zone != m.self.Zone && silent(mb.Zone) && mb.State < Suspect {
 			m.setState(mb, Suspect, CauseZone)
 		}
 	}
@@ -293,9 +299,9 @@
 		return
 	}
 	var due []*member
-	for _, id := range m.sorted() {
+	for _, id := range m.suspects {
 		mb := m.members[id]
-		if mb.State == Suspect && now.Sub(mb.probedAt) >= m.cfg.ProbeEvery {
+		if now.Sub(mb.probedAt) >= m.cfg.ProbeEvery {
 			due = append(due, mb)
 		}
 	}
@@ -307,9 +313,9 @@
 }
 
 func (m *Machine) forget(now time.Time) {
-	for _, id := range m.sorted() {
+	for _, id := range m.gone {
 		mb := m.members[id]
-		if mb.State == Gone && now.Sub(mb.goneAt) >= m.cfg.KeepGone {
+		if now.Sub(mb.goneAt) >= m.cfg.KeepGone {
 			m.remove(mb)
 			m.stale[mb.Zone] = true
 		}
@@ -342,10 +348,18 @@
 		return
 	}
 	fresh := map[string][]Instance{}
+	m.suspects, m.gone = nil, nil
 	for _, id := range m.sorted() {
-		if in := m.members[id].Instance; m.stale[in.Zone] {
+		in := m.members[id].Instance
+		if m.stale[in.Zone] {
 			fresh[in.Zone] = append(fresh[in.Zone], in)
 		}
+		switch in.State {
+		case Suspect:
+			m.suspects = append(m.suspects, id)
+		case Gone:
+			m.gone = append(m.gone, id)
+		}
 	}
 	v := &View{}
 	for _, z := range m.view.Zones {
@@ -367,6 +381,7 @@
 // and all of its zone when it relays there.
 func (m *Machine) expect(now time.Time) {
 	relay := m.view.Zone(m.self.Zone).IsRelay(m.self.Identity)
+	m.watched = nil
 	for id, mb := range m.members {
 		_, target := slices.BinarySearchFunc(m.targets, id, Identity.Compare)
 		want := id != m.self.Identity && (target || (relay && mb.Zone == m.self.Zone))
@@ -374,7 +389,11 @@
 			mb.heard = now
 		}
 		mb.expected = want
+		if want {
+			m.watched = append(m.watched, id)
+		}
 	}
+	slices.SortFunc(m.watched, Identity.Compare)
 }
 
 func (m *Machine) add(mb *member) {
--- a/internal/decide/membership/machine_test.go
+++ b/internal/decide/membership/machine_test.go
@@ -47,6 +47,7 @@
 			default:
 				d.Fatalf(t, "unknown command %q", d.Cmd)
 			}
+			requireLists(t, m)
 			return printReady(m.Ready())
 		})
 	}
@@ -177,10 +178,29 @@
 			in, ok := m.View().Instance(other.Identity)
 			require.True(t, ok)
 			require.NotEqual(t, Gone, in.State)
+			requireLists(t, m)
 		}
 	})
 }
 
+// requireLists holds that the lists that Tick goes by are those of all members.
+func requireLists(t require.TestingT, m *Machine) {
+	var watched, suspects, gone []Identity
+	for _, id := range m.sorted() {
+		mb := m.members[id]
+		if mb.expected {
+			watched = append(watched, id)
+		}
+		switch mb.State {
+		case Suspect:
+			suspects = append(suspects, id)
+		case Gone:
+			gone = append(gone, id)
+		}
+	}
+	require.Equal(t, [][]Identity{watched, suspects, gone}, [][]Identity{m.watched, m.suspects, m.gone})
+}
+
 // TestMergeOrder holds that the same records in any order give the same view.
 func TestMergeOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/decide/ownership/machine.go
+++ b/internal/decide/ownership/machine.go
@@ -44,7 +44,10 @@
 	leaving      bool
 	abandoning   bool
 	attempts     uint64
-	ready        Ready
+	// atRest is set when nothing but an event other than Tick can call for a
+	// change.
+	atRest bool
+	ready  Ready
 }
 
 // phase is how far a holding is on its way out.
@@ -209,7 +212,13 @@
 }
 
 // Tick lets time pass.
-func (m *Machine) Tick(now time.Time) { m.advance(now) }
+func (m *Machine) Tick(now time.Time) {
+	if m.atRest {
+		m.askRow(now)
+		return
+	}
+	m.advance(now)
+}
 
 func (m *Machine) poll() time.Duration {
 	if m.view.IsRelay(m.cfg.Self) {
@@ -236,12 +245,32 @@
 // advance does what the state calls for after any event.
 func (m *Machine) advance(now time.Time) {
 	m.sync(now)
+	m.atRest = false
 	if m.backends != nil && m.Known() {
 		want := m.want(now)
 		m.steer(now, want)
 		m.write(now, want)
 		m.probe(now)
+		m.atRest = m.restful(want)
+	}
+	m.askRow(now)
+}
+
+// restful reports whether, until the next event, every holding stays, and no
+// backend server lacks an owner or has one that is in doubt. Time matters only
+// to what is otherwise.
+func (m *Machine) restful(want map[string]membership.Identity) bool {
+	for name, h := range m.holdings {
+		if h.phase != serving || m.wanted(name, want) {
+			return false
+		}
 	}
+	due := !m.orphansSince.IsZero() || m.row.Pending() != nil || m.leaving
+	return !m.broken && !due && len(m.missingSince) == 0 && len(m.probedAt) == 0
+}
+
+// askRow passes on what the row wants sent.
+func (m *Machine) askRow(now time.Time) {
 	for range 2 {
 		read, write := m.row.Next(now)
 		m.ready.Read = m.ready.Read || read
--- a/internal/decide/ownership/model_test.go
+++ b/internal/decide/ownership/model_test.go
@@ -104,6 +104,21 @@
 
 func (w *world) up(n *node) bool { return n.alive && !n.paused }
 
+// tick lets time pass. When the machine leaves its step out, it is made here and
+// must want nothing.
+func tick(m *Machine, now time.Time) {
+	rested := m.atRest
+	m.Tick(now)
+	if !rested {
+		return
+	}
+	asked, pending := len(m.ready.Probes)+len(m.ready.Stops)+len(m.ready.Starts), m.row.Pending()
+	m.advance(now)
+	if len(m.ready.Probes)+len(m.ready.Stops)+len(m.ready.Starts) != asked || m.row.Pending() != pending || !m.atRest {
+		panic("a machine at rest had something to do")
+	}
+}
+
 // tick lets time pass at n: its work ends, its machine goes on.
 func (w *world) tick(n *node) {
 	for _, name := range sortedKeys(n.stops) {
@@ -113,7 +128,7 @@
 			n.m.Drained(w.now, name, attempt)
 		}
 	}
-	n.m.Tick(w.now)
+	tick(n.m, w.now)
 	w.obey(n)
 }
 
