--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 ESTATE ?= tiszahid
 GOFILES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test fmt lint unit fuzz demo capacity generate
+.PHONY: build test fmt lint unit fuzz demo experiment capacity generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -34,3 +34,8 @@
 # Measures how costs grow and prints the tables of docs/CAPACITY.md.
 capacity:
 	go run ./cmd/capacity
+
+# Measures the daemon's policy against the plain baseline; SCENARIO=NAME runs
+# one scenario. docs/MEASUREMENTS.md tells what the tables mean.
+experiment: build
+	./bin/experiment --estate examples/$(ESTATE) --scenario "$(SCENARIO)"
--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -52,19 +52,19 @@
 	known.measure(memberChange, Seconds, "internal/decide/membership", changeTime)
 	known.measure(memberPublish, Seconds, "internal/snapshot", publishTime)
 	known.measure(memberRecords, Bytes, "internal/peer/peerpb", func(n int) float64 {
-		ex := &peerpb.Exchange{}
+		m := &peerpb.Refresh{}
 		for _, in := range newInstances(n, Letter.Zones) {
-			ex.Records = append(ex.Records, instanceRecord(in))
+			m.Records = append(m.Records, instanceRecord(in))
 		}
-		return float64(proto.Size(ex))
+		return float64(proto.Size(m))
 	})
 	zone := over{add: add, variable: "instances of the zone", steps: []int{20, 80, Letter.ZoneNodes()}, target: Letter.ZoneNodes()}
 	zone.measure(zoneLoads, Bytes, "internal/peer/peerpb", func(n int) float64 {
-		ex := &peerpb.Exchange{}
+		m := &peerpb.Refresh{}
 		for k := range n {
-			ex.Records = append(ex.Records, loadRecord(newInstance(0, k)))
+			m.Records = append(m.Records, loadRecord(newInstance(0, k)))
 		}
-		return float64(proto.Size(ex))
+		return float64(proto.Size(m))
 	})
 	return nil
 }
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/banyandeal/banyandeal/internal/config/static"
 	"github.com/banyandeal/banyandeal/internal/decide/linkcap"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
@@ -40,18 +41,18 @@
 	})
 	backends.measure(ownerTick, Seconds, "internal/decide/ownership", func(n int) float64 {
 		m := newOwnership(n)
-		return seconds(func() { m.Tick(start) })
+		return tickTime(func(now time.Time) { m.Tick(now); m.Ready() })
 	})
 	backends.measure(ownerHeap, Bytes, "internal/decide/ownership", func(n int) float64 {
 		return heap(func() any { return newOwnership(n) })
 	})
-	holders := over{add: add, variable: "instances of the region", steps: stepsTo(Letter.RegionNodes()), target: Letter.RegionNodes()}
+	holders := over{add: add, variable: "holders of the region's rights", steps: []int{8, 32, linkcap.DefaultMaxHolders}, target: linkcap.DefaultMaxHolders}
 	holders.measure(linkRow, Bytes, "internal/decide/linkcap", func(n int) float64 {
 		return float64(len(mustJSON(ledgerOf(n))))
 	})
 	holders.measure(linkTick, Seconds, "internal/decide/linkcap", func(n int) float64 {
 		m := newLinks(n)
-		return seconds(func() { m.Tick(start) })
+		return tickTime(func(now time.Time) { m.Tick(now); m.Ready() })
 	})
 	holders.measure(linkHeap, Bytes, "internal/decide/linkcap", func(n int) float64 {
 		return heap(func() any { return newLinks(n) })
@@ -64,6 +65,16 @@
 	return nil
 }
 
+// tickTime returns the processor time of one tick of several in a row, since
+// some work is done only now and then.
+func tickTime(tick func(now time.Time)) float64 {
+	now := start
+	return seconds(func() {
+		now = now.Add(static.DefaultTick)
+		tick(now)
+	})
+}
+
 // over measures several costs at the same sizes.
 type over struct {
 	add      func(Series)
@@ -121,8 +132,8 @@
 	return m
 }
 
-// ledgerOf returns the row of a region whose n instances hold equal rights on
-// the links to all other regions, each with the next and the one before as
+// ledgerOf returns the row of a region with n holders of equal rights on the
+// links to all other regions, each with the next and the one before as
 // partners.
 func ledgerOf(n int) linkcap.Ledger {
 	var l linkcap.Ledger
@@ -145,7 +156,7 @@
 	return l
 }
 
-// newLinks returns the machine of an instance in a region at rest.
+// newLinks returns the machine of a holder in a region at rest.
 func newLinks(n int) *linkcap.Machine {
 	self := newInstance(0, 0)
 	m := linkcap.New(linkcap.Config{Self: self.Identity, Peer: self.Peer, Region: regionName(0)}, start)
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -36,16 +36,15 @@
 // heartbeat returns a heartbeat without news and its reply, as control sends
 // them.
 func heartbeat() (*peerpb.Call, *peerpb.Reply) {
-	a, b := newInstance(0, 0), newInstance(0, 1)
-	call := &peerpb.Exchange{
-		From: &peerpb.Identity{Id: a.ID, Incarnation: a.Incarnation}, Zone: a.Zone, Region: regionName(0), ConfigVersion: 24_000,
-		OwnersVersion: 7000, LinksVersion: 9000, Digest: 1 << 60, Since: 100_000, Self: instanceRecord(a),
-	}
-	reply := &peerpb.ExchangeReply{
-		From: &peerpb.Identity{Id: b.ID, Incarnation: b.Incarnation}, Zone: b.Zone, Region: regionName(0), ConfigVersion: 24_000,
-		OwnersVersion: 7000, LinksVersion: 9000, Digest: 1 << 60, Upto: 100_000, Self: instanceRecord(b),
+	one := func(k int) *peerpb.Exchange {
+		in := newInstance(0, k)
+		return &peerpb.Exchange{
+			From: &peerpb.Identity{Id: in.ID, Incarnation: in.Incarnation}, Zone: in.Zone, Region: regionName(0), ConfigVersion: 24_000,
+			OwnersVersion: 7000, LinksVersion: 9000, Self: instanceRecord(in),
+			Global: &peerpb.Refresh{Since: 100_000, Digest: 1 << 60}, Local: &peerpb.Refresh{Since: 100_000, Digest: 1 << 60},
+		}
 	}
-	return &peerpb.Call{Call: &peerpb.Call_Exchange{Exchange: call}}, &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: reply}}
+	return &peerpb.Call{Call: &peerpb.Call_Exchange{Exchange: one(0)}}, &peerpb.Reply{Reply: &peerpb.Reply_Exchange{Exchange: one(1)}}
 }
 
 // HeartbeatBytes is one heartbeat without news and its reply on the wire.
--- a/internal/decide/linkcap/ledger.go
+++ b/internal/decide/linkcap/ledger.go
@@ -17,7 +17,7 @@
 	return out
 }
 
-// equal reports whether l and o say the same.
+// equal reports whether two ledgers say the same.
 func (l *Ledger) equal(o *Ledger) bool {
 	return slices.Equal(l.Caps, o.Caps) && slices.EqualFunc(l.Holders, o.Holders, func(a, b Holder) bool {
 		return a.Identity == b.Identity && a.Peer == b.Peer && slices.Equal(a.Links, b.Links) && slices.Equal(a.Partners, b.Partners)
--- a/internal/decide/linkcap/machine.go
+++ b/internal/decide/linkcap/machine.go
@@ -25,6 +25,10 @@
 	// broken is set while the newest row cannot be decoded; nothing is written
 	// then.
 	broken bool
+	// changed is set when the next ledger has to be worked out anew; without
+	// it that is done at checkAt.
+	changed bool
+	checkAt time.Time
 	// own is this incarnation's entry of ledger, or nil.
 	own *Holder
 	// caps are the configured caps by target region; nil before they are known.
@@ -49,12 +53,7 @@
 	// turn spreads wants over partners.
 	turn    int
 	leaving bool
-	// surplus is set when the last step saw more in own than a fair share.
-	surplus bool
-	// atRest is set when nothing but an event other than Tick can call for a
-	// write or a probe.
-	atRest bool
-	ready  Ready
+	ready   Ready
 }
 
 // loan is the account between this instance and one partner, by link. Totals
@@ -186,12 +185,14 @@
 	for _, in := range m.members {
 		m.states[in.Identity] = in.State
 	}
+	m.changed = true
 	m.advance(now)
 }
 
 // SetCaps takes the configured caps by target region, and the longest that a
 // request may be in flight.
 func (m *Machine) SetCaps(now time.Time, caps map[string]Rights, hold time.Duration) {
+	m.changed = true
 	m.caps, m.hold = maps.Clone(caps), max(hold, RateWindow)
 	m.advance(now)
 }
@@ -233,20 +234,12 @@
 
 // Leave begins the planned stop.
 func (m *Machine) Leave(now time.Time) {
-	m.leaving = true
+	m.leaving, m.changed = true, true
 	m.advance(now)
 }
 
 // Tick lets time pass.
-func (m *Machine) Tick(now time.Time) {
-	if !m.atRest {
-		m.advance(now)
-		return
-	}
-	m.resend(now)
-	m.want(now)
-	m.askRow(now)
-}
+func (m *Machine) Tick(now time.Time) { m.advance(now) }
 
 func (m *Machine) took(now time.Time, isNew bool) error {
 	var err error
@@ -270,7 +263,7 @@
 // rights.
 func (m *Machine) adopt(next *Ledger) {
 	m.ready.Lost = m.ready.Lost || (m.own != nil && next.holder(m.cfg.Self) == nil)
-	m.ledger = next
+	m.ledger, m.changed = next, true
 	m.own = next.holder(m.cfg.Self)
 	for id, l := range m.loans {
 		switch {
@@ -302,21 +295,6 @@
 			m.probe(now)
 		}
 	}
-	m.askRow(now)
-	m.atRest = m.restful()
-}
-
-// restful reports whether, until the next event, the ledger needs no change and
-// no holder is in doubt. Time matters only to what is free, dead or leaving,
-// and traffic only to a surplus.
-func (m *Machine) restful() bool {
-	_, known := m.row.Current()
-	due := !m.freeSince.IsZero() || m.row.Pending() != nil || m.surplus || m.leaving
-	return known && m.caps != nil && !m.broken && !due && len(m.deadSince) == 0 && len(m.probedAt) == 0
-}
-
-// askRow passes on what the row wants sent.
-func (m *Machine) askRow(now time.Time) {
 	for range 2 {
 		read, write := m.row.Next(now)
 		m.ready.Read = m.ready.Read || read
--- a/internal/decide/linkcap/write.go
+++ b/internal/decide/linkcap/write.go
@@ -11,9 +11,10 @@
 
 // write proposes the next ledger when it differs from the present one.
 func (m *Machine) write(now time.Time) {
-	if !m.row.CanWrite() {
+	if !m.row.CanWrite() || (!m.changed && now.Before(m.checkAt)) {
 		return
 	}
+	m.changed, m.checkAt = false, now.Add(checkEvery)
 	next := m.ledger.clone()
 	m.settle(next)
 	if m.leaving {
@@ -21,6 +22,9 @@
 	}
 	giving := m.giveSurplus(now, next)
 	m.common(now, next, len(giving) > 0)
+	if !m.freeSince.IsZero() {
+		m.checkAt = now.Add(m.cfg.ClaimStep)
+	}
 	if next.equal(m.ledger) {
 		return
 	}
@@ -61,24 +65,16 @@
 // are granted to others by the same write.
 func (m *Machine) giveSurplus(now time.Time, next *Ledger) map[string]Rights {
 	giving := map[string]Rights{}
-	m.surplus = false
 	own := next.holder(m.cfg.Self)
 	if own == nil {
 		return giving
 	}
-	takers := m.takers(next)
 	for _, to := range m.links() {
-		keep := m.fair(to, takers)
+		keep := m.fair(to, next)
+		poor := m.deficit(to, next, keep)
 		if m.leaving {
 			keep = Rights{}
-		}
-		if own.rights(to).sub(keep).positive().isZero() {
-			continue
-		}
-		m.surplus = true
-		poor := own.rights(to)
-		if !m.leaving {
-			poor = m.deficit(to, next, keep, takers)
+			poor = own.rights(to)
 		}
 		// Only unlent rights of this instance's own can be written off.
 		backed := m.ledgerRights(to).sub(m.lent(to)).positive()
@@ -114,16 +110,16 @@
 }
 
 // fair returns an equal share of a link.
-func (m *Machine) fair(to string, takers []membership.Identity) Rights {
-	n := int64(max(1, len(takers)))
+func (m *Machine) fair(to string, next *Ledger) Rights {
+	n := int64(max(1, len(m.takers(next))))
 	return Rights{m.caps[to].InFlight / n, m.caps[to].Rate / n}
 }
 
 // deficit returns how much is missing to the others' fair shares beyond what is
 // free, and what the ledger holds above the configured cap.
-func (m *Machine) deficit(to string, next *Ledger, fair Rights, takers []membership.Identity) Rights {
+func (m *Machine) deficit(to string, next *Ledger, fair Rights) Rights {
 	var sum Rights
-	for _, id := range takers {
+	for _, id := range m.takers(next) {
 		if id != m.cfg.Self {
 			sum = sum.add(fair.sub(next.holder(id).rights(to)).positive())
 		}
@@ -184,12 +180,21 @@
 	return time.Duration(rank) * m.cfg.ClaimStep
 }
 
-// joinLive adds entries for live instances and finds partners for this one and
-// the new ones.
+// joinLive adds entries for live instances while there is room, and finds
+// partners for holders that have too few.
 func (m *Machine) joinLive(next *Ledger) {
+	room := m.cfg.MaxHolders
+	for _, h := range next.Holders {
+		// One that is not known to be dead counts, known or not.
+		if _, isDead := m.deadSince[h.Identity]; !isDead {
+			room--
+		}
+	}
 	for _, in := range m.members {
-		if in.State == membership.Live && !(in.Identity == m.cfg.Self && m.leaving) {
+		may := in.State == membership.Live && !(in.Identity == m.cfg.Self && m.leaving)
+		if may && room > 0 && next.holder(in.Identity) == nil {
 			next.join(in.Identity, in.Peer)
+			room--
 		}
 	}
 	takers := m.takers(next)
@@ -198,9 +203,6 @@
 	}
 }
 
-// findPartners pairs a holder until it has as many partners as wanted. Ranking
-// all takers is left out for the many that have: it would cost the square of
-// the region's instances at every step.
 func (m *Machine) findPartners(next *Ledger, id membership.Identity, takers []membership.Identity) {
 	if len(next.holder(id).Partners) >= wantedPartners {
 		return
@@ -252,7 +254,7 @@
 		if len(takers) == 0 || free.isZero() {
 			continue
 		}
-		fair := m.fair(to, takers)
+		fair := m.fair(to, next)
 		for _, id := range takers {
 			h := next.holder(id)
 			d := fair.sub(h.rights(to)).positive().min(free)
--- a/internal/decide/ownership/machine.go
+++ b/internal/decide/ownership/machine.go
@@ -41,13 +41,14 @@
 	// seen; zero when there are none.
 	orphansSince time.Time
 	probedAt     map[membership.Identity]time.Time
-	leaving      bool
-	abandoning   bool
-	attempts     uint64
-	// atRest is set when nothing but an event other than Tick can call for a
-	// change.
-	atRest bool
-	ready  Ready
+	// changed is set when the wanted owners have to be worked out anew; without
+	// it that is done at checkAt.
+	changed    bool
+	checkAt    time.Time
+	leaving    bool
+	abandoning bool
+	attempts   uint64
+	ready      Ready
 }
 
 // phase is how far a holding is on its way out.
@@ -139,6 +140,7 @@
 	if !slices.Equal(receivers, m.receivers) {
 		m.receivers, m.viewChanged = receivers, now
 	}
+	m.changed = true
 	m.advance(now)
 }
 
@@ -148,6 +150,7 @@
 	for _, b := range backends {
 		m.backends[b.Name] = b
 	}
+	m.changed = true
 	m.advance(now)
 }
 
@@ -192,6 +195,7 @@
 func (m *Machine) Drained(now time.Time, backend string, attempt uint64) {
 	if h, ok := m.holdings[backend]; ok && h.phase == stopping && h.attempt == attempt {
 		h.phase = drained
+		m.changed = true
 	}
 	m.advance(now)
 }
@@ -199,7 +203,7 @@
 // Leave begins the planned stop: everything is handed over to the zone's live
 // instances. Without any this instance keeps serving.
 func (m *Machine) Leave(now time.Time) {
-	m.leaving = true
+	m.leaving, m.changed = true, true
 	m.receivers = slices.DeleteFunc(slices.Clone(m.receivers), func(id membership.Identity) bool { return id == m.cfg.Self })
 	m.advance(now)
 }
@@ -212,13 +216,7 @@
 }
 
 // Tick lets time pass.
-func (m *Machine) Tick(now time.Time) {
-	if m.atRest {
-		m.askRow(now)
-		return
-	}
-	m.advance(now)
-}
+func (m *Machine) Tick(now time.Time) { m.advance(now) }
 
 func (m *Machine) poll() time.Duration {
 	if m.view.IsRelay(m.cfg.Self) {
@@ -229,6 +227,7 @@
 
 func (m *Machine) took(now time.Time, isNew bool) error {
 	var err error
+	m.changed = m.changed || isNew
 	if row, _ := m.row.Current(); isNew && row.Version > 0 {
 		var t Table
 		err = json.Unmarshal(row.Value, &t)
@@ -245,32 +244,9 @@
 // advance does what the state calls for after any event.
 func (m *Machine) advance(now time.Time) {
 	m.sync(now)
-	m.atRest = false
-	if m.backends != nil && m.Known() {
-		want := m.want(now)
-		m.steer(now, want)
-		m.write(now, want)
-		m.probe(now)
-		m.atRest = m.restful(want)
-	}
-	m.askRow(now)
-}
-
-// restful reports whether, until the next event, every holding stays, and no
-// backend server lacks an owner or has one that is in doubt. Time matters only
-// to what is otherwise.
-func (m *Machine) restful(want map[string]membership.Identity) bool {
-	for name, h := range m.holdings {
-		if h.phase != serving || m.wanted(name, want) {
-			return false
-		}
+	if m.backends != nil && m.Known() && (m.changed || !now.Before(m.checkAt)) {
+		m.decide(now)
 	}
-	due := !m.orphansSince.IsZero() || m.row.Pending() != nil || m.leaving
-	return !m.broken && !due && len(m.missingSince) == 0 && len(m.probedAt) == 0
-}
-
-// askRow passes on what the row wants sent.
-func (m *Machine) askRow(now time.Time) {
 	for range 2 {
 		read, write := m.row.Next(now)
 		m.ready.Read = m.ready.Read || read
@@ -280,6 +256,19 @@
 	}
 }
 
+// decide works out the wanted owners and acts on them.
+func (m *Machine) decide(now time.Time) {
+	m.changed = false
+	want := m.want(now)
+	m.steer(now, want)
+	m.write(now, want)
+	m.probe(now)
+	m.checkAt = now.Add(checkEvery)
+	if !m.orphansSince.IsZero() {
+		m.checkAt = now.Add(m.cfg.ClaimStep)
+	}
+}
+
 // sync brings the holdings in step with the row.
 func (m *Machine) sync(now time.Time) {
 	for _, name := range sortedKeys(m.holdings) {
