attempt, pool: a refusal of a backend server is not a failure

Cause: the pool took the kind overloaded for a refusal, and attempts give it the kind no_capacity; health then counted each refusal as a refused connection. Before: shed_not_ejected saw a shedding backend server ejected as dead. After: it passes; Reply.Shed says so directly. simnet has tests of its own; zone_full prints nothing that timing decides.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -107,6 +107,8 @@
 	Stream io.ReadCloser
 	// Draining is set when the backend server said that it is leaving.
 	Draining bool
+	// Shed is set when the backend server refused the request by its own word.
+	Shed bool
 	// Lost is set when the connection broke after the request was sent.
 	Lost bool
 	// Silent is set when the connection was given up as silent.
@@ -261,7 +263,7 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true" {
 		body.drain()
 		refused := notRun(outcome.KindNoCapacity, "the backend server refused the request")
-		refused.Draining = reply.Draining
+		refused.Draining, refused.Shed = reply.Draining, true
 		return refused
 	}
 	if !delimited(resp) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -192,9 +192,9 @@
 		res := Result{
 			Backend: l.name, Outcome: rep.Outcome, Latency: time.Since(l.at), Status: rep.Status,
 			Draining: rep.Draining, Lost: rep.Lost, Silent: rep.Silent,
+			Shed: rep.Shed,
 		}
 		if rep.Err != nil {
-			res.Shed = rep.Err.Kind == outcome.KindOverloaded
 			res.Cancelled = rep.Err.Kind == outcome.KindCancelled || rep.Err.Kind == outcome.KindDeadline
 		}
 		l.pool.release(l, res)
