--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,10 @@
 demo: build
 	./bin/demo --estate examples/$(ESTATE)
 
+# Measures how costs grow and prints the tables of docs/CAPACITY.md.
+capacity:
+	go run ./cmd/capacity
+
 # Measures the daemon's policy against the plain baseline; SCENARIO=NAME runs
 # one scenario. docs/MEASUREMENTS.md tells what the tables mean.
 experiment: build
--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
-	"maps"
 	"math/bits"
 	"slices"
 	"strings"
@@ -112,22 +111,88 @@
 	return Manifest{Root: rootOf(entries).digest(), Entries: entries}
 }
 
-// Encode returns the manifest as JSON.
-func (m Manifest) Encode() ([]byte, error) {
-	data, err := json.Marshal(m)
-	return data, errors.Annotate(err, "encode the manifest")
+// manifestPages is the number of pages that a manifest is stored in, so that a
+// change rewrites one page and the index of the pages.
+const manifestPages = 64
+
+// Index names the pages of a manifest. Its digest stands for the manifest.
+type Index struct {
+	Root Digest `json:"root"`
+	// Pages are in order of the page that an entry's name falls into.
+	Pages []Digest `json:"pages"`
+}
+
+// pageOf returns the page that an entry belongs to; it depends on the name
+// alone.
+func pageOf(name string) int {
+	sum := sha256.Sum256([]byte(name))
+	return int(sum[0]) % manifestPages
+}
+
+// Encode returns the index of the manifest and its pages, as JSON.
+func (m Manifest) Encode() (index []byte, pages [][]byte, err error) {
+	split := make([][]Entry, manifestPages)
+	for _, e := range m.Entries {
+		i := pageOf(e.Name)
+		split[i] = append(split[i], e)
+	}
+	ix := Index{Root: m.Root}
+	for _, entries := range split {
+		data, err := json.Marshal(entries)
+		if err != nil {
+			return nil, nil, errors.Annotate(err, "encode a page of the manifest")
+		}
+		pages = append(pages, data)
+		ix.Pages = append(ix.Pages, DigestOf(data))
+	}
+	index, err = json.Marshal(ix)
+	return index, pages, errors.Annotate(err, "encode the index of the manifest")
+}
+
+// DecodeIndex reads the index that Encode wrote.
+func DecodeIndex(data []byte) (Index, error) {
+	var ix Index
+	if err := decodeJSON("index", data, &ix); err != nil {
+		return Index{}, err
+	}
+	if len(ix.Pages) != manifestPages || !ix.Root.valid() {
+		return Index{}, corrupt("index", "it has no root, or %d pages instead of %d", len(ix.Pages), manifestPages)
+	}
+	for _, d := range ix.Pages {
+		if !d.valid() {
+			return Index{}, corrupt("index", "the digest of a page is not valid")
+		}
+	}
+	return ix, nil
 }
 
-// DecodeManifest reads what Encode wrote and checks it against its root.
-func DecodeManifest(data []byte) (Manifest, error) {
-	var m Manifest
-	if err := decodeJSON("manifest", data, &m); err != nil {
-		return Manifest{}, err
+// Manifest puts the pages together and checks them against the digests and the
+// root.
+func (ix Index) Manifest(pages [][]byte) (Manifest, error) {
+	if len(pages) != len(ix.Pages) {
+		return Manifest{}, corrupt("manifest", "pages are missing")
 	}
-	if err := checkEntries("manifest", m.Entries); err != nil {
-		return Manifest{}, err
+	var all []Entry
+	for i, data := range pages {
+		if DigestOf(data) != ix.Pages[i] {
+			return Manifest{}, corrupt("manifest", "page %d does not match its digest", i)
+		}
+		var entries []Entry
+		if err := decodeJSON("manifest", data, &entries); err != nil {
+			return Manifest{}, err
+		}
+		if err := checkEntries("manifest", entries); err != nil {
+			return Manifest{}, err
+		}
+		for _, e := range entries {
+			if pageOf(e.Name) != i {
+				return Manifest{}, corrupt("manifest", "%q is on the wrong page", e.Name)
+			}
+		}
+		all = append(all, entries...)
 	}
-	if rootOf(m.Entries).digest() != m.Root {
+	m := newManifest(all)
+	if m.Root != ix.Root {
 		return Manifest{}, corrupt("manifest", "the entries do not give the root")
 	}
 	return m, nil
@@ -153,125 +218,3 @@
 	}
 	return m.Entries[i], true
 }
-
-// Bounds on the parts that a delta carries itself, in bytes.
-const (
-	maxInlinePart  = 4 << 10
-	maxInlineTotal = 16 << 10
-)
-
-// Delta leads from one version to the next.
-type Delta struct {
-	From uint64 `json:"from"`
-	To   uint64 `json:"to"`
-	// FromChangeID is the change of version From; ChangeID and Author are those
-	// of version To.
-	FromChangeID string `json:"from_change_id"`
-	ChangeID     string `json:"change_id"`
-	Author       string `json:"author"`
-	// Prev is the digest of the delta that led to From; empty for the first.
-	Prev     Digest `json:"prev,omitempty"`
-	FromRoot Digest `json:"from_root"`
-	Root     Digest `json:"root"`
-	// Changed and Removed are sorted by name.
-	Changed []Entry  `json:"changed"`
-	Removed []string `json:"removed,omitempty"`
-	// Inline holds small changed parts by name, which need no fetch.
-	Inline map[string][]byte `json:"inline,omitempty"`
-}
-
-// NewDelta returns the parts that changed from one manifest to another. The
-// versions, Prev and Inline are the caller's to set.
-func NewDelta(old, new Manifest) Delta {
-	d := Delta{FromRoot: old.Root, Root: new.Root, Changed: []Entry{}}
-	i := 0
-	for _, e := range new.Entries {
-		for ; i < len(old.Entries) && old.Entries[i].Name < e.Name; i++ {
-			d.Removed = append(d.Removed, old.Entries[i].Name)
-		}
-		if i < len(old.Entries) && old.Entries[i].Name == e.Name {
-			i++
-			if old.Entries[i-1] == e {
-				continue
-			}
-		}
-		d.Changed = append(d.Changed, e)
-	}
-	for ; i < len(old.Entries); i++ {
-		d.Removed = append(d.Removed, old.Entries[i].Name)
-	}
-	return d
-}
-
-// Compose returns the delta that leads over d and then over next.
-func (d Delta) Compose(next Delta) Delta {
-	out := next
-	out.From, out.FromRoot, out.FromChangeID, out.Prev = d.From, d.FromRoot, d.FromChangeID, d.Prev
-	changed := map[string]Entry{}
-	removed := map[string]bool{}
-	out.Inline = map[string][]byte{}
-	for _, step := range []Delta{d, next} {
-		for _, name := range step.Removed {
-			delete(changed, name)
-			delete(out.Inline, name)
-			removed[name] = true
-		}
-		for _, e := range step.Changed {
-			delete(removed, e.Name)
-			delete(out.Inline, e.Name)
-			changed[e.Name] = e
-		}
-		maps.Copy(out.Inline, step.Inline)
-	}
-	out.Changed = make([]Entry, 0, len(changed))
-	for _, name := range sortedKeys(changed) {
-		out.Changed = append(out.Changed, changed[name])
-	}
-	out.Removed = sortedKeys(removed)
-	return out
-}
-
-// SetInline puts the small ones among the changed parts into the delta.
-func (d *Delta) SetInline(parts []Part) {
-	d.Inline = map[string][]byte{}
-	total := 0
-	for _, p := range parts {
-		if e, ok := (Manifest{Entries: d.Changed}).entry(p.Name); !ok || e != p.Entry {
-			continue
-		}
-		if p.Size <= maxInlinePart && total+p.Size <= maxInlineTotal {
-			d.Inline[p.Name] = p.Bytes
-			total += p.Size
-		}
-	}
-}
-
-// Encode returns the delta as JSON.
-func (d Delta) Encode() ([]byte, error) {
-	data, err := json.Marshal(d)
-	return data, errors.Annotate(err, "encode the delta")
-}
-
-// DecodeDelta reads what Encode wrote and checks the parts that it carries.
-func DecodeDelta(data []byte) (Delta, error) {
-	var d Delta
-	if err := decodeJSON("delta", data, &d); err != nil {
-		return Delta{}, err
-	}
-	if d.To <= d.From || !d.Root.valid() || !d.FromRoot.valid() || (d.Prev != "" && !d.Prev.valid()) {
-		return Delta{}, corrupt("delta", "it leads from version %d to %d, or has no root", d.From, d.To)
-	}
-	if err := checkEntries("delta", d.Changed); err != nil {
-		return Delta{}, err
-	}
-	if !slices.IsSorted(d.Removed) {
-		return Delta{}, corrupt("delta", "the removed parts are out of order")
-	}
-	for _, name := range sortedKeys(d.Inline) {
-		e, ok := Manifest{Entries: d.Changed}.entry(name)
-		if !ok || e != newPart(name, d.Inline[name]).Entry {
-			return Delta{}, corrupt("delta", "the part %q is not the listed one", name)
-		}
-	}
-	return d, nil
-}
--- a/internal/config/publish/apply_test.go
+++ b/internal/config/publish/apply_test.go
@@ -28,7 +28,7 @@
 	for _, tc := range []struct {
 		behind uint64
 		want   string
-	}{{maxChain, "delta 32->33"}, {maxChain + 1, "manifest"}} {
+	}{{maxChain, "delta 32->33"}, {maxChain + 1, "index"}} {
 		s := newFakeStore()
 		applyMany(t, s, 0, 1)
 		m := &model{store: s, receivers: []*instance{{Receiver: NewReceiver(Platform)}}}
@@ -65,7 +65,13 @@
 	defer server.Close()
 	client, err := platform.New([]string{server.URL()}, platform.Options{})
 	require.NoError(t, err)
-	applyMany(t, client, 0, 3)
+	require.NoError(t, server.SetFaults(standin.Faults{LoseReplies: 1}))
+	applyMany(t, client, 0, 1)
+	require.NoError(t, server.SetFaults(standin.Faults{LoseRequests: 1}))
+	applyMany(t, client, 1, 2)
+	require.NoError(t, server.SetFaults(standin.Faults{StaleVersions: 1, StaleReads: 1}))
+	applyMany(t, client, 2, 3)
+	require.EqualValues(t, 3, server.Stats().Commits)
 	_, err = Apply(context.Background(), client, smallEstate(t, "0.5"), options("bela", "other", 2))
 	var conflict *ConflictError
 	require.True(t, errors.As(err, &conflict), "%v", err)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -86,7 +86,7 @@
 func New(d Deps, now time.Time) *Control {
 	c := &Control{
 		Deps: d, started: now, events: make(chan func(time.Time), eventQueue),
-		members: membership.New(membership.Config{Self: d.Self}, now),
+		members: membership.New(membership.Config{Self: d.Self, DelistAfter: d.Settings.Timing.DelistAfter}, now),
 		records: newRecords(d.Self.Identity), steer: newSteerState(), ramp: newRampState(), owners: newOwnerState(d.Self, now),
 		health: newHealthState(d.Dial),
 		fatal:  make(chan error, 1),
@@ -132,22 +132,24 @@
 	}
 }
 
-// ask runs f in the control goroutine and waits for it. It reports false when
-// the goroutine has ended.
-func (c *Control) ask(ctx context.Context, f func(now time.Time)) bool {
-	done := make(chan struct{})
+// ask runs f in the control goroutine and returns its result. ok is false when
+// the goroutine has ended or ctx has; f may still run then.
+func ask[T any](ctx context.Context, c *Control, f func(now time.Time) T) (res T, ok bool) {
+	done := make(chan T, 1)
 	select {
-	case c.events <- func(now time.Time) { f(now); close(done) }:
+	case c.events <- func(now time.Time) { done <- f(now) }:
 	case <-c.ctx.Done():
-		return false
+		return res, false
 	case <-ctx.Done():
-		return false
+		return res, false
 	}
 	select {
-	case <-done:
-		return true
+	case res = <-done:
+		return res, true
 	case <-c.ctx.Done():
-		return false
+		return res, false
+	case <-ctx.Done():
+		return res, false
 	}
 }
 
@@ -185,9 +187,9 @@
 	c.tickLeaving(now)
 	c.Keeper.Step(once.Tick{})
 	if due(&c.timers.heartbeat, now, t.Heartbeat) {
-		c.publishLoad(now)
+		c.publishLoads(now)
 		c.followDrains(now)
-		c.publishQuarantine()
+		c.publishQuarantine(now)
 		c.sendHeartbeats()
 	}
 }
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -73,6 +73,10 @@
 		return w.total(a), nil
 	case "runs":
 		return w.runsCommand(a)
+	case "served":
+		return fmt.Sprintf("%d\n", len(w.backends[a.word(0)].Runs())), nil
+	case "exit":
+		return w.exitCommand(a)
 	case "peak":
 		return w.peakCommand(a)
 	case "wait", "expect", "never":
@@ -212,11 +216,14 @@
 		if strings.HasPrefix(end, "done by") {
 			end = "done"
 		}
+		if a.text("kinds", "yes") == "no" {
+			end, _, _ = strings.Cut(end, " ")
+		}
 		counts[end]++
 	}
 	var lines []string
 	for end, n := range counts {
-		if slices.Contains(a.words[1:], "kinds") {
+		if a.text("counts", "yes") == "no" {
 			lines = append(lines, end+"\n")
 			continue
 		}
@@ -238,6 +245,9 @@
 		if a.text("names", "no") == "no" && strings.HasPrefix(end, "done by") {
 			end = "done"
 		}
+		if a.text("kinds", "yes") == "no" {
+			end, _, _ = strings.Cut(end, " ")
+		}
 		fmt.Fprintf(&b, "%s: %s\n", name, end)
 	}
 	return b.String(), nil
@@ -261,6 +271,23 @@
 	return b.String(), nil
 }
 
+// exitCommand waits for the end of an instance and prints how it ended.
+func (w *world) exitCommand(a args) (string, error) {
+	in, err := w.instance(a.word(0))
+	if err != nil {
+		return "", err
+	}
+	select {
+	case <-in.ended:
+	case <-time.After(waitLimit):
+		return "still running\n", nil
+	}
+	if in.err != nil {
+		return "ended with an error\n", nil
+	}
+	return "stopped\n", nil
+}
+
 // peakCommand compares what backend servers had at once with their slots.
 func (w *world) peakCommand(a args) (string, error) {
 	var b strings.Builder
