experiment: the same length of load for both policies

Cause: the drain that ended sooner ended its run sooner, so the numbers of requests could not be compared. After: the load ends at a fixed time after the drain began.

--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -31,7 +31,7 @@
 	flashTime   = 6 * time.Second
 	settleTime  = 5 * time.Second
 	outageTime  = 10 * time.Second
-	drainLimit  = 12 * time.Second
+	drainLimit  = 10 * time.Second
 	drainedTime = 6 * time.Second
 	quietTime   = time.Second
 )
@@ -118,7 +118,7 @@
 	if _, err := r.SetState(ctx, "fill", "zone", r.zone); err != nil {
 		return errors.Trace(err)
 	}
-	return testbed.Pause(ctx, backTime)
+	return r.pauseUntil(ctx, drainLimit+backTime)
 }
 
 func platformDown(ctx context.Context, r *run) error {
@@ -140,7 +140,13 @@
 	if err := r.drain(ctx, "region", r.region, r.inRegion); err != nil {
 		return errors.Trace(err)
 	}
-	return testbed.Pause(ctx, drainedTime)
+	return r.pauseUntil(ctx, drainLimit+drainedTime)
+}
+
+// pauseUntil waits until a time after the drain began, so that both policies
+// have the same load however long the drain took.
+func (r *run) pauseUntil(ctx context.Context, t time.Duration) error {
+	return testbed.Pause(ctx, time.Until(r.drained.began.Add(t)))
 }
 
 // drain drains a zone or region and waits until it is empty, or drainLimit.
