--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -1,8 +1,12 @@
 package bench
 
 import (
+	"encoding/json"
+	"os"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/banyandeal/banyandeal/internal/standin/backend"
 )
 
@@ -50,3 +54,19 @@
 	Start   time.Time
 	Latency time.Duration
 }
+
+// WriteRecords writes records to a file, a JSON line each.
+func WriteRecords(path string, records []Record) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	out := json.NewEncoder(f)
+	for _, r := range records {
+		if err := out.Encode(r); err != nil {
+			_ = f.Close()
+			return errors.Trace(err)
+		}
+	}
+	return errors.Trace(f.Close())
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -307,7 +305,7 @@
 // check compares what callers were told with the run logs, and the headroom
 // with the caps.
 func (d *demo) check() error {
-	if err := d.writeRecords(); err != nil {
+	if err := bench.WriteRecords(filepath.Join(d.opts.Work, "records.jsonl"), d.report.Load.Records); err != nil {
 		return errors.Trace(err)
 	}
 	runs, err := d.Runs()
@@ -364,19 +362,3 @@
 	}
 	return b
 }
-
-// writeRecords keeps what callers saw next to the logs, a JSON line each.
-func (d *demo) writeRecords() error {
-	f, err := os.Create(filepath.Join(d.opts.Work, "records.jsonl"))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	out := json.NewEncoder(f)
-	for _, r := range d.report.Load.Records {
-		if err := out.Encode(r); err != nil {
-			_ = f.Close()
-			return errors.Trace(err)
-		}
-	}
-	return errors.Trace(f.Close())
-}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -93,6 +93,7 @@
 	*testbed.Bed
 	scenario Scenario
 	opts     Options
+	work     string
 	// zone and region are those that the scenario picks on.
 	zone, region string
 	began        time.Time
@@ -122,7 +123,7 @@
 		return nil, "", errors.Trace(err)
 	}
 	defer bed.Close()
-	r := &run{Bed: bed, scenario: s, opts: opts}
+	r := &run{Bed: bed, scenario: s, opts: opts, work: work}
 	r.zone = largest(bed.Estate, func(zone string) string { return zone })
 	r.region = largest(bed.Estate, bed.Watch.Region)
 	if _, err := bed.Start(ctx); err != nil {
@@ -182,6 +183,9 @@
 	for _, err := range r.Stop(stopLimit, standins...) {
 		r.Say("stand-in: %v", err)
 	}
+	if err := bench.WriteRecords(filepath.Join(r.work, "records.jsonl"), load.Records); err != nil {
+		return nil, errors.Trace(err)
+	}
 	runs, err := r.Runs()
 	if err != nil {
 		return nil, errors.Trace(err)
