--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -94,10 +94,11 @@
 	scenario Scenario
 	opts     Options
 	work     string
-	// zone and region are those that the scenario picks on.
-	zone, region string
-	began        time.Time
-	drained      drained
+	// zone and region have the most slots, smallest is the region with the
+	// fewest.
+	zone, region, smallest string
+	began                  time.Time
+	drained                drained
 }
 
 // drained is what a scenario drains, and when.
@@ -124,8 +125,9 @@
 	}
 	defer bed.Close()
 	r := &run{Bed: bed, scenario: s, opts: opts, work: work}
-	r.zone = largest(bed.Estate, func(zone string) string { return zone })
-	r.region = largest(bed.Estate, bed.Watch.Region)
+	r.zone = bySlots(bed.Estate, func(zone string) string { return zone })[0]
+	regions := bySlots(bed.Estate, bed.Watch.Region)
+	r.region, r.smallest = regions[0], regions[len(regions)-1]
 	if _, err := bed.Start(ctx); err != nil {
 		return nil, "", errors.Trace(err)
 	}
