--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -34,7 +34,7 @@
 	_ = w.Flush()
 	for _, r := range []*Result{c.Baseline, c.Steered} {
 		if r.Unfinished {
-			fmt.Fprintf(out, "%s: the drain was not finished at the end\n", r.Policy)
+			fmt.Fprintf(out, "%s: the drain was not finished in time\n", r.Policy)
 		}
 		if r.Skipped > 0 {
 			fmt.Fprintf(out, "%s: %d arrivals skipped by the load generator\n", r.Policy, r.Skipped)
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -114,7 +114,6 @@
 		return errors.Trace(err)
 	}
 	r.Say("fill zone %s", r.zone)
-	r.drained.until = time.Now()
 	if _, err := r.SetState(ctx, "fill", "zone", r.zone); err != nil {
 		return errors.Trace(err)
 	}
@@ -159,6 +158,10 @@
 	}
 	quiet := time.Now()
 	deadline := quiet.Add(drainLimit)
+	defer func() {
+		r.drained.until = time.Now()
+		r.drained.unfinished = time.Since(quiet) < quietTime
+	}()
 	for time.Since(quiet) < quietTime && time.Now().Before(deadline) {
 		if r.busy(in) {
 			quiet = time.Now()
