bench, testbed: idempotent requests end as their last word; zones die at once

One with a key still does. A lost region's processes were killed one after the other, which took up to 2.2 s on a busy machine; they are killed together now.

--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -83,7 +83,7 @@
 		instances, err := s.prepare(ctx, c, &r, rec, stale)
 		var refused *refusedError
 		if errors.As(err, &refused) {
-			if !rec.Uncertain {
+			if r.op.Idempotent || !rec.Uncertain {
 				last = refused.reply()
 			}
 			if !s.wait(ctx, r, refused.retryAfter) {
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -196,8 +196,8 @@
 
 // Kill ends processes at once and takes them from the platform's list.
 func (b *Bed) Kill(names ...string) error {
+	b.procs.killAtOnce(names)
 	for _, n := range names {
-		b.procs.kill(n)
 		b.refuseRelays(n)
 		b.Watch.Forget(n)
 	}
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -75,6 +75,15 @@
 	<-p.done
 }
 
+// killAtOnce kills processes together and waits for their ends.
+func (ps *processes) killAtOnce(names []string) {
+	var wg sync.WaitGroup
+	for _, n := range names {
+		wg.Go(func() { ps.kill(n) })
+	}
+	wg.Wait()
+}
+
 // stop asks a process to stop and waits. An error tells that it did not stop
 // in time, and was killed, or did not exit 0.
 func (ps *processes) stop(name string, limit time.Duration) error {
