route: a request without a place waits for one, for as long as one takes

Cause: in region-drained the daemon's policy was weaker than the baseline: scoring p99 1456 ms against 586, and 80 requests not run against none, though slots were free on average. The records tell why: refused with 'no backend server owned here has a free slot', then sent again after Retry-After, which is a whole second at least. Slots of a zone are split over its instances, whose reports are up to 500 ms old; the next slot comes free within the mean time. Ruled out: queues at the backend servers, as the baseline has them: they take work that can't be taken back, and headroom goes below zero. The request now looks again four times within the service's mean time, unless it came from another zone.

--- a/internal/filter/route/places.go
+++ b/internal/filter/route/places.go
@@ -47,6 +47,16 @@
 	return &visited{instances: map[string]bool{}, zones: map[string]int{}, full: map[string]bool{}}
 }
 
+// reset lets every place be tried again.
+func (v *visited) reset() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.own = false
+	clear(v.instances)
+	clear(v.zones)
+	clear(v.full)
+}
+
 // leaveOwn leaves out the backend servers owned here.
 func (v *visited) leaveOwn() {
 	v.mu.Lock()
--- a/internal/filter/route/policy.go
+++ b/internal/filter/route/policy.go
@@ -20,6 +20,8 @@
 	// retries returns the bounds of the service's further attempts, and after
 	// how long an idempotent one is hedged, 0 for never.
 	retries(s *estate.Service) (budget retry.BudgetConfig, hedgeAfter time.Duration)
+	// patience is how long a request waits while no place has room.
+	patience(s *estate.Service) time.Duration
 }
 
 // Limits of the budget of retries of one service at one instance.
@@ -48,6 +50,10 @@
 	return retry.BudgetConfig{Share: s.Retry.BudgetShare, MinRate: budgetMinRate, Burst: budgetBurst}, s.HedgeAfter
 }
 
+// patience is the mean time of a request: by then some slot has come free,
+// unless there is more work than can be carried.
+func (Steered) patience(s *estate.Service) time.Duration { return s.MeanTime }
+
 // Baseline is the plain policy that Steered is measured against: an instance
 // of the zone drawn by the slots it owns, another zone drawn by its configured
 // weight when none is left, whatever is known of their load. Retries have no
@@ -65,6 +71,8 @@
 	return retry.BudgetConfig{Share: 1, MinRate: math.MaxInt32, Burst: math.MaxInt32}, 0
 }
 
+func (Baseline) patience(*estate.Service) time.Duration { return 0 }
+
 // weightUnit is the scale of a zone's weight.
 const weightUnit = 1_000_000
 
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -1,11 +1,11 @@
 // Package route chooses where a request runs: on a backend server owned here,
 // by a neighbour in the zone that has room, or in another zone under the cap of
-// the link to it. When no place takes the request it is answered at once as
-// not run, with a time to come back. Further attempts follow the rules and the
+// the link to it. When no place takes the request within the mean time of
+// one it is answered as not run, with a time to come back. Further attempts follow the rules and the
 // budget of the retry package.
 //
 // What an operator sees: the counters route.own, route.neighbour, route.zone,
-// route.retry and route.hedge, and a span for each place tried.
+// route.retry, route.hedge and route.wait, and a span for each place tried.
 package route
 
 import (
@@ -31,6 +31,9 @@
 	hedgeHeadroom = 0.5
 	// minAttemptTime is the least time left for another attempt.
 	minAttemptTime = 2 * time.Millisecond
+	// waitParts is how many times a request that waits for a place looks for
+	// one in the mean time of a request.
+	waitParts = 4
 )
 
 // Links guards the caps of the links out of this instance's region.
@@ -91,11 +94,15 @@
 // attempt tries places until one of them has taken the request.
 func (s *search) attempt(ctx context.Context) (*filter.Answer, error) {
 	var last *outcome.Error
+	until := time.Now().Add(s.patience())
 	for {
 		if !filter.Permitted(ctx) {
 			return nil, outcome.NotRunError(outcome.KindCancelled, 0, "the request was withdrawn before it was sent")
 		}
 		p, ok := s.choose(time.Now())
+		if !ok && s.awaitRoom(ctx, until) {
+			continue
+		}
 		if !ok && last == nil {
 			return nil, s.noCapacity()
 		}
@@ -123,6 +130,35 @@
 	}
 }
 
+// patience is how long the request may wait for a place. One that came from
+// another zone does not: its sender looks for the next place.
+func (s *search) patience() time.Duration {
+	if s.r.Stage == filter.StageZone {
+		return 0
+	}
+	return s.Policy.patience(s.r.Service)
+}
+
+// awaitRoom waits a part of the mean time of a request, after which every place
+// may be tried again. It reports false when the request is not to wait any
+// longer.
+func (s *search) awaitRoom(ctx context.Context, until time.Time) bool {
+	part := time.Duration((1 + rand.Float64()) / 2 * float64(s.r.Service.MeanTime) / waitParts)
+	if time.Now().Add(part).After(until) {
+		return false
+	}
+	t := time.NewTimer(part)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	s.Metrics.Count("route.wait")
+	s.seen.reset()
+	return true
+}
+
 // unseen reports whether a place turned the request away before any backend
 // server saw it.
 func unseen(e *outcome.Error) bool {
