route: a refusal always names a time to come back

Cause: after a wait the last word could be a backend server's own refusal, which names no time: the scenario shed failed twice with 'two: not-run no_capacity'. Before: TestRefusalOfTheLastPlace... fails. After: it passes, and so do the scenarios shed and region_lost, twice each, run alone.

--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -107,7 +107,7 @@
 			return nil, s.noCapacity()
 		}
 		if !ok {
-			return nil, last
+			return nil, s.comeBack(last)
 		}
 		release, ok := s.Links.Acquire(p.region)
 		if !ok {
@@ -130,6 +130,16 @@
 	}
 }
 
+// comeBack gives an error of a place that named no time to come back one.
+func (s *search) comeBack(e *outcome.Error) *outcome.Error {
+	if e.RetryAfter > 0 {
+		return e
+	}
+	c := *e
+	c.RetryAfter = s.retryAfter()
+	return &c
+}
+
 // patience is how long the request may wait for a place. One that came from
 // another zone does not: its sender looks for the next place.
 func (s *search) patience() time.Duration {
--- a/internal/filter/route/wait_test.go
+++ b/internal/filter/route/wait_test.go
@@ -67,3 +67,17 @@
 		require.LessOrEqual(t, took, testMean/20)
 	})
 }
+
+func TestRefusalOfTheLastPlaceNamesATimeToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testSearch(Steered{}, slots{1, 1}, 0)
+		s.Links, s.Metrics, s.Recorder = allLinks{}, telemetry.NewMetrics(), trace.NewRecorder("a1", 1, nil)
+		s.snap.Zones = s.snap.Zones[:1]
+		s.r.Service.MeanTime = testMean
+		s.own = filter.HandlerFunc(func(context.Context, *filter.Request) (*filter.Answer, error) {
+			return nil, outcome.NotRunError(outcome.KindNoCapacity, 0, "the backend server refused the request")
+		})
+		_, err := s.attempt(t.Context())
+		require.Positive(t, outcome.AsError(err).RetryAfter)
+	})
+}
