attempt: headers are copied for each connection again

The likely one is that an attempt that moves on to another connection changed headers which net/http may still be writing on the one before.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -88,8 +88,7 @@
 	// Path is the path with the query.
 	Path string
 	// Host is sent as the Host header; empty is the backend server's address.
-	Host string
-	// Header is changed by the client.
+	Host   string
 	Header http.Header
 	Body   []byte
 	// Idempotent requests may use connections that were idle for longer.
@@ -224,7 +223,7 @@
 // newRequest builds a request without GetBody, so that nothing could replay
 // its body.
 func newRequest(ctx context.Context, r *Request, u *url.URL) (*http.Request, *Reply) {
-	header := r.Header
+	header := r.Header.Clone()
 	if header == nil {
 		header = http.Header{}
 	}
