control: the digest tree settles a mismatch; peer: no call begins after Close

A race of the peer server, seen by the scenarios: a call could begin while Close waited for all to end.

--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -48,7 +48,7 @@
 func (r *records) neighbour(id membership.Identity) *neighbour {
 	n := r.neighbours[id]
 	if n == nil {
-		n = &neighbour{global: refresh.NewDelta(r.global), local: refresh.NewDelta(r.local)}
+		n = &neighbour{global: refresh.NewDeltaTree(r.global), local: refresh.NewDeltaTree(r.local)}
 		r.neighbours[id] = n
 	}
 	return n
@@ -104,6 +104,10 @@
 	for i, r := range m.Records {
 		out.Records[i] = encodeRecord(r)
 	}
+	for _, n := range m.Nodes {
+		out.Nodes = append(out.Nodes, &peerpb.RefreshNode{Index: n.Index, Digest: n.Digest})
+	}
+	out.Leaves = m.Leaves
 	return out
 }
 
@@ -112,6 +116,10 @@
 	for i, r := range p.GetRecords() {
 		m.Records[i] = decodeRecord(r)
 	}
+	for _, n := range p.GetNodes() {
+		m.Nodes = append(m.Nodes, refresh.Node{Index: n.GetIndex(), Digest: n.GetDigest()})
+	}
+	m.Leaves = p.GetLeaves()
 	return m
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -89,7 +89,10 @@
 			return
 		}
 		streams <- struct{}{}
-		s.wg.Add(1)
+		if !s.begin() {
+			stream.Close()
+			return
+		}
 		go func() {
 			defer func() { <-streams; s.wg.Done() }()
 			s.serveStream(stream)
@@ -97,6 +100,16 @@
 	}
 }
 
+// begin counts a call in progress, unless the server is closed.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.wg.Add(1)
+	}
+	return !s.closed
+}
+
 // serveStream reads one call and its whole body, then answers it. After the
 // body the sender sends nothing, so a read that ends means cancellation.
 func (s *Server) serveStream(stream *yamux.Stream) {
