--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 build:
 	go build -o bin/ ./cmd/...
 
-test: fmt lint build unit
+test: fmt lint build unit fuzz
 
 fmt:
 	@bad=$$(gofmt -l $(GOFILES)); if [ -n "$$bad" ]; then echo "gofmt needed:"; echo "$$bad"; exit 1; fi
@@ -19,6 +19,11 @@
 unit:
 	go test -race -timeout 8m ./...
 
+# Each fuzz target runs for a short time over its seeds and beyond.
+FUZZTIME ?= 2s
+fuzz:
+	@scripts/fuzz $(FUZZTIME)
+
 # Generated code is committed; this target is only for a changed peer.proto
 # and needs protoc.
 generate:
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -213,6 +213,10 @@
 		v.c.fault(KindOutOfRange, v.c.at(v.at.path+".hedge_after"), "lower hedge_after or leave it out",
 			"hedge_after %s is not below the deadline %s", s.HedgeAfter, s.Deadline)
 	}
+	if s.KeyTTL > estate.MaxKeyTTL {
+		v.c.fault(KindOutOfRange, v.c.at(v.at.path+".key_ttl"), fmt.Sprintf("lower key_ttl to at most %s", estate.MaxKeyTTL),
+			"key_ttl %s is above %s", s.KeyTTL, estate.MaxKeyTTL)
+	}
 	if s.KeyTTL < s.Deadline {
 		v.c.fault(KindOutOfRange, v.c.at(v.at.path+".key_ttl"), "raise key_ttl to at least the deadline",
 			"key_ttl %s is below the deadline %s", s.KeyTTL, s.Deadline)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,8 +45,6 @@
 const (
 	// stopTimeout bounds the end of callers' requests after the handover.
 	stopTimeout = 30 * time.Second
-	// maxKeyTTL bounds how long a key may be valid in any estate.
-	maxKeyTTL = time.Hour
 	// claimTTL is how long a key chosen by a caller is remembered.
 	claimTTL = 10 * time.Minute
 	// idleTimeout ends kept-alive connections of callers.
@@ -95,6 +93,7 @@
 	}
 	expvar.Publish("banyandeal", d.metrics.Counters)
 	expvar.Publish("latency", expvar.Func(func() any { return d.metrics.Latencies() }))
+	expvar.Publish("headroom", expvar.Func(func() any { return d.control.Headroom() }))
 	return d.Run(ctx)
 }
 
@@ -185,7 +184,7 @@
 		Unreachable: func(addr string) { d.control.Suspect(addr) },
 	}
 	t := &transport{sender: d.sender, peers: d.peers, platform: d.platform, self: d.home}
-	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: maxKeyTTL, ClaimTTL: claimTTL}, t)
+	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: estate.MaxKeyTTL, ClaimTTL: claimTTL}, t)
 	d.pool = pool.New(d.policy.balance, func(r pool.Result) { d.control.BackendResult(r) })
 	d.pool.Dial = d.network.Dial
 	d.control = control.New(control.Deps{
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -76,6 +76,10 @@
 	MaxRate float64 `json:"max_rate"`
 }
 
+// MaxKeyTTL is the longest Service.KeyTTL: all instances count on no key being
+// valid for longer.
+const MaxKeyTTL = time.Hour
+
 // Service is one steered service.
 type Service struct {
 	Name       string      `json:"name"`
@@ -93,7 +97,8 @@
 	MeanTime time.Duration `json:"mean_time"`
 	// MaxUtilisation is the share of slots that placement may plan on, (0,1].
 	MaxUtilisation float64 `json:"max_utilisation"`
-	// KeyTTL is how long the outcome of an idempotency key is kept.
+	// KeyTTL is how long the outcome of an idempotency key is kept, at most
+	// MaxKeyTTL.
 	KeyTTL time.Duration `json:"key_ttl"`
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64       `json:"max_body"`
