--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -27,6 +27,9 @@
 	platformNode = "platform"
 	loopback     = "127.0.0.1:0"
 	listLag      = 100 * time.Millisecond
+	// spareSlots is how many times its declared slots a backend server really
+	// has, so that its run log shows when it is sent too much.
+	spareSlots = 4
 	// applyLimit bounds one change of the configuration.
 	applyLimit = 10 * time.Second
 	// endLimit bounds the end of killed instances at the end of a scenario.
@@ -196,7 +199,9 @@
 
 // addBackend opens a backend server and declares it.
 func (w *world) addBackend(service, name, zone string, slots, queue int) error {
-	b := backend.New(backend.Config{Name: name, Address: loopback, Slots: slots, Queue: queue, Mean: time.Millisecond}, nil, nil)
+	b := backend.New(backend.Config{
+		Name: name, Address: loopback, Slots: spareSlots * slots, Queue: queue, Mean: time.Millisecond,
+	}, nil, nil)
 	if err := b.Open(); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/standin/backend/faults.go
+++ b/internal/standin/backend/faults.go
@@ -38,7 +38,8 @@
 	Load   *Load  `json:"load,omitempty"`
 	// Shed sheds every request.
 	Shed bool `json:"shed,omitempty"`
-	// Hold keeps the requests that have a slot from ending until it is unset.
+	// Hold keeps the requests that have a slot from ending until it is unset or
+	// their deadline has passed.
 	Hold bool `json:"hold,omitempty"`
 	// CrashPath crashes the backend server on requests whose URL contains it.
 	CrashPath string `json:"crash_path,omitempty"`
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -243,7 +243,7 @@
 		return
 	}
 	defer s.gate.release()
-	s.run(w, r, strconv.FormatUint(sum.Sum64(), 16))
+	s.run(ctx, w, r, strconv.FormatUint(sum.Sum64(), 16))
 }
 
 // withDeadline returns a context that ends when the request must have been
@@ -281,8 +281,9 @@
 	http.Error(w, reason, status)
 }
 
-// run works on a request that holds a slot, and answers it.
-func (s *Server) run(w http.ResponseWriter, r *http.Request, bodySum string) {
+// run works on a request that holds a slot, and answers it. ctx ends at the
+// request's deadline.
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, r *http.Request, bodySum string) {
 	run := s.runs.start(Run{
 		Key: r.Header.Get(HeaderKey), Request: r.Header.Get(HeaderRequest),
 		Method: r.Method, URL: r.URL.RequestURI(),
@@ -292,10 +293,14 @@
 		s.goDown()
 		panic(http.ErrAbortHandler)
 	}
-	if !wait(r.Context(), s.time.next()) || !s.fault.held(r.Context()) {
+	if !wait(r.Context(), s.time.next()) {
 		s.runs.end(run, RunStopped)
 		return
 	}
+	if !s.fault.held(ctx) {
+		s.runs.end(run, RunStopped)
+		panic(http.ErrAbortHandler)
+	}
 	s.runs.end(run, RunDone)
 	if s.fault.take(dropAfter) {
 		panic(http.ErrAbortHandler)
