--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -68,9 +68,11 @@
 	health  *healthState
 	links   linkState
 	timers  timers
-	// dirty is set when the snapshot no longer matches the state.
-	dirty   bool
-	leaving *leavingState
+	// dirty is set when the snapshot no longer matches the state; loadsDirty
+	// when only reports of load are newer, which wait for the next tick.
+	dirty, loadsDirty bool
+	builder           snapshot.Builder
+	leaving           *leavingState
 	// platformUp tells whether the last call to the platform succeeded.
 	platformUp atomic.Bool
 	drains     drainLog
@@ -173,6 +175,7 @@
 
 func (c *Control) tick(now time.Time) {
 	t := c.Settings.Timing
+	c.dirty, c.loadsDirty = c.dirty || c.loadsDirty, false
 	c.members.Tick(now)
 	if due(&c.timers.list, now, t.ListPoll) {
 		c.pollList()
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -107,7 +107,7 @@
 		return
 	}
 	c.steer.loads[membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}] = report.reports(now)
-	c.dirty = true
+	c.loadsDirty = true
 }
 
 func (c *Control) takeZoneLoad(now time.Time, rec refresh.Record) {
@@ -117,7 +117,7 @@
 		return
 	}
 	c.steer.zoneLoads[zone] = report.reports(now)
-	c.dirty = true
+	c.loadsDirty = true
 }
 
 // zoneOf returns the zone of an instance.
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -15,7 +15,7 @@
 	old := c.snap.Load()
 	s := &snapshot.Snapshot{
 		Self: c.selfView(), Zone: c.Self.Zone, Estate: c.steer.estate, InForce: c.config.inForce,
-		Leaving: c.leaving != nil, Tables: c.steer.tables, Peers: c.peers(), Version: old.Version + 1,
+		Leaving: c.leaving != nil, Tables: c.steer.tables, Peers: c.builder.Peers(c.members.View()), Version: old.Version + 1,
 	}
 	if e := c.steer.estate; e != nil {
 		z, _ := e.ZoneOf(c.Self.Zone)
@@ -41,18 +41,14 @@
 	return v
 }
 
+// usable returns the instances of a zone that may be given work. Only those of
+// the own zone report their load one by one.
 func (c *Control) usable(zone string) []snapshot.Instance {
-	var out []snapshot.Instance
-	for _, in := range c.members.View().Zone(zone).Usable() {
-		out = append(out, c.instanceView(in))
-	}
-	return out
-}
-
-func (c *Control) instanceView(in membership.Instance) snapshot.Instance {
-	return snapshot.Instance{
-		ID: in.ID, Incarnation: in.Incarnation, Zone: in.Zone, Caller: in.Caller, Peer: in.Peer, Loads: c.steer.loads[in.Identity],
+	v := c.members.View().Zone(zone)
+	if zone != c.Self.Zone {
+		return c.builder.Instances(v, nil)
 	}
+	return c.builder.Instances(v, c.steer.loads)
 }
 
 func (c *Control) selfView() snapshot.Instance {
@@ -67,16 +63,3 @@
 	addr, ok := c.snap.Load().Peers[membership.Identity{ID: h.ID, Incarnation: h.Incarnation}]
 	return addr, ok
 }
-
-// peers returns the peer addresses of all instances that may be alive.
-func (c *Control) peers() map[membership.Identity]string {
-	out := map[membership.Identity]string{}
-	for _, z := range c.members.View().Zones {
-		for _, in := range z.Instances {
-			if in.State != membership.Gone {
-				out[in.Identity] = in.Peer
-			}
-		}
-	}
-	return out
-}
--- a/internal/control/ramp.go
+++ b/internal/control/ramp.go
@@ -173,7 +173,7 @@
 	}
 	changed := false
 	for _, z := range c.steer.estate.Zones {
-		lost := z.Name != c.Self.Zone && len(c.members.View().Zone(z.Name).Usable()) == 0
+		lost := z.Name != c.Self.Zone && !c.members.View().Zone(z.Name).AnyUsable()
 		if lost == c.ramp.lost[z.Name] {
 			continue
 		}
--- a/internal/decide/membership/view.go
+++ b/internal/decide/membership/view.go
@@ -55,6 +55,11 @@
 	return out
 }
 
+// AnyUsable reports whether the zone has a live instance.
+func (z ZoneView) AnyUsable() bool {
+	return slices.ContainsFunc(z.Instances, func(in Instance) bool { return in.State == Live })
+}
+
 // IsRelay reports whether id relays for the zone.
 func (z ZoneView) IsRelay(id Identity) bool { return slices.Contains(z.Relays, id) }
 
