capacity: what records cost on the wire, by a refresh of whole zones

The bytes of one instance can't be told from one exchange: it gets each record from three relays. The series drive the refresh machine of all instances of a zone, and of the relays of all zones.

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -6,8 +6,9 @@
 var Names = []string{
 	blockTable, blockRebuild, blockContent, blockEstate, blockSplit, blockJoin, blockChange, blockApply, blockChoose,
 	siteContent, siteChange, siteApply, sitePlan, zonePlan, zoneTables, zoneRamp, zoneRest,
-	memberHeap, memberTick, memberChange, memberPublish, memberRecords, zoneLoads,
+	memberHeap, memberTick, memberChange, memberPublish, memberAnew, memberSet, memberRecords, zoneLoads,
 	ownerRow, ownerTick, ownerHeap, linkRow, linkTick, linkHeap, claimRow, keyHeap,
+	trafficPlain, trafficRelay, trafficOne, trafficMesh,
 	wireHeartbeats, wireCalls, wireLookups, wireAnswer,
 }
 
@@ -18,7 +19,7 @@
 		out[s.Name] = s
 		progress(s.Name)
 	}
-	for _, m := range []func(func(Series)) error{measureWire, measureMembers, measureRows, measureZones, measureSites, measureBlocks} {
+	for _, m := range []func(func(Series)) error{measureWire, measureTraffic, measureMembers, measureRows, measureZones, measureSites, measureBlocks} {
 		if err := m(add); err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
 	"github.com/banyandeal/banyandeal/internal/snapshot"
 )
@@ -18,7 +19,9 @@
 	memberHeap    = "membership, memory"
 	memberTick    = "membership tick, processor"
 	memberChange  = "one member's state changed, processor"
-	memberPublish = "snapshot published, processor"
+	memberPublish = "snapshot published for new loads, processor"
+	memberAnew    = "snapshot published for new members, processor"
+	memberSet     = "replica of member records, memory"
 	memberRecords = "member records, bytes"
 	zoneLoads     = "load records of a zone, bytes"
 )
@@ -51,6 +54,16 @@
 	})
 	known.measure(memberChange, Seconds, "internal/decide/membership", changeTime)
 	known.measure(memberPublish, Seconds, "internal/snapshot", publishTime)
+	known.measure(memberAnew, Seconds, "internal/snapshot", publishAnewTime)
+	known.measure(memberSet, Bytes, "internal/decide/refresh", func(n int) float64 {
+		return heap(func() any {
+			set := refresh.NewSet(refresh.Limits{})
+			for i := range n {
+				set.Put(start, stateRecord(i, 1))
+			}
+			return set
+		})
+	})
 	known.measure(memberRecords, Bytes, "internal/peer/peerpb", func(n int) float64 {
 		m := &peerpb.Refresh{}
 		for _, in := range newInstances(n, Letter.Zones) {
@@ -81,24 +94,28 @@
 }
 
 // publishTime makes the parts of a snapshot that follow the view, as control
-// does at each change of a load record.
+// does once a tick while load reports come in.
 func publishTime(n int) float64 {
+	view, b := newMembership(n).View(), &snapshot.Builder{}
+	return seconds(func() { picture(b, view) })
+}
+
+// publishAnewTime is publishTime after members changed in every zone.
+func publishAnewTime(n int) float64 {
 	view := newMembership(n).View()
-	return seconds(func() {
-		s := &snapshot.Snapshot{Peers: map[membership.Identity]string{}}
-		for _, z := range view.Zones {
-			v := snapshot.Zone{Name: z.Name}
-			for _, in := range z.Instances {
-				s.Peers[in.Identity] = in.Peer
-			}
-			for _, in := range z.Usable() {
-				v.Instances = append(v.Instances, snapshot.Instance{
-					ID: in.ID, Incarnation: in.Incarnation, Zone: in.Zone, Caller: in.Caller, Peer: in.Peer,
-				})
-			}
-			s.Zones = append(s.Zones, v)
+	return seconds(func() { picture(&snapshot.Builder{}, view) })
+}
+
+func picture(b *snapshot.Builder, view *membership.View) *snapshot.Snapshot {
+	s := &snapshot.Snapshot{Peers: b.Peers(view)}
+	for i, z := range view.Zones {
+		var loads map[membership.Identity]map[string]load.Report
+		if i == 0 {
+			loads = map[membership.Identity]map[string]load.Report{}
 		}
-	})
+		s.Zones = append(s.Zones, snapshot.Zone{Name: z.Name, Instances: b.Instances(z, loads)})
+	}
+	return s
 }
 
 // instanceRecord returns the replicated record of an instance as control makes
