--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -88,7 +88,8 @@
 	// Path is the path with the query.
 	Path string
 	// Host is sent as the Host header; empty is the backend server's address.
-	Host   string
+	Host string
+	// Header is changed by the client.
 	Header http.Header
 	Body   []byte
 	// Idempotent requests may use connections that were idle for longer.
@@ -107,6 +108,8 @@
 	Stream io.ReadCloser
 	// Draining is set when the backend server said that it is leaving.
 	Draining bool
+	// Shed is set when the backend server refused the request by its own word.
+	Shed bool
 	// Lost is set when the connection broke after the request was sent.
 	Lost bool
 	// Silent is set when the connection was given up as silent.
@@ -221,7 +224,7 @@
 // newRequest builds a request without GetBody, so that nothing could replay
 // its body.
 func newRequest(ctx context.Context, r *Request, u *url.URL) (*http.Request, *Reply) {
-	header := r.Header.Clone()
+	header := r.Header
 	if header == nil {
 		header = http.Header{}
 	}
@@ -261,7 +264,7 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true" {
 		body.drain()
 		refused := notRun(outcome.KindNoCapacity, "the backend server refused the request")
-		refused.Draining = reply.Draining
+		refused.Draining, refused.Shed = reply.Draining, true
 		return refused
 	}
 	if !delimited(resp) {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -88,7 +88,7 @@
 func New(d Deps, now time.Time) *Control {
 	c := &Control{
 		Deps: d, started: now, events: make(chan func(time.Time), eventQueue),
-		members: membership.New(membership.Config{Self: d.Self}, now),
+		members: membership.New(membership.Config{Self: d.Self, DelistAfter: d.Settings.Timing.DelistAfter}, now),
 		records: newRecords(d.Self.Identity), steer: newSteerState(), ramp: newRampState(), owners: newOwnerState(d.Self, now),
 		health: newHealthState(d.Dial),
 		fatal:  make(chan error, 1),
