pool: a service taken from the estate does not crash the instance

Cause: Set told only the balancers of the services still declared, so that of a removed service went on naming backend servers that were no longer held, and Acquire used the missing one until the next Refresh. Every instance with a request of that service on its way would have ended with a nil dereference. Ruled out: the balancer forgetting what is in flight across changes; a test shows that the count stays and that slots are given back once. Before: TestServiceTakenFromTheEstateUnderLoad panics in Acquire. After: it passes; a late request finds no backend server and is not run. Conclusion: every change reaches every balancer.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -103,20 +103,21 @@
 	p.update(services)
 }
 
-// update tells the balancers what stands where.
+// update tells the balancers what stands where. That of a service which is no
+// longer in the estate stays, empty, for requests that were accepted before.
 func (p *Pool) update(services []estate.Service) {
+	for _, s := range services {
+		if p.services[s.Name] == nil {
+			p.services[s.Name] = balance.New(balance.Settings{Policy: p.policy, ColdTime: coldTime, Deadline: s.Deadline})
+		}
+	}
 	now := time.Now()
 	sets := map[string][]balance.Backend{}
 	for _, m := range p.backends {
 		sets[m.Service] = append(sets[m.Service], m.standing(now))
 	}
-	for _, s := range services {
-		b := p.services[s.Name]
-		if b == nil {
-			b = balance.New(balance.Settings{Policy: p.policy, ColdTime: coldTime, Deadline: s.Deadline})
-			p.services[s.Name] = b
-		}
-		b.Update(sets[s.Name])
+	for service, b := range p.services {
+		b.Update(sets[service])
 	}
 }
 
