accept, lookup, daemon: answers and paths pass as they are, slow readers end

Cause, each seen failing first but for the shared cache's own doing: - an answer to HEAD said Content-Length 0, the header being set from the body; - a leaving instance's Connection: close was stripped from every good answer, so kept-alive callers met the closed connection; - a backend server's request id and traceparent replaced those of this hop, and net/http guessed a Content-Type; - a path with dot segments, plain or escaped, was classified by its prefix as another operation than the backend server runs, idempotent say; - http.ServeMux answered a path with // or .. by a redirection, with no outcome; - CONNECT and TRACE were passed on; HTTP/1.0 can't tell a cut answer; - errors and look-ups had no write deadline; - look-up answers, which hold a key, were open to shared caches. Ruled out: a write deadline that outlives its request (net/http resets it), and a Content-Length in 204 and 304 (net/http leaves it out). Conclusion: what can be taken two ways is turned away as 400, all else passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -291,16 +291,27 @@
 
 func (d *Daemon) callerServer(enter filter.Handler) *http.Server {
 	l := d.settings.Limits
-	mux := http.NewServeMux()
-	mux.Handle("GET /v1/lookup", &lookup.Handler{Snapshot: d.control.Snapshot, Metrics: d.metrics})
-	mux.Handle("/", &accept.Handler{
+	lookups := &lookup.Handler{Snapshot: d.control.Snapshot, Metrics: d.metrics}
+	requests := &accept.Handler{
 		Estate: func() *estate.Estate { return d.control.Snapshot().Estate }, Next: enter, Region: d.region,
 		Leaving: func() bool { return d.control.Snapshot().Leaving },
 		Metrics: d.metrics, Recorder: d.recorder,
 		Slots: semaphore.NewWeighted(int64(l.MaxInFlight)), Memory: semaphore.NewWeighted(l.BodyMemory),
-	})
+	}
 	return &http.Server{
-		Handler: mux, ReadHeaderTimeout: l.ReadHeaderTimeout, ReadTimeout: l.ReadTimeout,
+		Handler: callerHandler(lookups, requests), ReadHeaderTimeout: l.ReadHeaderTimeout, ReadTimeout: l.ReadTimeout,
 		MaxHeaderBytes: l.MaxHeaderBytes, IdleTimeout: idleTimeout,
 	}
 }
+
+// callerHandler tells look-ups from requests. http.ServeMux would do so too,
+// but answers a path with an empty segment by a redirection of its own.
+func callerHandler(lookups, requests http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == lookup.Path && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+			lookups.ServeHTTP(w, r)
+			return
+		}
+		requests.ServeHTTP(w, r)
+	})
+}
--- a/internal/filter/accept/accept.go
+++ b/internal/filter/accept/accept.go
@@ -9,6 +9,7 @@
 	"context"
 	"crypto/rand"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -91,26 +92,34 @@
 	defer cancel()
 	ctx, span := h.Recorder.Start(ctx, "request", attribute.String("service", r.Service.Name),
 		attribute.String("request", r.ID), attribute.String("method", r.Method), attribute.String("path", r.Path))
-	w.Header().Set(filter.HeaderRequestID, r.ID)
-	if h.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
-	w.Header().Set(trace.HeaderTraceParent, h.Recorder.Inject(ctx))
 	answer, err := h.Next.Serve(ctx, r)
+	own := h.headers(ctx, r)
 	if err == nil {
-		err = deliver(w, answer)
+		err = deliver(w, hr.Method, own, answer)
 		if err != nil {
 			// The status line is out: only a broken connection tells the
 			// caller that the answer is not whole.
 			defer panic(http.ErrAbortHandler)
 		}
 	} else {
+		maps.Copy(w.Header(), own)
 		WriteError(w, outcome.AsError(err))
 	}
 	h.count(r, err, start)
 	trace.End(span, err)
 }
 
+// headers are what this instance adds to an answer.
+func (h *Handler) headers(ctx context.Context, r *filter.Request) http.Header {
+	own := http.Header{}
+	own.Set(filter.HeaderRequestID, r.ID)
+	own.Set(trace.HeaderTraceParent, h.Recorder.Inject(ctx))
+	if h.Leaving() {
+		own.Set("Connection", "close")
+	}
+	return own
+}
+
 func (h *Handler) count(r *filter.Request, err error, start time.Time) {
 	if err == nil {
 		h.Metrics.CountOutcome(r.Service.Name, outcome.Done, "")
@@ -128,6 +137,9 @@
 	if e == nil {
 		return nil, nil, outcome.NotRunError(outcome.KindNotReady, busyRetryAfter, "this instance has no configuration yet")
 	}
+	if err := checkForm(hr); err != nil {
+		return nil, nil, err
+	}
 	name, path, _ := strings.Cut(strings.TrimPrefix(hr.URL.EscapedPath(), "/"), "/")
 	s := e.ServiceOf(name)
 	if s == nil {
@@ -152,6 +164,35 @@
 	}, free, nil
 }
 
+// checkForm turns away requests that caller, instance and backend server could
+// take differently: a path with dot segments may belong to another operation
+// than its prefix says, and HTTP/1.0 can't tell a cut answer from a whole one.
+func checkForm(hr *http.Request) *outcome.Error {
+	switch {
+	case !hr.ProtoAtLeast(1, 1):
+		return outcome.RejectedError(outcome.KindBadRequest, "use HTTP/1.1", "the protocol is %s", hr.Proto)
+	case hr.Method == http.MethodConnect || hr.Method == http.MethodTrace:
+		return outcome.RejectedError(outcome.KindBadRequest, "use another method", "method %s is not passed on", hr.Method)
+	case hasDotSegment(hr.URL.Path):
+		return outcome.RejectedError(outcome.KindBadRequest, "send the path it resolves to", "the path has a segment . or ..")
+	}
+	return nil
+}
+
+// hasDotSegment reports whether a decoded path has a segment that names a
+// place relative to another.
+func hasDotSegment(path string) bool {
+	if !strings.Contains(path, ".") {
+		return false
+	}
+	for segment := range strings.FieldsFuncSeq(path, func(c rune) bool { return c == '/' || c == '\\' }) {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *Handler) readBody(w http.ResponseWriter, hr *http.Request, s *estate.Service) ([]byte, func(), *outcome.Error) {
 	if hr.ContentLength == 0 {
 		return nil, func() {}, nil
@@ -167,6 +208,8 @@
 		return nil, nil, outcome.NotRunError(outcome.KindOverloaded, busyRetryAfter, "this instance holds as many body bytes as it may")
 	}
 	free := func() { h.Memory.Release(reserve) }
+	// Reading may write 100 Continue.
+	BoundWrite(w)
 	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, s.MaxBody))
 	if err == nil {
 		return body, free, nil
--- a/internal/filter/accept/deliver.go
+++ b/internal/filter/accept/deliver.go
@@ -31,6 +31,7 @@
 
 // WriteError answers a caller with an error of the system.
 func WriteError(w http.ResponseWriter, e *outcome.Error) {
+	BoundWrite(w)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(filter.HeaderOutcome, e.Outcome.String())
@@ -45,28 +46,53 @@
 	})
 }
 
-// deliver writes the answer to the caller. An error means that the caller did
-// not get it whole.
-func deliver(w http.ResponseWriter, a *filter.Answer) error {
+// deliver writes the answer to the caller of a request with the method, under
+// the headers that this instance adds. An error means that the caller did not
+// get it whole.
+func deliver(w http.ResponseWriter, method string, own http.Header, a *filter.Answer) error {
 	defer a.Close()
 	h := w.Header()
 	maps.Copy(h, a.Header)
 	filter.StripHop(h)
+	if _, ok := h["Content-Type"]; !ok {
+		// A nil value keeps net/http from guessing.
+		h["Content-Type"] = nil
+	}
+	maps.Copy(h, own)
 	h.Set(filter.HeaderOutcome, outcome.Done.String())
+	if length := lengthOf(method, a); length != "" {
+		h.Set("Content-Length", length)
+	}
+	BoundWrite(w)
+	w.WriteHeader(a.Status)
 	if a.Stream == nil {
-		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
-		w.WriteHeader(a.Status)
 		_, err := newProgressWriter(w).Write(a.Body)
 		return errors.Annotate(err, "answer was not delivered")
 	}
-	if a.Length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
-	}
-	w.WriteHeader(a.Status)
 	_, err := io.Copy(newProgressWriter(w), a.Stream)
 	return errors.Annotate(err, "answer was not delivered")
 }
 
+// lengthOf returns the Content-Length of an answer, empty for none. In answers
+// to HEAD it is that of the answer to GET, as the backend server declared it.
+func lengthOf(method string, a *filter.Answer) string {
+	switch {
+	case method == http.MethodHead:
+		return a.Header.Get("Content-Length")
+	case a.Stream == nil:
+		return strconv.Itoa(len(a.Body))
+	case a.Length >= 0:
+		return strconv.FormatInt(a.Length, 10)
+	}
+	return ""
+}
+
+// BoundWrite gives the caller writeProgress to accept what is written next.
+func BoundWrite(w http.ResponseWriter) {
+	// A writer without deadlines still fails when the connection does.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeProgress))
+}
+
 // progressWriter gives the caller writeProgress for each piece.
 type progressWriter struct {
 	w   io.Writer
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -27,6 +27,9 @@
 	"github.com/banyandeal/banyandeal/internal/telemetry"
 )
 
+// Path is where callers ask.
+const Path = "/v1/lookup"
+
 const (
 	// maxInstances bounds an answer.
 	maxInstances = 6
@@ -84,7 +87,9 @@
 	}
 	h.Metrics.Count("lookup.answered")
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Cache-Control", "max-age="+strconv.FormatInt(a.TTLMS/1000, 10))
+	// The answer is for one caller and has a key in it.
+	w.Header().Set("Cache-Control", "private, max-age="+strconv.FormatInt(a.TTLMS/1000, 10))
+	accept.BoundWrite(w)
 	// A caller that is gone does not read its answer.
 	_ = json.NewEncoder(w).Encode(a)
 }
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -75,6 +75,7 @@
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, httptest.NewRequest("GET", "/v1/lookup?service=scoring&caller=1.0.4.9", nil))
 		require.Equal(t, 200, w.Code)
+		require.Contains(t, w.Header().Get("Cache-Control"), "private", "no shared cache hands the key to another caller")
 		var a lookup.Answer
 		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &a))
 		require.Equal(t, uint64(7), a.Version)
