keys: a key belongs to one service; large answers end with their caller

Cause: the fingerprint of a key left out the service, so that one key, path and body sent to another service was answered with the first one's answer. The run of a key outlives its caller by design, and so did the large answer that only that caller can have: it held a slot until the deadline while nobody read it. A forwarded one that came after its caller had left was never closed. Ruled out: tries after the only caller is gone. Abandon needs no action, since nothing waits in a queue and each further try asks for leave. Conclusion: what only one caller can have ends with it.

--- a/internal/keys/keeper.go
+++ b/internal/keys/keeper.go
@@ -108,7 +108,7 @@
 }
 
 func (k *Keeper) arrive(a *attempt, hops int) once.AttemptID {
-	f := once.FingerprintOf(a.r.Method, a.r.Path, a.r.Body)
+	f := once.FingerprintOf(a.r.Method, "/"+a.r.Service.Name+a.r.Path, a.r.Body)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.last++
@@ -197,6 +197,9 @@
 		go k.settle(act)
 	case once.Announce:
 		go k.transport.Moved(act.From, act.To)
+	case once.Abandon:
+		// Nothing waits in a queue, here or at an owner: a request is sent at
+		// once or turned away, and asks for leave before each further try.
 	}
 }
 
@@ -224,7 +227,7 @@
 	ctx = filter.WithPermit(ctx, func() bool { return k.permit(id) })
 	answer, err := a.next.Serve(ctx, a.r)
 	if err == nil && answer.Stream != nil {
-		k.stream(attemptID, answer, cancel)
+		k.stream(attemptID, a, answer, cancel)
 		k.finish(id, once.Result{Outcome: outcome.Done, Status: answer.Status, Header: answer.Header, BodyDropped: true})
 		return
 	}
@@ -233,16 +236,22 @@
 }
 
 // stream gives a large answer to the attempt that waits for the run, if it
-// still does; nobody else can have it.
-func (k *Keeper) stream(id once.AttemptID, answer *filter.Answer, cancel context.CancelFunc) {
-	answer.Stream = &endStream{answer.Stream, cancel}
+// still does; nobody else can have it, so it ends with the attempt's context.
+func (k *Keeper) stream(id once.AttemptID, a *attempt, answer *filter.Answer, cancel context.CancelFunc) {
+	stop := context.AfterFunc(a.ctx, cancel)
+	answer.Stream = &endStream{answer.Stream, func() { stop(); cancel() }}
+	k.pass(id, answer)
+}
+
+// pass ends the attempt with the answer, and closes it if nobody waits.
+func (k *Keeper) pass(id once.AttemptID, answer *filter.Answer) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.attempts[id] == nil {
+	waits := k.attempts[id] != nil
+	k.end(id, reply{answer: answer})
+	k.mu.Unlock()
+	if !waits {
 		answer.Close()
-		return
 	}
-	k.end(id, reply{answer: answer})
 }
 
 func (k *Keeper) permit(id once.RunID) bool {
@@ -261,9 +270,7 @@
 func (k *Keeper) forward(act once.Forward, a *attempt) {
 	answer, replied, sent, err := k.transport.Forward(a.ctx, act.To, a.r)
 	if err == nil && answer.Stream != nil {
-		k.mu.Lock()
-		k.end(act.Attempt, reply{answer: answer})
-		k.mu.Unlock()
+		k.pass(act.Attempt, answer)
 		k.step(once.ForwardResult{Attempt: act.Attempt, Replied: true, Result: once.Result{
 			Outcome: outcome.Done, Status: answer.Status, Header: answer.Header, BodyDropped: true,
 		}})
--- a/internal/keys/keeper_test.go
+++ b/internal/keys/keeper_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/banyandeal/banyandeal/internal/decide/once"
+	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/filter"
 	"github.com/banyandeal/banyandeal/internal/outcome"
 )
@@ -122,7 +123,7 @@
 			if rand.IntN(8) == 0 {
 				time.AfterFunc(time.Duration(rand.IntN(10))*time.Millisecond, cancel)
 			}
-			r := &filter.Request{Method: "POST", Path: "/", Key: key, Header: map[string][]string{}, Deadline: time.Now().Add(time.Minute)}
+			r := &filter.Request{Service: &estate.Service{Name: "s"}, Method: "POST", Path: "/", Key: key, Header: map[string][]string{}, Deadline: time.Now().Add(time.Minute)}
 			if refuse {
 				r.Header.Set("Refuse", "true")
 			}
