control: nothing is kept for dead instances; old records expire

Cause: a dead incarnation that spoke again got its entries back (exchange state, address, load, configuration source), and none of them was deleted again. Records of dead instances and of moved keys were kept for good, tombstones too, so that after 20000 of them the set refuses every new record. The death of an old run also dropped its successor's configuration source. Ruled out: deleting the record of a death when membership forgets it after 10 minutes; a process paused for longer would not learn that it is held for dead. Before (guards taken out one by one): 21 exchange states, 21 addresses, 20 loads and 20 records after 20 runs had died; the successor's address empty. After: one each, records gone after their time, replicas with equal digests.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyandeal/banyandeal/internal/config"
 	"github.com/banyandeal/banyandeal/internal/config/publish"
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/once"
 	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 	"github.com/banyandeal/banyandeal/internal/keys"
@@ -73,13 +74,17 @@
 type movedReport struct {
 	From once.Home `json:"from"`
 	To   once.Home `json:"to"`
+	// At is when it was announced; the record expires movedTTL later.
+	At time.Time `json:"at"`
 }
 
 // AnnounceMoved tells all instances, by way of the replicated records, that
 // a home's authority went to another.
 func (c *Control) AnnounceMoved(from, to once.Home) {
 	c.post(func(now time.Time) {
-		c.logError("moved_record_failed", c.records.set(now, c.records.global, recordMoved+"/"+from.String(), movedReport{from, to}))
+		m := movedReport{from, to, now}
+		c.logError("moved_record_failed", c.records.set(now, c.records.global, movedName(from), m))
+		c.expireMoved(c.Self.Identity, m)
 		c.sendHeartbeats()
 	})
 }
@@ -88,5 +93,12 @@
 	var m movedReport
 	if json.Unmarshal(rec.Value, &m) == nil {
 		c.Keeper.Step(once.Moved{From: m.From, To: m.To})
+		c.expireMoved(membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}, m)
 	}
 }
+
+func movedName(from once.Home) string { return recordMoved + "/" + from.String() }
+
+func (c *Control) expireMoved(owner membership.Identity, m movedReport) {
+	c.records.expire(c.records.global, owner.ID, movedName(m.From), expiry{incarnation: owner.Incarnation, at: m.At.Add(movedTTL)})
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -32,6 +32,12 @@
 	s.receiver.Heard(from, version)
 }
 
+// forget drops a neighbour that is gone.
+func (s *configState) forget(from publish.Source) {
+	delete(s.addrs, from)
+	s.receiver.Forget(from)
+}
+
 // pollConfig reads the head from the platform. Relays do, and an instance
 // without a configuration.
 func (c *Control) pollConfig() {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -79,7 +79,7 @@
 
 // timers holds when periodic work is due next.
 type timers struct {
-	heartbeat, list, configPoll, health time.Time
+	heartbeat, list, configPoll, health, sweep time.Time
 }
 
 // New returns the control state of an instance at its start.
@@ -185,6 +185,7 @@
 	c.tickOwners(now)
 	c.tickLinks(now)
 	c.tickLeaving(now)
+	c.tickRecords(now)
 	c.Keeper.Step(once.Tick{})
 	if due(&c.timers.heartbeat, now, t.Heartbeat) {
 		c.publishLoads(now)
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -22,6 +22,10 @@
 // outcome is evidence of whether it lives: an address that refuses the
 // connection shows at once that the process is dead.
 func (c *Control) exchange(in membership.Instance) {
+	if c.isStranger(in.Identity) {
+		c.greet(in.Peer)
+		return
+	}
 	n := c.records.neighbour(in.Identity)
 	if n.busy {
 		n.again = true
@@ -114,7 +118,8 @@
 		c.takeSelf(now, ex)
 		return reply
 	}
-	n := c.records.neighbour(identityOf(ex.From))
+	id := identityOf(ex.From)
+	n := c.records.neighbour(id)
 	c.take(now, ex, n, func(p refresh.Policy, now time.Time, m refresh.Message) {
 		out := encodeRefresh(p.Serve(now, m))
 		if p == n.global {
@@ -123,6 +128,9 @@
 			reply.Local = out
 		}
 	})
+	if c.isStranger(id) {
+		delete(c.records.neighbours, id)
+	}
 	return reply
 }
 
@@ -165,6 +173,9 @@
 		return
 	}
 	c.members.Heartbeat(now, in)
+	if c.isStranger(in.Identity) {
+		return
+	}
 	c.config.heard(publish.Source(in.ID), in.Peer, ex.ConfigVersion)
 	c.hintRows(now, ex.Zone, ex.Region, ex.OwnersVersion, ex.LinksVersion)
 }
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -103,10 +103,11 @@
 
 func (c *Control) takeLoad(now time.Time, rec refresh.Record) {
 	var report loadReport
-	if json.Unmarshal(rec.Value, &report) != nil {
+	id := membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}
+	if c.isStranger(id) || json.Unmarshal(rec.Value, &report) != nil {
 		return
 	}
-	c.steer.loads[membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}] = report.reports(now)
+	c.steer.loads[id] = report.reports(now)
 	c.dirty = true
 }
 
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -46,9 +46,19 @@
 }
 
 func (c *Control) knowsPeer(addr string) bool {
+	return c.anyInstance(func(in membership.Instance) bool { return in.Peer == addr })
+}
+
+// runs reports whether a run of the instance may be alive.
+func (c *Control) runs(id string) bool {
+	return c.anyInstance(func(in membership.Instance) bool { return in.ID == id })
+}
+
+// anyInstance reports whether want holds for an instance that may be alive.
+func (c *Control) anyInstance(want func(in membership.Instance) bool) bool {
 	for _, z := range c.members.View().Zones {
 		for _, in := range z.Instances {
-			if in.Peer == addr && in.State != membership.Gone {
+			if in.State != membership.Gone && want(in) {
 				return true
 			}
 		}
@@ -116,7 +126,10 @@
 
 func (c *Control) instanceGone(now time.Time, in membership.Instance) {
 	c.records.forget(now, in.Identity)
+	c.records.expire(c.records.global, in.ID, recordInstance, expiry{incarnation: in.Incarnation, at: now.Add(goneTTL), peer: in.Peer})
 	delete(c.steer.loads, in.Identity)
 	c.Keeper.Step(once.Gone{Home: once.Home{Zone: in.Zone, ID: in.ID, Incarnation: in.Incarnation}})
-	c.config.receiver.Forget(publish.Source(in.ID))
+	if !c.runs(in.ID) {
+		c.config.forget(publish.Source(in.ID))
+	}
 }
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -27,6 +27,7 @@
 	self          membership.Identity
 	global, local *refresh.Set
 	neighbours    map[membership.Identity]*neighbour
+	expiries      expiries
 	seq           uint64
 }
 
@@ -41,7 +42,7 @@
 func newRecords(self membership.Identity) *records {
 	return &records{
 		self: self, global: refresh.NewSet(refresh.Limits{}), local: refresh.NewSet(refresh.Limits{}),
-		neighbours: map[membership.Identity]*neighbour{},
+		neighbours: map[membership.Identity]*neighbour{}, expiries: expiries{},
 	}
 }
 
@@ -73,10 +74,7 @@
 		set  *refresh.Set
 		name string
 	}{{r.local, recordLoad}, {r.global, recordZoneLoad}, {r.global, recordRamp}, {r.global, recordQuarantine}} {
-		if rec, ok := at.set.Get(id.ID, at.name); ok && rec.Incarnation == id.Incarnation {
-			rec.Sequence, rec.Deleted, rec.Value = rec.Sequence+1, true, nil
-			at.set.Put(now, rec)
-		}
+		r.delete(now, at.set, id.ID, at.name, id.Incarnation)
 	}
 }
 
