control: a condemned instance uses no link; unusable versions and estates

Cause: (1) an instance that others hold for dead went on granting link rights that were taken over, could own backend servers again when a write of its own succeeded late, and logged its end at every event. (2) After a version that could not be put in force the next one was applied as changes to it, so blocks of the one between were lost. (3) Status read a placement that an unplaceable estate does not have and ended the process. (4) A right was given back to the machine in use, not to the one it came from. (5) The link machine was not told the region's instances anew when a version changed the region's zones. (6) Unusable rows were logged under the lock that traffic shares. Ruled out: not counting an unusable version as had; it would be fetched for ever, and neighbours are served from it. (6) has no test.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -138,7 +138,8 @@
 func (c *Control) install(now time.Time, in *publish.Installed) {
 	if err := c.steer.install(in); err != nil {
 		// Every part was checked against its digest, so the content itself is
-		// at fault and the version before stays in force.
+		// at fault and the version before stays in force. The receiver has it
+		// nonetheless: it is not fetched again, and neighbours may have it.
 		c.Log.Error().Err(err).Uint64("version", in.Head.Version).Msg("config_unusable")
 		return
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -71,6 +71,8 @@
 	// dirty is set when the snapshot no longer matches the state.
 	dirty   bool
 	leaving *leavingState
+	// isCondemned is set for good once others hold this incarnation for dead.
+	isCondemned bool
 	// platformUp tells whether the last call to the platform succeeded.
 	platformUp atomic.Bool
 	drains     drainLog
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -120,8 +120,14 @@
 // ErrCondemned is the end of an instance that others hold for dead.
 var ErrCondemned = errors.New("other instances hold this incarnation for dead and may have taken over what it owned; start it anew")
 
-// condemned stops this instance from taking work and ends Run.
+// condemned stops this instance from taking work and ends Run. What it held may
+// be another's by now: it takes nothing new on, and uses no link.
 func (c *Control) condemned() {
+	if c.isCondemned {
+		return
+	}
+	c.isCondemned = true
+	c.Links.Stop()
 	c.Log.Error().Err(ErrCondemned).Msg("condemned")
 	clear(c.owners.held)
 	c.dirty = true
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -26,9 +26,11 @@
 		return
 	}
 	if c.links.region != z.Region {
-		c.links.region, c.links.view = z.Region, nil
+		c.links.region = z.Region
 		c.Links.Use(z.Region, linkcap.New(linkcap.Config{Self: c.Self.Identity, Peer: c.Self.Peer, Region: z.Region}, now))
 	}
+	// The region may have other zones than before.
+	c.links.view = nil
 	caps := map[string]linkcap.Rights{}
 	for _, l := range e.Links {
 		if l.From == z.Region {
@@ -104,12 +106,12 @@
 		row, err := readRow(ctx, c.Platform, name)
 		c.platformCall(err)
 		c.post(func(now time.Time) {
-			c.Links.With(func(m *linkcap.Machine) {
+			c.linkEvent(func(m *linkcap.Machine) error {
 				if err != nil {
 					m.ReadFailed(now)
-					return
+					return nil
 				}
-				c.logError("links_row_unusable", m.Row(now, row))
+				return m.Row(now, row)
 			})
 		})
 	})
@@ -120,17 +122,25 @@
 		reply, err := commit(ctx, c.Platform, txn)
 		c.platformCall(err)
 		c.post(func(now time.Time) {
-			c.Links.With(func(m *linkcap.Machine) {
+			c.linkEvent(func(m *linkcap.Machine) error {
 				if err != nil {
 					m.WriteFailed(now, txn.ID)
-					return
+					return nil
 				}
-				c.logError("links_row_unusable", m.Written(now, txn.ID, reply))
+				return m.Written(now, txn.ID, reply)
 			})
 		})
 	})
 }
 
+// linkEvent brings the machine a row. What is wrong with it is logged when the
+// lock that traffic shares is free again.
+func (c *Control) linkEvent(f func(m *linkcap.Machine) error) {
+	var err error
+	c.Links.With(func(m *linkcap.Machine) { err = f(m) })
+	c.logError("links_row_unusable", err)
+}
+
 // transferRights sends rights to a partner. The rights were lowered here
 // before, so a lost message loses them until it is sent again and never
 // doubles them.
--- a/internal/control/owners.go
+++ b/internal/control/owners.go
@@ -86,6 +86,9 @@
 // settleOwners carries out what the ownership machine wants done.
 func (c *Control) settleOwners(now time.Time) {
 	ready := c.owners.machine.Ready()
+	if c.isCondemned {
+		return
+	}
 	if ready.Read {
 		c.readOwners()
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -53,6 +53,9 @@
 }
 
 func (c *Control) serviceStatus() []operator.ServiceStatus {
+	if c.steer.plan == nil {
+		return nil // the estate cannot be placed
+	}
 	var out []operator.ServiceStatus
 	for i, sp := range c.steer.plan.Services {
 		st := operator.ServiceStatus{Name: sp.Name}
--- a/internal/control/steer.go
+++ b/internal/control/steer.go
@@ -27,6 +27,9 @@
 	zoneLoads map[string]map[string]load.Report
 	// sent is what this instance last reported.
 	sent sentLoads
+	// behind is set while the version that the next one follows is not in force
+	// here: its changes alone do not lead there.
+	behind bool
 }
 
 func newSteerState() *steerState {
@@ -38,8 +41,18 @@
 // install takes a version in. Blocks follow the parts that changed; all others
 // are shared with the version before.
 func (s *steerState) install(in *publish.Installed) error {
+	behind := s.behind
+	s.behind = true
+	if err := s.take(in, behind); err != nil {
+		return err
+	}
+	s.behind = false
+	return nil
+}
+
+func (s *steerState) take(in *publish.Installed, behind bool) error {
 	skeleton := in.Assembly.Skeleton(in.Head.Version)
-	if s.estate == nil || in.Changed == nil || !sameRegions(s.estate, skeleton) {
+	if s.estate == nil || behind || in.Changed == nil || !sameRegions(s.estate, skeleton) {
 		return s.rebuild(in.Assembly, skeleton)
 	}
 	blocks, demand := s.blocks, append(placement.Demand(nil), s.demand...)
--- a/internal/links/gate.go
+++ b/internal/links/gate.go
@@ -31,6 +31,14 @@
 	g.region, g.machine = region, m
 }
 
+// Stop ends the use of links for good: no right is given any more, and the
+// machine gets no further events. Requests under way go on.
+func (g *Gate) Stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.machine = nil
+}
+
 // With calls f with the machine, unless there is none yet.
 func (g *Gate) With(f func(m *linkcap.Machine)) {
 	g.mu.Lock()
@@ -49,14 +57,15 @@
 	if region == g.region {
 		return func() {}, true
 	}
-	if g.machine == nil || !g.machine.TryAcquire(region, now) {
+	m := g.machine
+	if m == nil || !m.TryAcquire(region, now) {
 		return nil, false
 	}
-	g.peaks[region] = max(g.peaks[region], g.machine.Used(region, now).InFlight)
+	g.peaks[region] = max(g.peaks[region], m.Used(region, now).InFlight)
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.machine.Release(region)
+		m.Release(region)
 	}, true
 }
 
