--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -32,6 +32,12 @@
 	s.receiver.Heard(from, version)
 }
 
+// forget drops a neighbour that is gone.
+func (s *configState) forget(from publish.Source) {
+	delete(s.addrs, from)
+	s.receiver.Forget(from)
+}
+
 // pollConfig reads the head from the platform. Relays do, and an instance
 // without a configuration.
 func (c *Control) pollConfig() {
@@ -132,7 +138,8 @@
 func (c *Control) install(now time.Time, in *publish.Installed) {
 	if err := c.steer.install(in); err != nil {
 		// Every part was checked against its digest, so the content itself is
-		// at fault and the version before stays in force.
+		// at fault and the version before stays in force. The receiver has it
+		// nonetheless: it is not fetched again, and neighbours may have it.
 		c.Log.Error().Err(err).Uint64("version", in.Head.Version).Msg("config_unusable")
 		return
 	}
