route: an instance without a right on a link asks others of its region

Cause: scenario link_born_in_outage: an instance born while the table is down stands in no ledger, gets no right, and answered link_full with the cap unused. Ruled out: lending to an instance that no ledger names, whose rights nobody could settle after its death. A request whose links are all full here is passed to at most two other instances of the region, which send it on by their own rights.

--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -40,10 +40,13 @@
 	StageEnter Stage = 0
 	// StageHome is at the authority of the request's key.
 	StageHome Stage = 1
+	// StageRelay is at another instance of the region, asked because it may
+	// have a right on a link where the sender has none.
+	StageRelay Stage = 2
 	// StageZone is at an instance of the zone that is to run the request.
-	StageZone Stage = 2
+	StageZone Stage = 3
 	// StageOwn is at the owner of a backend server; it goes nowhere else.
-	StageOwn Stage = 3
+	StageOwn Stage = 4
 )
 
 // Request is one request on its way through the pipeline. Filters do not
--- a/internal/filter/route/places.go
+++ b/internal/filter/route/places.go
@@ -16,6 +16,9 @@
 const (
 	// perZone is how many instances of another zone are tried.
 	perZone = 2
+	// maxRelays is how many instances of the region are asked for a right on a
+	// link.
+	maxRelays = 2
 	// askPause is how long a neighbour that refused is not asked again without
 	// a report of room.
 	askPause = 5 * time.Millisecond
@@ -41,10 +44,14 @@
 	zones     map[string]int
 	// full holds the regions whose link had no room.
 	full map[string]bool
+	// relayed holds the instances asked for a right on a link, relays counts
+	// them.
+	relayed map[string]bool
+	relays  int
 }
 
 func newVisited() *visited {
-	return &visited{instances: map[string]bool{}, zones: map[string]int{}, full: map[string]bool{}}
+	return &visited{instances: map[string]bool{}, zones: map[string]int{}, full: map[string]bool{}, relayed: map[string]bool{}}
 }
 
 // leaveOwn leaves out the backend servers owned here.
@@ -102,7 +109,7 @@
 		name, ok = lastResort(now, neighbours)
 	}
 	if !ok {
-		return place{}, false
+		return s.relay()
 	}
 	if in := find(home, name); in != nil {
 		return s.neighbour(in), true
@@ -116,6 +123,42 @@
 	return s.zone(z, in), true
 }
 
+// relay returns another instance of the region, when a link had no room for
+// this one: it may hold rights that this one lacks, as when this one was born
+// while the table was down and stands in no ledger.
+func (s *search) relay() (place, bool) {
+	if s.r.Stage >= filter.StageRelay || len(s.seen.full) == 0 || s.seen.relays >= maxRelays {
+		return place{}, false
+	}
+	for _, own := range []bool{true, false} {
+		for i := range s.snap.Zones {
+			z := &s.snap.Zones[i]
+			if z.Region != s.snap.Region || (z.Name == s.snap.Zone) != own {
+				continue
+			}
+			if in := s.unrelayed(z); in != nil {
+				s.seen.relays++
+				s.seen.relayed[in.ID] = true
+				return place{kind: "relay", to: in, region: z.Region, stage: filter.StageRelay}, true
+			}
+		}
+	}
+	return place{}, false
+}
+
+// unrelayed returns an instance of the zone, drawn at random, that the request
+// was not relayed to.
+func (s *search) unrelayed(z *snapshot.Zone) *snapshot.Instance {
+	n := len(z.Instances)
+	start := rand.IntN(max(n, 1))
+	for i := range n {
+		if in := &z.Instances[(start+i)%n]; in.ID != s.snap.Self.ID && !s.seen.relayed[in.ID] {
+			return in
+		}
+	}
+	return nil
+}
+
 // lastResort returns a neighbour whose report says full but that has not
 // refused a request lately: slots come free faster than reports come in, and
 // asking a neighbour costs less than turning the caller away.
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -5,7 +5,7 @@
 // budget of the retry package.
 //
 // What an operator sees: the counters route.own, route.neighbour, route.zone,
-// route.retry and route.hedge, and a span for each place tried.
+// route.relay, route.retry and route.hedge, and a span for each place tried.
 package route
 
 import (
@@ -70,7 +70,7 @@
 		c := *r
 		c.Avoid = filter.NewAvoid()
 		s := &search{Filter: f, own: own, snap: f.Snapshot(), r: &c, seen: newVisited()}
-		if r.Stage == filter.StageZone {
+		if r.Stage >= filter.StageRelay {
 			// The instance that passed the request on decides on retries.
 			return s.attempt(ctx)
 		}
@@ -126,7 +126,14 @@
 // unseen reports whether a place turned the request away before any backend
 // server saw it.
 func unseen(e *outcome.Error) bool {
-	return e.Outcome == outcome.NotRun && (e.Kind == outcome.KindNoCapacity || e.Kind == outcome.KindPeerLost || e.Kind == outcome.KindNotReady)
+	if e.Outcome != outcome.NotRun {
+		return false
+	}
+	switch e.Kind {
+	case outcome.KindNoCapacity, outcome.KindLinkFull, outcome.KindPeerLost, outcome.KindNotReady:
+		return true
+	}
+	return false
 }
 
 func (s *search) noCapacity() *outcome.Error {
