ownership: no use of a backend server before there is a configuration

Ruled out: the records of the new incarnation and the pool, which both showed the right state. It now starts to use backend servers with its first configuration.

--- a/internal/decide/ownership/guard_test.go
+++ b/internal/decide/ownership/guard_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -120,3 +121,18 @@
 	in.State = membership.Suspect
 	return in
 }
+
+// TestTakeoverBeforeConfiguration holds that an instance which owns a backend
+// server before it has a configuration starts to use it only with one, since
+// the configuration says how long the work of the dead owner may go on.
+func TestTakeoverBeforeConfiguration(t *testing.T) {
+	self := membership.Identity{ID: "a", Incarnation: 2}
+	now := time.Unix(0, 0)
+	m := New(Config{Self: self, Zone: "z"}, now)
+	table, err := json.Marshal(Table{Assignments: []Assignment{{Backend: "s", Owner: self, Epoch: 2, Inherited: true}}})
+	require.NoError(t, err)
+	require.NoError(t, m.Row(now, platform.Row{Name: RowPrefix + "z", Version: 1, Value: table}))
+	require.Empty(t, m.Ready().Starts)
+	m.SetBackends(now, []Backend{{Name: "s", Slots: 1, Deadline: 2 * time.Second}})
+	require.Equal(t, []Start{{Backend: "s", Epoch: 2, OccupiedUntil: now.Add(2 * time.Second)}}, m.Ready().Starts)
+}
--- a/internal/decide/ownership/machine.go
+++ b/internal/decide/ownership/machine.go
@@ -282,6 +282,11 @@
 			m.ready.Lost = append(m.ready.Lost, name)
 		}
 	}
+	if m.backends == nil {
+		// Without a configuration nothing can be sent, and how long the work of
+		// a dead owner may go on is not known.
+		return
+	}
 	for _, a := range m.table.Assignments {
 		if a.Owner == m.cfg.Self && m.holdings[a.Backend] == nil {
 			m.start(now, a)
