scenario: settled means settled for a while

Cause: an instance that joins is given backend servers by a handover, during which they take no work; a script that began in it saw not-run no_capacity.

--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -307,6 +307,7 @@
 }
 
 func (w *world) waitCommand(command string, fields []string) (string, error) {
+	w.settledSince = time.Time{}
 	cond, a, err := w.condition(fields)
 	if err != nil {
 		return "", err
--- a/internal/scenario/wait.go
+++ b/internal/scenario/wait.go
@@ -20,13 +20,15 @@
 	waitLimit   = 20 * time.Second
 	waitPoll    = 10 * time.Millisecond
 	statusLimit = 2 * time.Second
+	settledTime = 500 * time.Millisecond
 )
 
 // conditions are what wait, expect and never know:
 //
 //	version N [on=ID,...]          the version is in force there, everywhere if left out
 //	owners                         every backend server has a running owner that may use it
-//	settled                        owners, and every running instance knows of all free slots
+//	settled                        owners, and every running instance knows of all free
+//	                               slots, for a while
 //	owner BACKEND ID               as every running instance of its zone sees it
 //	seen at=ID of=ID state=S       state is live, leaving, suspect, gone or unknown
 //	busy BACKEND N                 N requests hold slots there
@@ -47,7 +49,7 @@
 var conditions = map[string]func(w *world, a args) bool{
 	"version":  (*world).versionIs,
 	"owners":   func(w *world, _ args) bool { return w.allOwned() },
-	"settled":  func(w *world, _ args) bool { return w.allOwned() && w.slotsKnown() },
+	"settled":  func(w *world, _ args) bool { return w.settled(time.Now()) },
 	"owner":    (*world).ownerIs,
 	"seen":     (*world).seenAs,
 	"busy":     func(w *world, a args) bool { return w.busy(a.word(0)) == atoi(a.word(1)) },
@@ -160,6 +162,20 @@
 	return true
 }
 
+// settled reports whether ownership and the knowledge of free slots have been
+// complete for settledTime: an instance that joins is given a share of the
+// backend servers, each of which takes no work while it changes hands.
+func (w *world) settled(now time.Time) bool {
+	if !w.allOwned() || !w.slotsKnown() {
+		w.settledSince = time.Time{}
+		return false
+	}
+	if w.settledSince.IsZero() {
+		w.settledSince = now
+	}
+	return now.Sub(w.settledSince) >= settledTime
+}
+
 // slotsKnown reports whether every running instance knows that all slots of
 // zones with a running instance are free.
 func (w *world) slotsKnown() bool {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -49,8 +49,10 @@
 	requests  map[string]*request
 	keys      map[string]string
 	changes   int
-	logs      io.Writer
-	sent      sync.WaitGroup
+	// settledSince is since when all is settled, as polled; zero if it is not.
+	settledSince time.Time
+	logs         io.Writer
+	sent         sync.WaitGroup
 }
 
 // instance is one entry instance.
