scenario: never over and never more, since never N misses a jump past N

Cause: never busy b-1 5 held although sixteen requests were on the link: the figure jumped past five. Before: with the gate unguarded on a scratch copy link_cap and link_partition passed. After: they fail there, and pass here. Scripts that asked before settled wait for it.

--- a/internal/scenario/wait.go
+++ b/internal/scenario/wait.go
@@ -32,7 +32,9 @@
 //	owner BACKEND ID               as every running instance of its zone sees it
 //	seen at=ID of=ID state=S       state is live, leaving, suspect, gone or unknown
 //	busy BACKEND N                 N requests hold slots there
+//	over BACKEND N                 more than N requests hold slots there
 //	runs REQUEST N                 backend servers began to run it N times
+//	more REQUEST N                 they began to run it more than N times
 //	exited ID                      the instance has ended
 //	free at=ID zone=Z n=N          slots reported free, as the instance knows
 //	platform at=ID state=up|down   as the instance sees it
@@ -53,6 +55,8 @@
 	"owner":    (*world).ownerIs,
 	"seen":     (*world).seenAs,
 	"busy":     func(w *world, a args) bool { return w.busy(a.word(0)) == atoi(a.word(1)) },
+	"over":     func(w *world, a args) bool { return w.busy(a.word(0)) > atoi(a.word(1)) },
+	"more":     func(w *world, a args) bool { return len(w.runsOf(w.requests[a.word(0)].token)) > atoi(a.word(1)) },
 	"runs":     func(w *world, a args) bool { return len(w.runsOf(w.requests[a.word(0)].token)) == atoi(a.word(1)) },
 	"exited":   func(w *world, a args) bool { return isClosed(w.instances[a.word(0)].ended) },
 	"ended":    func(w *world, a args) bool { return isClosed(w.requests[a.word(0)].ended) },
