--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
 	"github.com/banyandeal/banyandeal/internal/filter"
 	"github.com/banyandeal/banyandeal/internal/standin/backend"
@@ -76,12 +77,24 @@
 // it, and returns the last reply.
 func (s *sender) attempts(ctx context.Context, c *caller, r request, rec *Record) reply {
 	var last reply
-	sent := false
+	// stale is set while the key has to be replaced before the next sending.
+	sent, stale := false, false
 	for at := 0; rec.Attempts < s.maxAttempts; {
-		instances, err := c.instances(ctx)
+		instances, err := s.prepare(ctx, c, &r, rec, stale)
+		var refused *refusedError
+		if errors.As(err, &refused) {
+			if !rec.Uncertain {
+				last = refused.reply()
+			}
+			if !s.wait(ctx, r, refused.retryAfter) {
+				return last
+			}
+			continue
+		}
 		if err != nil {
 			return reply{err: err, unsent: rec.Attempts == 0}
 		}
+		stale = false
 		to := instances[at%len(instances)]
 		last = attempt(ctx, c.http, to, r)
 		rec.Entry = to.ID
@@ -96,21 +109,46 @@
 			at++
 			if at%len(instances) == 0 {
 				c.forget()
+				wait = minResendWait
 			}
-			if r.issued && last.unsent && !sent {
-				if err := s.renew(ctx, c, &r, rec); err != nil {
-					return last
-				}
-			}
+			stale = r.issued && last.unsent && !sent
 		case resendLater:
 		}
-		if time.Now().Add(wait).After(r.due.Add(s.patience)) || !sleep(ctx, wait) {
+		if !s.wait(ctx, r, wait) {
 			return last
 		}
 	}
 	return last
 }
 
+// wait waits before the request is sent again; false means that its caller
+// has no patience left.
+func (s *sender) wait(ctx context.Context, r request, t time.Duration) bool {
+	return !time.Now().Add(t).After(r.due.Add(s.patience)) && sleep(ctx, t)
+}
+
+// key takes a key for the request. One that is refused is asked for again.
+func (s *sender) key(ctx context.Context, c *caller, r request) (string, error) {
+	for {
+		key, err := c.key(ctx)
+		var refused *refusedError
+		if !errors.As(err, &refused) || !s.wait(ctx, r, refused.retryAfter) {
+			return key, err
+		}
+	}
+}
+
+// prepare returns the instances to send to, with a fresh key for the request if
+// its own is stale.
+func (s *sender) prepare(ctx context.Context, c *caller, r *request, rec *Record, stale bool) ([]Instance, error) {
+	if stale {
+		if err := s.renew(ctx, c, r, rec); err != nil {
+			return nil, err
+		}
+	}
+	return c.instances(ctx)
+}
+
 // renew takes a fresh key for a request whose key has never been sent: the
 // home that the key names can't be reached, so nobody else could run it.
 func (s *sender) renew(ctx context.Context, c *caller, r *request, rec *Record) error {
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -103,11 +103,12 @@
 
 func (c *Control) takeLoad(now time.Time, rec refresh.Record) {
 	var report loadReport
-	if json.Unmarshal(rec.Value, &report) != nil {
+	id := membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}
+	if c.isStranger(id) || json.Unmarshal(rec.Value, &report) != nil {
 		return
 	}
-	c.steer.loads[membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}] = report.reports(now)
-	c.dirty = true
+	c.steer.loads[id] = report.reports(now)
+	c.loadsDirty = true
 }
 
 func (c *Control) takeZoneLoad(now time.Time, rec refresh.Record) {
@@ -117,7 +118,7 @@
 		return
 	}
 	c.steer.zoneLoads[zone] = report.reports(now)
-	c.dirty = true
+	c.loadsDirty = true
 }
 
 // zoneOf returns the zone of an instance.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,8 +45,6 @@
 const (
 	// stopTimeout bounds the end of callers' requests after the handover.
 	stopTimeout = 30 * time.Second
-	// maxKeyTTL bounds how long a key may be valid in any estate.
-	maxKeyTTL = time.Hour
 	// claimTTL is how long a key chosen by a caller is remembered.
 	claimTTL = 10 * time.Minute
 	// idleTimeout ends kept-alive connections of callers.
@@ -95,6 +93,7 @@
 	}
 	expvar.Publish("banyandeal", d.metrics.Counters)
 	expvar.Publish("latency", expvar.Func(func() any { return d.metrics.Latencies() }))
+	expvar.Publish("headroom", expvar.Func(func() any { return d.control.Headroom() }))
 	return d.Run(ctx)
 }
 
@@ -185,7 +184,7 @@
 		Unreachable: func(addr string) { d.control.Suspect(addr) },
 	}
 	t := &transport{sender: d.sender, peers: d.peers, platform: d.platform, self: d.home}
-	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: maxKeyTTL, ClaimTTL: claimTTL}, t)
+	d.keeper = keys.NewKeeper(once.Config{Self: d.home, MaxKeyTTL: estate.MaxKeyTTL, ClaimTTL: claimTTL}, t)
 	d.pool = pool.New(d.policy.balance, func(r pool.Result) { d.control.BackendResult(r) })
 	d.pool.Dial = d.network.Dial
 	d.control = control.New(control.Deps{
@@ -291,16 +290,27 @@
 
 func (d *Daemon) callerServer(enter filter.Handler) *http.Server {
 	l := d.settings.Limits
-	mux := http.NewServeMux()
-	mux.Handle("GET /v1/lookup", &lookup.Handler{Snapshot: d.control.Snapshot, Metrics: d.metrics})
-	mux.Handle("/", &accept.Handler{
+	lookups := &lookup.Handler{Snapshot: d.control.Snapshot, Metrics: d.metrics}
+	requests := &accept.Handler{
 		Estate: func() *estate.Estate { return d.control.Snapshot().Estate }, Next: enter, Region: d.region,
 		Leaving: func() bool { return d.control.Snapshot().Leaving },
 		Metrics: d.metrics, Recorder: d.recorder,
 		Slots: semaphore.NewWeighted(int64(l.MaxInFlight)), Memory: semaphore.NewWeighted(l.BodyMemory),
-	})
+	}
 	return &http.Server{
-		Handler: mux, ReadHeaderTimeout: l.ReadHeaderTimeout, ReadTimeout: l.ReadTimeout,
+		Handler: callerHandler(lookups, requests), ReadHeaderTimeout: l.ReadHeaderTimeout, ReadTimeout: l.ReadTimeout,
 		MaxHeaderBytes: l.MaxHeaderBytes, IdleTimeout: idleTimeout,
 	}
 }
+
+// callerHandler tells look-ups from requests. http.ServeMux would do so too,
+// but answers a path with an empty segment by a redirection of its own.
+func callerHandler(lookups, requests http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == lookup.Path && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+			lookups.ServeHTTP(w, r)
+			return
+		}
+		requests.ServeHTTP(w, r)
+	})
+}
