--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -106,8 +106,9 @@
 	if json.Unmarshal(rec.Value, &report) != nil {
 		return
 	}
-	c.steer.loads[membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}] = report.reports(now)
-	c.loadsDirty = true
+	id := membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}
+	c.reported(report, c.steer.loads[id])
+	c.steer.loads[id] = report.reports(now)
 }
 
 func (c *Control) takeZoneLoad(now time.Time, rec refresh.Record) {
@@ -116,8 +117,17 @@
 	if !ok || json.Unmarshal(rec.Value, &report) != nil {
 		return
 	}
+	c.reported(report, c.steer.zoneLoads[zone])
 	c.steer.zoneLoads[zone] = report.reports(now)
+}
+
+// reported has a report published: at once where there are other slots than
+// before, at the next tick where only their use differs.
+func (c *Control) reported(report loadReport, before map[string]load.Report) {
 	c.loadsDirty = true
+	for name, l := range report {
+		c.dirty = c.dirty || l.Slots != before[name].Slots
+	}
 }
 
 // zoneOf returns the zone of an instance.
