docs: CAPACITY.md, what each role costs at two years' size

The tables are the output of one run of make capacity; a test holds that the page has a row for each role, budget, series and way of refresh that the command knows, and that the mechanisms it names exist.

--- a/internal/capacity/blocks.go
+++ b/internal/capacity/blocks.go
@@ -20,6 +20,7 @@
 	blockRebuild  = "block table built anew, bytes allocated on the way"
 	blockContent  = "configuration held, memory"
 	blockEstate   = "configuration, bytes to fetch"
+	blockObjects  = "configuration, objects to fetch"
 	blockSplit    = "configuration split by the operator's tool, processor"
 	blockJoin     = "configuration joined by a new instance, processor"
 	blockChange   = "one block changed, bytes"
@@ -35,10 +36,10 @@
 // measureBlocks measures what grows with the number of client blocks.
 func measureBlocks(add func(Series)) error {
 	series := map[string]*Series{}
-	names := []string{blockTable, blockRebuild, blockContent, blockEstate, blockSplit, blockJoin, blockChange, blockApply, blockChoose}
-	units := []Unit{Bytes, Bytes, Bytes, Bytes, Seconds, Seconds, Bytes, Seconds, Seconds}
+	names := []string{blockTable, blockRebuild, blockContent, blockEstate, blockObjects, blockSplit, blockJoin, blockChange, blockApply, blockChoose}
+	units := []Unit{Bytes, Bytes, Bytes, Bytes, Objects, Seconds, Seconds, Bytes, Seconds, Seconds}
 	packages := []string{
-		"internal/blocktable", "internal/blocktable", "internal/config", "internal/config", "internal/config",
+		"internal/blocktable", "internal/blocktable", "internal/config", "internal/config", "internal/config", "internal/config",
 		"internal/config", "internal/config", "internal/config", "internal/lookup",
 	}
 	for i, n := range names {
@@ -72,6 +73,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	got[blockObjects] = float64(len(parts))
 	for _, p := range parts {
 		got[blockEstate] += float64(p.Size)
 	}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -103,6 +103,7 @@
 const (
 	Bytes   Unit = "B"
 	Seconds Unit = "s"
+	Objects Unit = ""
 )
 
 // Series is one cost over one variable.
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -1,6 +1,9 @@
 package capacity
 
 import (
+	"os"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,3 +51,49 @@
 		require.Nil(t, links.Ready().Write)
 	}
 }
+
+// flatResults returns results of which every series costs one unit a piece.
+func flatResults() Results {
+	res := Results{}
+	for _, n := range Names {
+		res[n] = Series{Name: n, Unit: Bytes, Points: []Point{{1, 1}, {2, 2}, {3, 3}}, Target: 3}
+	}
+	return res
+}
+
+// TestPage holds that docs/CAPACITY.md has a row for each role, budget and
+// series that the command prints, and names only mechanisms that exist.
+func TestPage(t *testing.T) {
+	data, err := os.ReadFile("../../docs/CAPACITY.md")
+	require.NoError(t, err)
+	page := string(data)
+	res := flatResults()
+	for _, name := range Names {
+		require.Contains(t, page, "| "+name+" | ")
+	}
+	for _, r := range Roles(res) {
+		require.Contains(t, page, "| "+r.Name+" | ")
+	}
+	for _, c := range append(Checks(res), Changes(res)...) {
+		require.Contains(t, page, "| "+c.Name+" | ")
+	}
+	for _, p := range RefreshPolicies {
+		require.Contains(t, page, "| "+p.Name+" | ")
+	}
+	for _, dir := range regexp.MustCompile(`(?:internal|cmd)/[a-z/]+[a-z]`).FindAllString(page, -1) {
+		require.DirExists(t, "../../"+dir)
+	}
+	makefile, err := os.ReadFile("../../Makefile")
+	require.NoError(t, err)
+	require.Contains(t, page, "make capacity")
+	require.Contains(t, string(makefile), "\ncapacity:\n")
+}
+
+// TestReportPrintsEverySeries holds that no measured series is left out.
+func TestReportPrintsEverySeries(t *testing.T) {
+	var out strings.Builder
+	Report(&out, flatResults(), nil)
+	for _, name := range Names {
+		require.Contains(t, out.String(), "| "+name+" | ")
+	}
+}
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -4,12 +4,12 @@
 
 // Names lists the series in the order in which they are printed.
 var Names = []string{
-	blockTable, blockRebuild, blockContent, blockEstate, blockSplit, blockJoin, blockChange, blockApply, blockChoose,
+	blockTable, blockRebuild, blockContent, blockEstate, blockObjects, blockSplit, blockJoin, blockChange, blockApply, blockChoose,
 	siteContent, siteChange, siteApply, sitePlan, zonePlan, zoneTables, zoneRamp, zoneRest,
 	memberHeap, memberTick, memberChange, memberPublish, memberAnew, memberSet, memberRecords, zoneLoads,
 	ownerRow, ownerTick, ownerHeap, linkRow, linkTick, linkHeap, claimRow, keyHeap,
 	trafficPlain, trafficRelay, trafficOne, trafficMesh,
-	wireHeartbeats, wireCalls, wireLookups, wireAnswer,
+	listBytes, wireHeartbeats, wireCalls, wireLookups, wireAnswer, wireSessions,
 }
 
 // Measure measures all series. progress is told each name.
--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -56,7 +56,7 @@
 	return (processorTime() - start).Seconds()
 }
 
-// heap returns the bytes that stay on the heap because of f's result.
+// heap returns the bytes of heap and stacks that stay because of f's result.
 func heap(f func() any) float64 {
 	before := heapInUse()
 	keep := f()
@@ -80,5 +80,5 @@
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc)
+	return float64(m.HeapAlloc + m.StackInuse)
 }
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -23,10 +23,29 @@
 
 // Report writes the tables of docs/CAPACITY.md.
 func Report(w io.Writer, res Results, states []RefreshCost) {
+	writeRoles(w, Roles(res))
+	writeChecks(w, "Budgets", Checks(res))
+	writeChecks(w, "What changes would bring", Changes(res))
 	writeSeries(w, res)
 	writeRefresh(w, states)
 }
 
+func writeRoles(w io.Writer, roles []Role) {
+	fmt.Fprint(w, "### Roles\n\n| role | state | messages | traffic | processor, of one core | memory | carried by |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range roles {
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s | %s |\n", r.Name, r.State, r.Messages, r.Traffic, r.Core, r.Memory, r.Mechanism)
+	}
+	fmt.Fprintln(w)
+}
+
+func writeChecks(w io.Writer, title string, checks []Check) {
+	fmt.Fprint(w, "### ", title, "\n\n| budget | bound | need | margin or shortfall | arithmetic |\n| --- | --- | --- | --- | --- |\n")
+	for _, c := range checks {
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s |\n", c.Name, c.Bound, c.Need, c.Verdict, c.Arithmetic)
+	}
+	fmt.Fprintln(w)
+}
+
 func writeSeries(w io.Writer, res Results) {
 	fmt.Fprintln(w, "### Slopes")
 	fmt.Fprintln(w)
@@ -65,6 +84,9 @@
 // quantity formats a value with a prefix of its unit.
 func quantity(v float64, u Unit) string {
 	abs := max(v, -v)
+	if u == Objects {
+		return fmt.Sprintf("%.4g", v)
+	}
 	if u == Bytes {
 		switch {
 		case abs >= 1<<20:
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -25,6 +25,7 @@
 	linkTick   = "link rights tick, processor"
 	linkHeap   = "link rights, memory"
 	claimRow   = "row of claimed keys, bytes"
+	listBytes  = "platform's list, bytes of one reading"
 	keyHeap    = "settled key at its home, memory"
 	slotsEach  = 4
 	rightsEach = 100
@@ -57,6 +58,8 @@
 	holders.measure(linkHeap, Bytes, "internal/decide/linkcap", func(n int) float64 {
 		return heap(func() any { return newLinks(n) })
 	})
+	listed := over{add: add, variable: "listed instances and backend servers", steps: stepsTo(listedAll()), target: listedAll()}
+	listed.measure(listBytes, Bytes, "internal/platform", func(n int) float64 { return float64(len(mustJSON(listOf(n)))) })
 	kept := over{add: add, variable: "keys", steps: []int{2500, 10_000, 20_000}, target: 20_000}
 	kept.measure(claimRow, Bytes, "internal/decide/once", func(n int) float64 { return float64(len(mustJSON(claimsOf(n)))) })
 	kept.measure(keyHeap, Bytes, "internal/decide/once", func(n int) float64 {
@@ -177,6 +180,25 @@
 	return m
 }
 
+// listedAll is the number of lines of the platform's list.
+func listedAll() int { return Letter.Nodes + Letter.Sites*Letter.SiteBackends }
+
+// listOf returns a list of n lines in the proportion of entry instances and
+// backend servers at Letter's size.
+func listOf(n int) []platform.Instance {
+	entries := n * Letter.Nodes / listedAll()
+	out := make([]platform.Instance, 0, n)
+	for _, in := range newInstances(entries, Letter.Zones) {
+		out = append(out, platform.Instance{ID: in.ID, Kind: platform.KindEntry, Zone: in.Zone, State: platform.InstanceLive, Peer: in.Peer})
+	}
+	for i := range n - entries {
+		out = append(out, platform.Instance{
+			ID: backendName(i), Kind: platform.KindBackend, Zone: zoneName(i % Letter.Zones), State: platform.InstanceLive,
+		})
+	}
+	return out
+}
+
 func newHome() once.Home {
 	in := newInstance(0, 0)
 	return once.Home{Zone: in.Zone, ID: in.ID, Incarnation: in.Incarnation}
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -25,6 +25,7 @@
 const (
 	wireHeartbeats = "heartbeats without news, bytes of both messages"
 	wireCalls      = "heartbeats over peer sessions, processor of both ends"
+	wireSessions   = "peer sessions, memory of both ends"
 	wireLookups    = "look-ups over HTTP, processor of both ends"
 	wireAnswer     = "look-ups answered, bytes of the answers"
 	// overhead is what one small message takes besides its protobuf bytes:
@@ -53,6 +54,13 @@
 	return float64(proto.Size(call) + proto.Size(reply) + 2*overhead)
 }
 
+// slimBytes is HeartbeatBytes without the senders' own records.
+func slimBytes() float64 {
+	call, reply := heartbeat()
+	call.GetExchange().Self, reply.GetExchange().Self = nil, nil
+	return float64(proto.Size(call) + proto.Size(reply) + 2*overhead)
+}
+
 // measureWire measures calls on loopback.
 func measureWire(add func(Series)) error {
 	for _, m := range []func(func(Series)) error{measureCalls, measureLookups} {
@@ -91,6 +99,25 @@
 		body.Close()
 	}
 	one()
+	sessions := over{add: add, variable: "sessions", steps: []int{10, 40, 120}, target: 120}
+	sessions.measure(wireSessions, Bytes, "internal/peer", func(n int) float64 {
+		var open []*peer.Client
+		defer func() {
+			for _, c := range open {
+				c.Close()
+			}
+		}()
+		return heap(func() any {
+			for range n {
+				c := peer.NewClient(nil)
+				open = append(open, c)
+				_, body, err := c.Call(ctx, l.Addr().String(), call, nil)
+				check(err)
+				body.Close()
+			}
+			return open
+		})
+	})
 	calls := over{add: add, variable: "heartbeats", steps: []int{1000, 2000, 4000}, target: 4000}
 	calls.measure(wireHeartbeats, Bytes, "internal/peer", func(n int) float64 { return float64(n) * HeartbeatBytes() })
 	calls.measure(wireCalls, Seconds, "internal/peer", func(n int) float64 {
