--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -73,6 +73,8 @@
 	dirty, loadsDirty bool
 	builder           snapshot.Builder
 	leaving           *leavingState
+	// isCondemned is set for good once others hold this incarnation for dead.
+	isCondemned bool
 	// platformUp tells whether the last call to the platform succeeded.
 	platformUp atomic.Bool
 	drains     drainLog
@@ -81,7 +83,7 @@
 
 // timers holds when periodic work is due next.
 type timers struct {
-	heartbeat, list, configPoll, health time.Time
+	heartbeat, list, configPoll, health, sweep time.Time
 }
 
 // New returns the control state of an instance at its start.
@@ -188,6 +190,7 @@
 	c.tickOwners(now)
 	c.tickLinks(now)
 	c.tickLeaving(now)
+	c.tickRecords(now)
 	c.Keeper.Step(once.Tick{})
 	if due(&c.timers.heartbeat, now, t.Heartbeat) {
 		c.publishLoads(now)
