control: of its zone's relays an instance shares records with one

Heartbeats still go to all three, for suspicion and configuration versions; records go to a live one that each instance chooses by rendezvous, and relays pass them on. Zones of up to three instances are relays only and change nothing. While the chosen relay is silent and not yet suspect (3 s) its instances learn no news of others; ruled out: records to two, for twice the bytes.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -33,8 +33,11 @@
 	}
 	n.busy = true
 	msg := c.heartbeat()
-	msg.Global = encodeRefresh(n.global.Request())
-	if in.Zone == c.Self.Zone {
+	shares := c.sharesRecords(in)
+	if shares {
+		msg.Global = encodeRefresh(n.global.Request())
+	}
+	if shares && in.Zone == c.Self.Zone {
 		msg.Local = encodeRefresh(n.local.Request())
 	}
 	probe := membership.Probe{About: in.Identity, Zone: in.Zone, Peer: in.Peer}
@@ -51,6 +54,15 @@
 	})
 }
 
+// sharesRecords reports whether an exchange with an instance carries records.
+// Of the relays of its zone an instance that is none itself shares them with
+// one: from all three each record would come three times.
+func (c *Control) sharesRecords(in membership.Instance) bool {
+	zone := c.members.View().Zone(c.Self.Zone)
+	relay, ok := zone.RecordRelay(c.Self.Identity)
+	return !ok || relay == in.Identity || !zone.IsRelay(in.Identity)
+}
+
 // greet sends a heartbeat without records to an address whose instance is not
 // known yet. Its reply makes it known.
 func (c *Control) greet(addr string) {
--- a/internal/decide/membership/machine_test.go
+++ b/internal/decide/membership/machine_test.go
@@ -295,3 +295,45 @@
 		})
 	}
 }
+
+// TestRecordRelay holds that an instance shares records with a live relay of
+// its zone if there is one, that relays share with all, and that the others are
+// spread over the relays.
+func TestRecordRelay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		z := ZoneView{Name: "z"}
+		for i := range rapid.IntRange(1, 60).Draw(t, "instances") {
+			state := State(rapid.SampledFrom([]int{0, 0, 0, 1, 2, 3}).Draw(t, "state"))
+			z.Instances = append(z.Instances, Instance{Identity: Identity{fmt.Sprintf("i%02d", i), 1}, Zone: "z", State: state})
+		}
+		z.Relays = relaysOf("z", z.Instances)
+		live := map[Identity]bool{}
+		for _, in := range z.Instances {
+			if in.State == Live && z.IsRelay(in.Identity) {
+				live[in.Identity] = true
+			}
+		}
+		for _, in := range z.Instances {
+			relay, ok := z.RecordRelay(in.Identity)
+			require.Equal(t, len(z.Relays) > 0 && !z.IsRelay(in.Identity), ok)
+			if ok {
+				require.True(t, z.IsRelay(relay))
+				require.True(t, len(live) == 0 || live[relay])
+			}
+		}
+	})
+	z := ZoneView{Name: "z"}
+	for i := range 240 {
+		z.Instances = append(z.Instances, Instance{Identity: Identity{fmt.Sprintf("i%03d", i), 1}, Zone: "z"})
+	}
+	z.Relays = relaysOf("z", z.Instances)
+	counts := map[Identity]int{}
+	for _, in := range z.Instances {
+		if relay, ok := z.RecordRelay(in.Identity); ok {
+			counts[relay]++
+		}
+	}
+	for _, r := range z.Relays {
+		require.Greater(t, counts[r], 40)
+	}
+}
--- a/internal/decide/membership/view.go
+++ b/internal/decide/membership/view.go
@@ -115,6 +115,24 @@
 	return out
 }
 
+// RecordRelay returns the relay with which self exchanges records of its own
+// zone z: relays pass them on among themselves, so that one is enough. Each
+// instance chooses a live one for itself. ok is false when self is a relay,
+// which exchanges with all, and when there is none.
+func (z ZoneView) RecordRelay(self Identity) (relay Identity, ok bool) {
+	if z.IsRelay(self) || len(z.Relays) == 0 {
+		return Identity{}, false
+	}
+	live := slices.DeleteFunc(slices.Clone(z.Relays), func(id Identity) bool {
+		i, known := slices.BinarySearchFunc(z.Instances, id, func(in Instance, d Identity) int { return in.Compare(d) })
+		return !known || z.Instances[i].State != Live
+	})
+	if len(live) == 0 {
+		return z.Relays[0], true
+	}
+	return chooseRelay(self, ZoneView{Relays: live}), true
+}
+
 // chooseRelay spreads the relays of one zone over those of another.
 func chooseRelay(self Identity, z ZoneView) Identity {
 	best := z.Relays[0]
