limit, route: a cut stream is no survivor; no room is answered at once

Cause: the guard was told that a request survived as soon as its large answer was closed, also when the backend server went down in the middle of it. Such a request was cleared each time and never quarantined, and the backend server counted as well. The declared length of a large answer was dropped. limit told a constant Retry-After whatever the work ahead; with the computed one, and with route's own for a service with short requests, the retry rules would hold the caller for that time and ask again instead of answering. Ruled out: a slot given back twice, or before the stream is closed. Conclusion: how a large answer ended is known at its last byte, and told then.

--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -9,6 +9,9 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,6 +19,8 @@
 
 	"github.com/banyandeal/banyandeal/internal/attempt"
 	decide "github.com/banyandeal/banyandeal/internal/decide/quarantine"
+	"github.com/banyandeal/banyandeal/internal/decide/retry"
+	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/filter"
 	"github.com/banyandeal/banyandeal/internal/outcome"
 	"github.com/banyandeal/banyandeal/internal/pool"
@@ -23,8 +28,9 @@
 	"github.com/banyandeal/banyandeal/internal/trace"
 )
 
-// retryAfter is when a caller comes back that found no slot.
-const retryAfter = time.Second
+// noneRetryAfter is when a caller comes back that found no backend server
+// owned here: others own them.
+const noneRetryAfter = time.Second
 
 // Handler is the end of the pipeline: it sends a request to one of the owned
 // backend servers.
@@ -41,7 +47,7 @@
 	for {
 		lease, ok := h.Pool.Acquire(r.Service.Name, avoid)
 		if !ok {
-			return nil, outcome.NotRunError(outcome.KindNoCapacity, retryAfter, "no backend server of %s owned here has a free slot", r.Service.Name)
+			return nil, outcome.NotRunError(outcome.KindNoCapacity, h.retryAfter(r.Service), "no backend server of %s owned here has a free slot", r.Service.Name)
 		}
 		use, ok := h.Guard.Enter(lease.Name(), fp)
 		if ok {
@@ -57,41 +63,70 @@
 	}
 }
 
+// retryAfter is when the work ahead of a request that finds no slot is done.
+func (h Handler) retryAfter(s *estate.Service) time.Duration {
+	free, slots := h.Pool.Free(s.Name)
+	if slots == 0 {
+		return noneRetryAfter
+	}
+	return retry.RetryAfter(retry.Load{Slots: slots, Ahead: slots - free, MeanTime: s.MeanTime}, rand.Float64())
+}
+
 func (h Handler) send(ctx context.Context, r *filter.Request, lease *pool.Lease, use *quarantine.Use) (*filter.Answer, error) {
 	ctx, span := h.Recorder.Start(ctx, "attempt", attribute.String("backend", lease.Name()))
 	rep := lease.Do(ctx, &attempt.Request{
 		Method: r.Method, Path: r.Path, Header: h.header(ctx, r), Body: r.Body, Idempotent: r.Idempotent,
 	})
+	end := func(rep *attempt.Reply) {
+		h.ended(ctx, r, rep, lease, use)
+		trace.End(span, asError(rep.Err))
+	}
 	if rep.Outcome != outcome.Done {
-		if rep.Silent {
-			r.Avoid.Remove(lease.Name())
-		}
-		h.failed(ctx, rep, lease, use)
-		lease.Release(rep)
-		trace.End(span, rep.Err)
+		end(rep)
 		return nil, rep.Err
 	}
 	a := &filter.Answer{Status: rep.Status, Header: rep.Header, Body: rep.Body, Length: int64(len(rep.Body)), Backend: lease.Name()}
-	end := func() {
-		h.Guard.Done(use)
-		lease.Release(rep)
-		trace.End(span, nil)
-	}
 	if rep.Stream == nil {
-		end()
+		end(rep)
 		return a, nil
 	}
-	a.Length = -1
-	a.Stream = &leasedStream{ReadCloser: rep.Stream, end: end}
+	a.Length = declared(rep.Header)
+	a.Stream = &leasedStream{ReadCloser: rep.Stream, rep: rep, end: end}
 	return a, nil
 }
 
-func (h Handler) failed(ctx context.Context, rep *attempt.Reply, lease *pool.Lease, use *quarantine.Use) {
-	if rep.Lost {
+// asError keeps a nil *outcome.Error from becoming an error.
+func asError(e *outcome.Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
+
+// declared returns the length that a backend server gave its answer, -1 for
+// none.
+func declared(header http.Header) int64 {
+	n, err := strconv.ParseInt(header.Get("Content-Length"), 10, 64)
+	if err != nil || n < 0 {
+		return -1
+	}
+	return n
+}
+
+// ended gives the slot back and tells the guard how the request ended.
+func (h Handler) ended(ctx context.Context, r *filter.Request, rep *attempt.Reply, lease *pool.Lease, use *quarantine.Use) {
+	if rep.Silent {
+		r.Avoid.Remove(lease.Name())
+	}
+	switch {
+	case rep.Lost:
 		h.Guard.Lost(ctx, use, lease.Address())
-		return
+	case rep.Outcome == outcome.Done:
+		h.Guard.Done(use)
+	default:
+		h.Guard.Left(use)
 	}
-	h.Guard.Left(use)
+	lease.Release(rep)
 }
 
 func (h Handler) header(ctx context.Context, r *filter.Request) map[string][]string {
@@ -107,12 +142,38 @@
 // leasedStream holds the slot until the stream is closed.
 type leasedStream struct {
 	io.ReadCloser
+	rep  *attempt.Reply
 	once sync.Once
-	end  func()
+	// err is what the last Read returned.
+	err error
+	end func(*attempt.Reply)
+}
+
+// Read implements io.Reader.
+func (s *leasedStream) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	s.err = err
+	return n, err
 }
 
 // Close implements io.Closer.
 func (s *leasedStream) Close() error {
-	defer s.once.Do(s.end)
+	defer s.once.Do(func() { s.end(s.reply()) })
 	return s.ReadCloser.Close()
 }
+
+// reply is how the attempt ended, which only its last byte told.
+func (s *leasedStream) reply() *attempt.Reply {
+	rep := *s.rep
+	if s.err == io.EOF {
+		return &rep
+	}
+	rep.Outcome = outcome.Unknown
+	if s.err == nil {
+		rep.Err = outcome.UnknownError(outcome.KindCancelled, "the answer was not read to its end")
+		return &rep
+	}
+	rep.Err = outcome.AsError(s.err)
+	rep.Lost, rep.Silent = rep.Err.Kind == outcome.KindCutAnswer, rep.Err.Kind == outcome.KindBackendLost
+	return &rep
+}
--- a/internal/filter/route/attempts.go
+++ b/internal/filter/route/attempts.go
@@ -149,11 +149,12 @@
 }
 
 // hopeless returns how long no further attempt has a chance: only when no place
-// had room does the time in the error concern all of them. A backend server
-// that sheds speaks for itself alone.
+// had room does the time in the error concern all of them, and then the caller
+// is answered at once, however short it is. A backend server that sheds speaks
+// for itself alone, and gives none.
 func hopeless(e *outcome.Error) time.Duration {
-	if e.Kind == outcome.KindNoCapacity || e.Kind == outcome.KindLinkFull {
-		return e.RetryAfter
+	if e.RetryAfter > 0 && (e.Kind == outcome.KindNoCapacity || e.Kind == outcome.KindLinkFull) {
+		return max(e.RetryAfter, 2*retry.DefaultMaxBackoff)
 	}
 	return 0
 }
