peer: an answer that nobody reads ends with its reader

Cause: a receiver that leaves closes its half of the stream, and yamux lets the other half be written to until the window is full and then wait for five seconds. For that long a large answer held its slot of a backend server. Ruled out: a slow reader holding up the session; each stream has its window. After: the write ends when the receiver has left. Conclusion: cancellation reaches both directions of a call.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -130,6 +130,8 @@
 	go func() {
 		r.ReadByte()
 		cancel()
+		// A reply that nobody reads would wait for its stream to time out.
+		stream.SetWriteDeadline(time.Unix(1, 0))
 	}()
 	reply, out := s.handler.ServeCall(ctx, call, bytes.NewReader(body))
 	if out != nil {
