forward: a home that has not looked up the key does not say not-run

Cause: an instance that turned a forwarded request away for want of its service or configuration, or for a cut body, said not-run; at the home of a key the forwarder passed this on, though another attempt may have run. Any stage was taken from a peer. A resend of a run whose answer was too large to keep was told done at the home and unknown through another instance. Conclusion: not-run is said by the authority alone; the rule stands once, in filter.Unasked, for accept and forward.

--- a/internal/filter/accept/accept.go
+++ b/internal/filter/accept/accept.go
@@ -72,17 +72,10 @@
 	h.serve(w, hr, r, start)
 }
 
-// refuse answers a request that was turned away here. One that brought a key is
-// told that its outcome is unknown: this instance has not asked the key's
-// authority, and another attempt may have run.
+// refuse answers a request that was turned away here.
 func refuse(w http.ResponseWriter, hr *http.Request, err *outcome.Error) {
 	if hr.Header.Get(filter.HeaderKey) != "" {
-		told := *err
-		told.Outcome = outcome.Unknown
-		if told.RetryAfter > 0 {
-			told.Remedy = "send it again with the same key after the time in Retry-After; it runs at most once"
-		}
-		err = &told
+		err = filter.Unasked(err)
 	}
 	WriteError(w, err)
 }
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/estate"
+	"github.com/banyandeal/banyandeal/internal/outcome"
 )
 
 // Header names that callers and backend servers see.
@@ -157,6 +158,18 @@
 // Serve implements Handler.
 func (f HandlerFunc) Serve(ctx context.Context, r *Request) (*Answer, error) { return f(ctx, r) }
 
+// Unasked returns the error of a request with a key that was turned away before
+// the key's authority was asked: another attempt may have run, so that its
+// outcome is unknown.
+func Unasked(err *outcome.Error) *outcome.Error {
+	told := *err
+	told.Outcome = outcome.Unknown
+	if told.RetryAfter > 0 {
+		told.Remedy = "send it again with the same key after the time in Retry-After; it runs at most once"
+	}
+	return &told
+}
+
 // Filter makes a handler that does its part and calls next.
 type Filter interface {
 	// Name is the filter's name in traces and counters.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -145,8 +145,20 @@
 	return reply, a.Reader()
 }
 
-// ToRequest returns the request of a call. start is when the call arrived.
+// ToRequest returns the request of a call. start is when the call arrived. An
+// error at the home of the request's key leaves the outcome unknown.
 func ToRequest(e *estate.Estate, f *peerpb.Forward, body []byte, start time.Time) (*filter.Request, *outcome.Error) {
+	r, err := toRequest(e, f, body, start)
+	if err != nil && filter.Stage(f.Stage) == filter.StageHome {
+		err = filter.Unasked(err)
+	}
+	return r, err
+}
+
+func toRequest(e *estate.Estate, f *peerpb.Forward, body []byte, start time.Time) (*filter.Request, *outcome.Error) {
+	if stage := filter.Stage(f.Stage); stage < filter.StageHome || stage > filter.StageOwn {
+		return nil, outcome.NotRunError(outcome.KindInternal, lostRetryAfter, "the request came with stage %d", stage)
+	}
 	if e == nil {
 		return nil, outcome.NotRunError(outcome.KindNotReady, lostRetryAfter, "the instance has no configuration yet")
 	}
@@ -174,14 +186,15 @@
 	}
 }
 
-// FromFailure returns the error of a peer message; what is not surely not run is unknown.
+// FromFailure returns the error of a peer message. What is not surely not run
+// is unknown, unless it was done and only its answer is missing.
 func FromFailure(f *peerpb.Failure) *outcome.Error {
-	o := outcome.Outcome(f.Outcome)
-	if o != outcome.NotRun {
+	o, kind := outcome.Outcome(f.Outcome), outcome.Kind(f.Kind)
+	if o != outcome.NotRun && (o != outcome.Done || kind != outcome.KindAnswerDropped) {
 		o = outcome.Unknown
 	}
 	return &outcome.Error{
-		Outcome: o, Kind: outcome.Kind(f.Kind), Message: f.Message, Remedy: f.Remedy,
+		Outcome: o, Kind: kind, Message: f.Message, Remedy: f.Remedy,
 		RetryAfter: time.Duration(f.RetryAfterMs) * time.Millisecond,
 	}
 }
--- a/internal/keys/result.go
+++ b/internal/keys/result.go
@@ -13,7 +13,7 @@
 func resultOf(a *filter.Answer, err error) once.Result {
 	if err != nil {
 		e := outcome.AsError(err)
-		return once.Result{Outcome: e.Outcome, Err: e}
+		return once.Result{Outcome: e.Outcome, Err: e, BodyDropped: e.Outcome == outcome.Done}
 	}
 	return once.Result{Outcome: outcome.Done, Status: a.Status, Header: a.Header, Body: a.Body}
 }
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -30,7 +30,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			body := zeros{make(chan struct{})}
-			addr := serve(t, func(context.Context, *peerpb.Call, io.Reader) (*peerpb.Reply, io.ReadCloser) { return &peerpb.Reply{}, body })
+			addr := serve(t, func(context.Context, *peerpb.Call, io.Reader) (*peerpb.Reply, io.ReadCloser) {
+				return &peerpb.Reply{}, body
+			})
 			c := peer.NewClient(nil)
 			defer c.Close()
 			ctx, cancel := context.WithCancel(t.Context())
