daemon: a claim whose reply was lost is settled by reading back

Cause: Claim gave up when a write ended without a reply, so that attempts of the keys were told unknown although their claims stood; under stale reads it lost each round to the same conflict. Ruled out: a second write of the batch; compare-and-set admits one, and the row in a conflict is never stale. Before: TestClaimWhoseReplyIsLost and TestClaimUnderStaleReads fail. After: they pass; with the table down the claim still fails. Conclusion: read again and merge, until nothing is left to write.

--- a/internal/daemon/transport.go
+++ b/internal/daemon/transport.go
@@ -56,14 +56,12 @@
 	return nil, true, true, err
 }
 
-// Claim implements keys.Transport.
+// Claim implements keys.Transport. A write whose reply was lost is settled by
+// merging the batch again into the row as read back.
 func (t *transport) Claim(ctx context.Context, batch once.ClaimBatch) once.ClaimResult {
 	failed := once.ClaimResult{Shard: batch.Shard, Failed: true}
-	for try := range claimTries {
-		row, err := t.claimRow(ctx, batch.Shard)
-		if err != nil {
-			return failed
-		}
+	row, err := t.claimRow(ctx, batch.Shard)
+	for try := 0; try < claimTries && err == nil; try++ {
 		var value once.ClaimRow
 		if row.Version > 0 && json.Unmarshal(row.Value, &value) != nil {
 			return failed
@@ -72,10 +70,16 @@
 		if !write {
 			return once.ClaimResult{Shard: batch.Shard, Claims: stand}
 		}
-		if done, err := t.writeClaims(ctx, row, next, try); err != nil {
-			return failed
-		} else if done {
+		err = t.writeClaims(ctx, row, next, try)
+		var conflict *platform.Conflict
+		switch {
+		case err == nil:
 			return once.ClaimResult{Shard: batch.Shard, Claims: stand}
+		case errors.As(err, &conflict):
+			// A read may be stale; the row in a conflict is not.
+			row, err = conflict.Row, nil
+		default:
+			row, err = t.claimRow(ctx, batch.Shard)
 		}
 	}
 	return failed
@@ -91,20 +95,16 @@
 	return row, errors.Trace(err)
 }
 
-// writeClaims reports whether the row was written; false means that another
-// writer was first.
-func (t *transport) writeClaims(ctx context.Context, row platform.Row, next once.ClaimRow, try int) (bool, error) {
+// writeClaims writes the next value of the row; a *platform.Conflict means that
+// another writer was first.
+func (t *transport) writeClaims(ctx context.Context, row platform.Row, next once.ClaimRow, try int) error {
 	data, err := json.Marshal(next)
 	if err != nil {
-		return false, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	id := fmt.Sprintf("%s/%s/%d/%d/%d", t.self, row.Name, row.Version, time.Now().UnixNano(), try)
 	_, err = t.platform.Commit(ctx, platform.Txn{ID: id, Writes: []platform.Write{{Row: row.Name, Expect: row.Version, Value: data}}})
-	var conflict *platform.Conflict
-	if errors.As(err, &conflict) {
-		return false, nil
-	}
-	return err == nil, errors.Trace(err)
+	return errors.Trace(err)
 }
 
 // Transfer implements keys.Transport.
