attempt, links: a status that is not final is no answer

Cause: a backend server's answer with a status under 200, such as 101 or 099, was taken for done; writing it to the caller panics in net/http. A right on a link was given back to the machine in use by then, not to the one that gave it. Ruled out by new cases: two lengths, a length beside chunks, a bad chunk, a trailer that breaks off. Before: TestAnswers/no_final_status and /switched_protocols are done. After: unknown, backend_lost, and the connection is closed. Conclusion: only a final status ends a request.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -267,6 +267,12 @@
 		refused.Draining, refused.Shed = reply.Draining, true
 		return refused
 	}
+	if resp.StatusCode < http.StatusOK {
+		// No caller can be given such a status as the answer.
+		_ = body.Close()
+		return &Reply{Outcome: outcome.Unknown, Draining: reply.Draining,
+			Err: outcome.UnknownError(outcome.KindBackendLost, "the backend server answered with status %d, which is not final", resp.StatusCode)}
+	}
 	if !delimited(resp) {
 		_ = body.Close()
 		return cut(reply, "the answer has neither a length nor an end marker")
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -179,6 +179,12 @@
 		{"large header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxHeader) + "\r\n\r\n", outcome.Unknown, outcome.KindBackendLost, ""},
 		{"half a header", "HTTP/1.1 200 OK\r\nContent-", outcome.Unknown, outcome.KindBackendLost, ""},
 		{"shed", "HTTP/1.1 503 Busy\r\nBanyandeal-Not-Run: true\r\nContent-Length: 0\r\n\r\n", outcome.NotRun, outcome.KindNoCapacity, ""},
+		{"no final status", "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n", outcome.Unknown, outcome.KindBackendLost, ""},
+		{"switched protocols", "HTTP/1.1 101 Go\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nraw", outcome.Unknown, outcome.KindBackendLost, ""},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r\nok", outcome.Unknown, outcome.KindBackendLost, ""},
+		{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", outcome.Done, "", "ok"},
+		{"bad chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok0\r\n\r\n", outcome.Unknown, outcome.KindCutAnswer, ""},
+		{"cut trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: y", outcome.Unknown, outcome.KindCutAnswer, ""},
 		{"503 that ran", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", outcome.Done, "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/links/gate.go
+++ b/internal/links/gate.go
@@ -49,14 +49,17 @@
 	if region == g.region {
 		return func() {}, true
 	}
-	if g.machine == nil || !g.machine.TryAcquire(region, now) {
+	// The right goes back to the machine that gave it, if another one is in
+	// use by then.
+	m := g.machine
+	if m == nil || !m.TryAcquire(region, now) {
 		return nil, false
 	}
-	g.peaks[region] = max(g.peaks[region], g.machine.Used(region, now).InFlight)
+	g.peaks[region] = max(g.peaks[region], m.Used(region, now).InFlight)
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.machine.Release(region)
+		m.Release(region)
 	}, true
 }
 
