links: tests of the gate

Cause: the gate between the traffic and the ledger had no test of its own. Conclusion: no cap is passed when the region of an instance changes.

--- /dev/null
+++ b/internal/links/gate_test.go
@@ -0,0 +1,65 @@
+package links
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/decide/linkcap"
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/platform"
+)
+
+// holder is the machine of the only instance of a region, which holds all of
+// the link to sfo.
+func holder(t *testing.T, region string, inFlight int64) *linkcap.Machine {
+	now := time.Now()
+	self := membership.Instance{Identity: membership.Identity{ID: "a", Incarnation: 1}, Peer: "192.0.2.1:7"}
+	m := linkcap.New(linkcap.Config{Self: self.Identity, Peer: self.Peer, Region: region}, now)
+	m.SetCaps(now, map[string]linkcap.Rights{"sfo": {InFlight: inFlight, Rate: 100}}, time.Second)
+	m.SetMembers(now, []membership.Instance{self})
+	require.NoError(t, m.Row(now, platform.Row{Name: linkcap.RowPrefix + region}))
+	for range 30 {
+		time.Sleep(time.Second)
+		m.Tick(time.Now())
+		if w := m.Ready().Write; w != nil {
+			row := platform.Row{Name: w.Writes[0].Row, Version: w.Writes[0].Expect + 1, ChangeID: w.ID, Value: w.Writes[0].Value}
+			require.NoError(t, m.Written(time.Now(), w.ID, platform.TxnReply{Committed: true, Rows: []platform.Row{row}}))
+		}
+	}
+	require.Equal(t, inFlight, m.Usable("sfo").InFlight)
+	return m
+}
+
+func TestGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New()
+		_, ok := g.Acquire("sfo")
+		require.False(t, ok, "no right without a machine")
+		g.Use("pos", holder(t, "pos", 2))
+		inside, ok := g.Acquire("pos")
+		require.True(t, ok, "inside the region there is no cap")
+		inside()
+		first, ok := g.Acquire("sfo")
+		require.True(t, ok)
+		second, ok := g.Acquire("sfo")
+		require.True(t, ok)
+		_, ok = g.Acquire("sfo")
+		require.False(t, ok)
+		second()
+		require.Equal(t, int64(1), g.Usage([]string{"sfo"})[0].Used.InFlight)
+		require.Equal(t, int64(2), g.Usage([]string{"sfo"})[0].Peak)
+
+		// The region changes while a request is on the link.
+		g.Use("bgi", holder(t, "bgi", 1))
+		third, ok := g.Acquire("sfo")
+		require.True(t, ok)
+		first()
+		_, ok = g.Acquire("sfo")
+		require.False(t, ok, "the cap of the new region's link holds")
+		third()
+		require.Zero(t, g.Usage([]string{"sfo"})[0].Used.InFlight)
+	})
+}
