--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -108,7 +108,7 @@
 		return
 	}
 	c.steer.loads[id] = report.reports(now)
-	c.dirty = true
+	c.loadsDirty = true
 }
 
 func (c *Control) takeZoneLoad(now time.Time, rec refresh.Record) {
@@ -118,7 +118,7 @@
 		return
 	}
 	c.steer.zoneLoads[zone] = report.reports(now)
-	c.dirty = true
+	c.loadsDirty = true
 }
 
 // zoneOf returns the zone of an instance.
