daemon, peer: a planned stop waits for the requests that others sent here

Cause: after the handover Run waited for callers' requests alone and then closed the sessions of other instances, with what was in flight on them: a request relayed to the successor of a key, or one for a backend server that could not be handed over since the platform is down. The wait was also bounded by 30 s, less than a service's deadline may be. Ruled out: counting in the call handler, which returns before the reply is sent.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,8 +43,11 @@
 )
 
 const (
-	// stopTimeout bounds the end of callers' requests after the handover.
+	// stopTimeout bounds the end of requests after the handover, unless a
+	// service's deadline is longer.
 	stopTimeout = 30 * time.Second
+	// stopMargin is the time for an answer that comes at its deadline.
+	stopMargin = time.Second
 	// claimTTL is how long a key chosen by a caller is remembered.
 	claimTTL = 10 * time.Minute
 	// idleTimeout ends kept-alive connections of callers.
@@ -236,7 +239,7 @@
 	if errors.Is(err, ErrKilled) {
 		callers.Close()
 	} else {
-		d.shutdown(callers)
+		d.shutdown(callers, peers)
 	}
 	operators.Close()
 	stop()
@@ -279,13 +282,36 @@
 // Addresses returns the addresses that others use.
 func (d *Daemon) Addresses() static.Addresses { return d.settings.Advertise }
 
-// shutdown lets callers' requests end.
-func (d *Daemon) shutdown(callers *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+// shutdown lets callers' requests end, and those that other instances have sent
+// here.
+func (d *Daemon) shutdown(callers *http.Server, peers *peer.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), d.stopTime())
 	defer cancel()
+	go func() {
+		select {
+		case <-d.killed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Error().Err(err).Msg("requests_cut_off")
 	}
+	if err := peers.Drain(ctx); err != nil {
+		d.log.Error().Err(err).Msg("forwarded_requests_cut_off")
+	}
+}
+
+// stopTime bounds the end of requests after the handover: no request in flight
+// takes longer.
+func (d *Daemon) stopTime() time.Duration {
+	t := stopTimeout
+	if e := d.control.Snapshot().Estate; e != nil {
+		for i := range e.Services {
+			t = max(t, e.Services[i].Deadline+stopMargin)
+		}
+	}
+	return t
 }
 
 func (d *Daemon) callerServer(enter filter.Handler) *http.Server {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -149,3 +149,40 @@
 		c.Close()
 	}
 }
+
+// Drain waits until the reply of a call in progress has been sent, so that a
+// Close after it cuts off nothing.
+func TestDrainWaitsForReplies(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	began, release := make(chan struct{}), make(chan struct{})
+	s := peer.NewServer(handlerFunc(func(context.Context, *peerpb.Call, io.Reader) (*peerpb.Reply, io.ReadCloser) {
+		close(began)
+		<-release
+		return &peerpb.Reply{}, io.NopCloser(bytes.NewReader(make([]byte, 300_000)))
+	}))
+	defer s.Close()
+	go s.Serve(l)
+	require.NoError(t, s.Drain(t.Context()), "no call in progress")
+	c := peer.NewClient(nil)
+	defer c.Close()
+	got := make(chan int, 1)
+	go func() {
+		_, out, err := c.Call(context.Background(), l.Addr().String(), forward("r1"), nil)
+		if err != nil {
+			got <- -1
+			return
+		}
+		data, _ := io.ReadAll(out)
+		got <- len(data)
+	}()
+	<-began
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, s.Drain(ended), context.Canceled)
+	close(release)
+	require.NoError(t, s.Drain(t.Context()))
+	s.Close()
+	require.Equal(t, 300_000, <-got)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -38,6 +38,10 @@
 	conns   map[*yamux.Session]struct{}
 	closed  bool
 	wg      sync.WaitGroup
+	// inProgress counts calls; idle is made anew when the first begins, and
+	// closed when the last has ended.
+	inProgress int
+	idle       chan struct{}
 }
 
 // NewServer returns a server that passes calls to handler.
@@ -94,7 +98,7 @@
 			return
 		}
 		go func() {
-			defer func() { <-streams; s.wg.Done() }()
+			defer func() { <-streams; s.end() }()
 			s.serveStream(stream)
 		}()
 	}
@@ -104,10 +108,40 @@
 func (s *Server) begin() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.closed {
-		s.wg.Add(1)
+	if s.closed {
+		return false
+	}
+	s.wg.Add(1)
+	if s.inProgress++; s.inProgress == 1 {
+		s.idle = make(chan struct{})
+	}
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inProgress--; s.inProgress == 0 {
+		close(s.idle)
+	}
+	s.wg.Done()
+}
+
+// Drain returns when no call is in progress, its reply sent, or when ctx ends
+// and some are. New calls are still served: the senders end them.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	idle, busy := s.idle, s.inProgress > 0
+	s.mu.Unlock()
+	if !busy {
+		return nil
+	}
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
 	}
-	return !s.closed
 }
 
 // serveStream reads one call and its whole body, then answers it. After the
