control, publish: a new instance asks its neighbours first; malformed heads

Cause: a new instance asked the platform alone, whose read may be old, and took what it answered; the version in force at its site could be newer. It asks the configured neighbours and those that it hears of (that have a version) too, and waits for each once, at most the time of one fetch. The test showed besides that a head whose digests are short ends the process by an index out of range; such heads are refused where they are decoded. Ruled out: asking a neighbour again at each heartbeat, which could hold up the first version for ever.

--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -112,7 +112,7 @@
 	if err := decodeJSON("delta", data, &d); err != nil {
 		return Delta{}, err
 	}
-	if d.To <= d.From || !d.Root.valid() || !d.FromRoot.valid() || (d.Prev != "" && !d.Prev.valid()) {
+	if d.To <= d.From || !d.Root.Valid() || !d.FromRoot.Valid() || (d.Prev != "" && !d.Prev.Valid()) {
 		return Delta{}, corrupt("delta", "it leads from version %d to %d, or has no root", d.From, d.To)
 	}
 	if err := checkEntries("delta", d.Changed); err != nil {
--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -23,8 +23,8 @@
 	return Digest(hex.EncodeToString(sum[:]))
 }
 
-// valid reports whether the digest is well-formed.
-func (d Digest) valid() bool {
+// Valid reports whether the digest is well-formed.
+func (d Digest) Valid() bool {
 	raw, err := hex.DecodeString(string(d))
 	return err == nil && len(raw) == sha256.Size && hex.EncodeToString(raw) == string(d)
 }
@@ -155,11 +155,11 @@
 	if err := decodeJSON("index", data, &ix); err != nil {
 		return Index{}, err
 	}
-	if len(ix.Pages) != manifestPages || !ix.Root.valid() {
+	if len(ix.Pages) != manifestPages || !ix.Root.Valid() {
 		return Index{}, corrupt("index", "it has no root, or %d pages instead of %d", len(ix.Pages), manifestPages)
 	}
 	for _, d := range ix.Pages {
-		if !d.valid() {
+		if !d.Valid() {
 			return Index{}, corrupt("index", "the digest of a page is not valid")
 		}
 	}
@@ -200,7 +200,7 @@
 
 func checkEntries(what string, entries []Entry) error {
 	for i, e := range entries {
-		if !e.Digest.valid() || e.Size < 0 {
+		if !e.Digest.Valid() || e.Size < 0 {
 			return corrupt(what, "the entry %q has no digest or size", e.Name)
 		}
 		if i > 0 && entries[i-1].Name >= e.Name {
--- a/internal/config/publish/head.go
+++ b/internal/config/publish/head.go
@@ -59,9 +59,9 @@
 			Remedy: "ask another source for the head",
 		})
 	}
-	if h.Version == 0 || h.Root == "" || h.Manifest == "" {
+	if h.Version == 0 || !h.Root.Valid() || !h.Manifest.Valid() || (h.Delta != "" && !h.Delta.Valid()) {
 		return Head{}, errors.Trace(&config.Error{
-			Kind: config.KindCorrupt, Path: HeadRow, Message: "the head has no version, root or manifest",
+			Kind: config.KindCorrupt, Path: HeadRow, Message: "the head has no version, or its digests are malformed",
 			Remedy: "ask another source for the head",
 		})
 	}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -22,12 +22,28 @@
 	inForce time.Time
 }
 
-func newConfigState() *configState {
-	return &configState{receiver: publish.NewReceiver(publish.Platform), addrs: map[publish.Source]string{}}
+// newConfigState returns the state of a new instance. It asks the platform,
+// whose answer may be old, and the configured neighbours before it takes a
+// version.
+func newConfigState(self string, neighbours []string) *configState {
+	s := &configState{addrs: map[publish.Source]string{}}
+	ask := []publish.Source{publish.Platform}
+	for _, addr := range neighbours {
+		if addr != self {
+			s.addrs[publish.Source(addr)] = addr
+			ask = append(ask, publish.Source(addr))
+		}
+	}
+	s.receiver = publish.NewReceiver(ask...)
+	return s
 }
 
-// heard notes the version that a neighbour says it has in force.
+// heard notes the version that a neighbour says it has in force. A new instance
+// asks one that it hears of for the first time before it takes a version.
 func (s *configState) heard(from publish.Source, addr string, version uint64) {
+	if _, known := s.addrs[from]; !known && version > 0 {
+		s.receiver.Ask(from)
+	}
 	s.addrs[from] = addr
 	s.receiver.Heard(from, version)
 }
--- /dev/null
+++ b/internal/control/config_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/config"
+	"github.com/banyandeal/banyandeal/internal/config/publish"
+	"github.com/banyandeal/banyandeal/internal/config/static"
+)
+
+// headsAsked returns the sources whose head the receiver wants.
+func headsAsked(r publish.Ready) []publish.Source {
+	var out []publish.Source
+	for _, f := range r.Fetch {
+		if f.Digest == "" {
+			out = append(out, f.Source)
+		}
+	}
+	return out
+}
+
+// A new instance does not take the platform's version, which may be old, before
+// each configured neighbour and each one that it heard of has answered or
+// failed.
+func TestNewbornAsksNeighbours(t *testing.T) {
+	c := newTestControl(t, func(s *static.Settings) { s.Neighbours = []string{"e1:90", "e3:90"} })
+	r := c.config.receiver
+	require.Equal(t, []publish.Source{publish.Platform, "e3:90"}, headsAsked(r.Ready()))
+	c.serveExchange(epoch, heartbeatOf(t, instance("e2", 1, "a"), 5, nil, nil))
+	require.Equal(t, []publish.Source{"e2"}, headsAsked(r.Ready()))
+
+	digest := config.DigestOf([]byte("manifest"))
+	manifest := func(version uint64) publish.Head {
+		return publish.Head{Version: version, Manifest: digest, Root: digest}
+	}
+	r.HeadOf(publish.Platform, manifest(4))
+	r.Failed(publish.Fetch{Source: "e3:90"})
+	require.Empty(t, r.Ready().Fetch, "e2 has not answered")
+	r.HeadOf("e2", manifest(5))
+	require.Equal(t, []publish.Fetch{{Source: "e2", Digest: digest}}, r.Ready().Fetch)
+	require.Equal(t, "e3:90", c.config.addrs["e3:90"])
+}
+
+// A neighbour without a version is not waited for, and one that was heard
+// before holds nothing up again.
+func TestNewbornWaitsForNobodyTwice(t *testing.T) {
+	c := newTestControl(t, nil)
+	r := c.config.receiver
+	r.Ready()
+	c.serveExchange(epoch, heartbeatOf(t, instance("e2", 1, "a"), 0, nil, nil))
+	c.serveExchange(epoch, heartbeatOf(t, instance("e3", 1, "a"), 4, nil, nil))
+	require.Equal(t, []publish.Source{"e3"}, headsAsked(r.Ready()))
+	r.Failed(publish.Fetch{Source: "e3"})
+	c.serveExchange(epoch, heartbeatOf(t, instance("e3", 1, "a"), 4, nil, nil))
+	digest := config.DigestOf([]byte("manifest"))
+	r.HeadOf(publish.Platform, publish.Head{Version: 4, Manifest: digest, Root: digest})
+	require.NotEmpty(t, r.Ready().Fetch)
+	require.Nil(t, r.Current())
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -95,7 +95,7 @@
 		health: newHealthState(d.Dial),
 		fatal:  make(chan error, 1),
 	}
-	c.config = newConfigState()
+	c.config = newConfigState(d.Self.Peer, d.Settings.Neighbours)
 	c.snap.Store(&snapshot.Snapshot{Self: c.selfView(), Zone: d.Self.Zone})
 	return c
 }
