control: relays tell their zone what the list says of its backend servers

Cause: only relays read the platform's list, so an owner that is no relay never learnt from it that a backend server is leaving. Ruled out: each owner reading the list, which is per-instance load on the platform; one set of named backend servers for all relays, since a list that lags behind another would count as the absence of what it never named. Before (guards taken out): the owner stays healthy; after: draining at once.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -188,6 +188,8 @@
 	switch {
 	case rec.Name == recordLoad:
 		c.takeLoad(now, rec)
+	case rec.Name == recordBackends:
+		c.takeListed(now, rec)
 	case rec.Name == recordZoneLoad:
 		c.takeZoneLoad(now, rec)
 	case rec.Name == recordRamp:
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"syscall"
@@ -15,7 +16,6 @@
 	"github.com/banyandeal/banyandeal/internal/decide/health"
 	"github.com/banyandeal/banyandeal/internal/estate"
 	"github.com/banyandeal/banyandeal/internal/outcome"
-	"github.com/banyandeal/banyandeal/internal/platform"
 	"github.com/banyandeal/banyandeal/internal/pool"
 )
 
@@ -45,9 +45,13 @@
 	client  *http.Client
 	// probing holds the backend servers with a probe on its way.
 	probing map[string]bool
+	// sent is what the zone was last told of the list.
+	sent sentListed
 	// listed holds the backend servers that a list has named: only their
-	// absence from a later one means anything.
-	listed map[string]bool
+	// absence from a later one of the same reader means anything.
+	listed map[listing]bool
+	// last is what a list said last, read here or by another relay.
+	last listedBackends
 }
 
 func newHealthState(dial func(ctx context.Context, network, address string) (net.Conn, error)) *healthState {
@@ -60,7 +64,7 @@
 		// fate of one that has gone silent.
 		client:  &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}},
 		probing: map[string]bool{},
-		listed:  map[string]bool{},
+		listed:  map[listing]bool{},
 	}
 }
 
@@ -100,12 +104,16 @@
 // installHealth tells the machine which backend servers this instance owns.
 func (c *Control) installHealth(now time.Time) {
 	var declared []health.Backend
+	zone := map[string]bool{}
 	c.eachZoneBackend(func(_ *estate.Service, b estate.Backend) {
+		zone[b.Name] = true
 		if c.owners.held[b.Name] != nil {
 			declared = append(declared, health.Backend{Name: b.Name, Draining: b.State.IsDraining(), Since: b.Since})
 		}
 	})
 	c.health.machine.Update(now, declared)
+	maps.DeleteFunc(c.health.listed, func(l listing, _ bool) bool { return !zone[l.backend] })
+	c.stepLeaving(now)
 }
 
 func (c *Control) tickHealth(now time.Time) {
@@ -166,31 +174,6 @@
 	return health.OK
 }
 
-// takeBackendList tells the machine what the platform's list says of the owned
-// backend servers.
-func (c *Control) takeBackendList(now time.Time, list []platform.Instance) {
-	listed := map[string]health.News{}
-	for _, l := range list {
-		if l.Kind != platform.KindBackend {
-			continue
-		}
-		listed[l.ID] = health.OK
-		if l.State == platform.InstanceLeaving {
-			listed[l.ID] = health.Leaving
-		}
-	}
-	for name := range c.owners.held {
-		news, ok := listed[name]
-		if !ok && !c.health.listed[name] {
-			continue
-		}
-		if c.health.listed[name] = true; !ok {
-			news = health.Gone
-		}
-		c.health.machine.Step(health.Event{Name: name, Source: health.List, News: news, At: now})
-	}
-}
-
 // standing is how far an owned backend server may be given new work, and since
 // when it is cold.
 func (c *Control) standing(now time.Time, b estate.Backend, h *holding) (balance.Standing, time.Time) {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/config/publish"
@@ -128,6 +129,7 @@
 	c.records.forget(now, in.Identity)
 	c.records.expire(c.records.global, in.ID, recordInstance, expiry{incarnation: in.Incarnation, at: now.Add(goneTTL), peer: in.Peer})
 	delete(c.steer.loads, in.Identity)
+	maps.DeleteFunc(c.health.listed, func(l listing, _ bool) bool { return l.reader == in.ID })
 	c.Keeper.Step(once.Gone{Home: once.Home{Zone: in.Zone, ID: in.ID, Incarnation: in.Incarnation}})
 	if !c.runs(in.ID) {
 		c.config.forget(publish.Source(in.ID))
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -20,6 +20,9 @@
 	recordLoad = "load"
 	// recordZoneLoad is the load of a zone; global.
 	recordZoneLoad = "zone-load"
+	// recordBackends is what the platform's list says of a zone's backend
+	// servers; local.
+	recordBackends = "backend-list"
 )
 
 // records is this instance's replica of the soft state that instances share.
@@ -73,7 +76,7 @@
 	for _, at := range []struct {
 		set  *refresh.Set
 		name string
-	}{{r.local, recordLoad}, {r.global, recordZoneLoad}, {r.global, recordRamp}, {r.global, recordQuarantine}} {
+	}{{r.local, recordLoad}, {r.local, recordBackends}, {r.global, recordZoneLoad}, {r.global, recordRamp}, {r.global, recordQuarantine}} {
 		r.delete(now, at.set, id.ID, at.name, id.Incarnation)
 	}
 }
