control: a drained site empties; a new instance's ramp counts from the drain

Cause: (1) the backend servers of a drained site in an active zone were given work whenever the others had no room, for good, so the site never emptied, and no line of status told of it. They are closed once shifts have ended and cached look-ups have run out; status shows "site S" with its drain time. (2) A new instance without a neighbour's position counted the ramp of every drain from the time of the version in force, so any later version restarted it. It counts from when the drain was declared, and takes drains older than the slowest ramp as ended. Ruled out: the earliest of several drains as the start, with which a later one would jump; closing a site at once, since shares move away under the cap. After: closed; 0.3, the same for an early and a late version.

--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/operator"
+	"github.com/banyandeal/banyandeal/internal/pool"
 )
 
 // keptDrains is how many finished drains are remembered.
@@ -54,8 +56,8 @@
 	d.all = slices.DeleteFunc(d.all, func(s operator.DrainStatus) bool { return !declared[s.What] })
 }
 
-// followDrains notes the drains that concern this instance: its zone, and the
-// backend servers that it owns.
+// followDrains notes the drains that concern this instance: its zone, the
+// zone's sites, and the backend servers that it owns.
 func (c *Control) followDrains(now time.Time) {
 	e := c.steer.estate
 	if e == nil {
@@ -75,14 +77,35 @@
 		}
 		follow("zone "+c.Self.Zone, c.Pool.Total(), now.Sub(c.drains.steered) < c.longestTTL())
 	}
-	for _, u := range c.Pool.Usage() {
+	usage := c.Pool.Usage()
+	for _, u := range usage {
 		if u.State.IsDraining() {
 			follow("backend "+u.Name, u.InFlight, false)
 		}
 	}
+	for _, s := range e.Sites {
+		if s.Zone == c.Self.Zone && s.State.IsDraining() {
+			inFlight, open := siteWork(s.Name, usage)
+			follow("site "+s.Name, inFlight, open)
+			// Time alone closes its backend servers.
+			c.dirty = c.dirty || open
+		}
+	}
 	c.drains.keep(declared)
 }
 
+// siteWork returns what a site's backend servers that this instance owns have in
+// flight, and whether one of them is still given work.
+func siteWork(site string, usage []pool.Usage) (inFlight int, open bool) {
+	for _, u := range usage {
+		if u.Site == site {
+			inFlight += u.InFlight
+			open = open || u.Standing != balance.Closed
+		}
+	}
+	return inFlight, open
+}
+
 // steered reports whether look-ups lead to this instance's zone.
 func (c *Control) steered() bool {
 	if c.steer.plan == nil {
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -174,10 +174,18 @@
 	return health.OK
 }
 
+// siteEmptied reports whether a backend server's site is draining while its zone
+// is not, and shifts have ended for long enough that callers know of it.
+func (c *Control) siteEmptied(now time.Time, b estate.Backend) bool {
+	e, r := c.steer.estate, c.ramp
+	s, _ := e.SiteOf(b.Site)
+	return s.State.IsDraining() && !e.ZoneDraining(b.Zone) && !r.moving && now.Sub(r.stillSince) >= c.longestTTL()
+}
+
 // standing is how far an owned backend server may be given new work, and since
 // when it is cold.
 func (c *Control) standing(now time.Time, b estate.Backend, h *holding) (balance.Standing, time.Time) {
-	if h.stopping || b.State.IsDraining() {
+	if h.stopping || b.State.IsDraining() || c.siteEmptied(now, b) {
 		return balance.Closed, time.Time{}
 	}
 	state := c.health.machine.State(b.Name)
--- a/internal/control/ramp.go
+++ b/internal/control/ramp.go
@@ -31,6 +31,10 @@
 	ticking   bool
 	// position is the furthest that a neighbour told of before the ramp began.
 	position shift.Position
+	// moving is set while shares may be on their way to their target; stillSince
+	// is when they last arrived.
+	moving     bool
+	stillSince time.Time
 	// lost holds the zones without any instance that can be given work.
 	lost map[string]bool
 }
@@ -47,6 +51,7 @@
 		return
 	}
 	s.plan = plan
+	r.moving = true
 	if r.ramp != nil {
 		r.ramp.SetTarget(now, plan)
 		c.rebuildTables(allServices(plan))
@@ -58,48 +63,6 @@
 	c.rebuildTables(allServices(plan))
 }
 
-// startRamp begins the ramp of a new instance: from a neighbour's position, or
-// else from before the drains that are declared, as if they had begun with the
-// version in force.
-func (c *Control) startRamp(now time.Time, plan *placement.Plan) {
-	before, drains := withoutDrains(c.steer.estate)
-	if !drains {
-		c.ramp.ramp.Start(now, plan)
-		return
-	}
-	old, err := c.Place(c.planInput(before))
-	if err != nil {
-		c.ramp.ramp.Start(now, plan)
-		return
-	}
-	c.ramp.ramp.StartFrom(now, old, plan, c.config.receiver.Current().Head.Time)
-}
-
-// withoutDrains returns a copy of the estate in which nothing but single
-// backend servers drains, and whether that differs from the estate.
-func withoutDrains(e *estate.Estate) (*estate.Estate, bool) {
-	c := *e
-	c.Regions = append([]estate.Region(nil), e.Regions...)
-	c.Zones = append([]estate.Zone(nil), e.Zones...)
-	c.Sites = append([]estate.Site(nil), e.Sites...)
-	drains := false
-	clear := func(s *estate.State) {
-		if s.IsDraining() {
-			*s, drains = estate.Active, true
-		}
-	}
-	for i := range c.Regions {
-		clear(&c.Regions[i].State)
-	}
-	for i := range c.Zones {
-		clear(&c.Zones[i].State)
-	}
-	for i := range c.Sites {
-		clear(&c.Sites[i].State)
-	}
-	return &c, drains
-}
-
 func (c *Control) planInput(e *estate.Estate) placement.Input {
 	in := placement.NewInput(e, c.steer.demand)
 	for i := range in.Services {
@@ -162,6 +125,10 @@
 	if len(status.Changed) > 0 {
 		c.rebuildTables(status.Changed)
 	}
+	if r.moving && !status.Moving {
+		r.stillSince = now
+	}
+	r.moving = status.Moving
 	c.publishRamp(now, status)
 }
 
--- /dev/null
+++ b/internal/control/ramp_test.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/decide/balance"
+	"github.com/banyandeal/banyandeal/internal/decide/health"
+	"github.com/banyandeal/banyandeal/internal/estate"
+)
+
+// drained returns the estate with a draining zone b, declared at since.
+func drained(since time.Time) *estate.Estate {
+	e := testEstate(block("10.1.0.0/16", "north"), block("10.2.0.0/16", "south"))
+	e.Zones[1].State = estate.Draining
+	e.Sites[1].Since = since
+	return e
+}
+
+// The ramp of a new instance is counted from the drain, whatever versions came
+// after it; a drain that has surely ended is in force at once, as is one that
+// was declared with the first version.
+func TestNewbornRampCountsFromDrain(t *testing.T) {
+	now := epoch.Add(time.Hour)
+	for _, tc := range []struct {
+		name  string
+		ago   time.Duration
+		since bool
+	}{
+		{"just now", 0, true},
+		{"under way", 40 * time.Second, true},
+		{"ended", 100 * time.Second, false},
+		{"first version", now.Sub(time.Time{}), false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := drained(now.Add(-tc.ago))
+			if tc.name == "first version" {
+				e.Sites[1].Since = time.Time{}
+			}
+			before, since := beforeDrains(e, now)
+			require.Equal(t, tc.since, !before.ZoneDraining("b"))
+			require.Equal(t, tc.since, since.Equal(now.Add(-tc.ago)))
+			require.True(t, e.ZoneDraining("b"))
+		})
+	}
+}
+
+// A later version that has nothing to do with a drain does not restart its ramp
+// for an instance that is born after it.
+func TestNewbornRampIgnoresLaterVersions(t *testing.T) {
+	now := epoch.Add(time.Hour)
+	left := func(headTime time.Time) float64 {
+		c := newTestControl(t, nil)
+		in := installed(t, 7, drained(now.Add(-20*time.Second)), nil, nil)
+		in.Head.Time = headTime
+		c.install(now, in)
+		flows, total := columns(flowOf(c.ramp.ramp.Shares(0), c.steer.plan.Services[0].Flow))
+		return share(flows[1], total)
+	}
+	early, late := left(now.Add(-20*time.Second)), left(now)
+	require.Equal(t, early, late)
+	require.InDelta(t, 0.3, late, 0.01, "of 0.5, 0.01 a second")
+}
+
+// The backend servers of a drained site get work only while the shift goes on
+// and cached look-ups last; then the site has a drain time.
+func TestDrainedSiteIsEmptied(t *testing.T) {
+	c := newTestControl(t, nil)
+	e := testEstate(block("10.1.0.0/16", "north"))
+	e.Sites = append([]estate.Site{e.Sites[0], {Name: "a-2", Zone: "a", Weight: 1}}, e.Sites[1:]...)
+	e.Services[0].Backends = append(e.Services[0].Backends, estate.Backend{
+		Name: "a-2-1", Site: "a-2", Zone: "a", Address: "10.0.0.3:80", Slots: 4, MaxConnections: 8,
+	})
+	c.install(epoch, installed(t, 1, e, nil, nil))
+	own(c, epoch)
+	at := func(now time.Time) balance.Standing {
+		c.health.machine.Step(health.Event{Name: listedBackend, Source: health.Probe, News: health.OK, At: now})
+		c.tickSteer(now)
+		c.publish(now)
+		c.followDrains(now)
+		return c.Pool.Usage()[0].Standing
+	}
+	settled := epoch.Add(5 * time.Minute)
+	for now := epoch; now.Before(settled); now = now.Add(time.Second) {
+		require.Equal(t, balance.Open, at(now))
+	}
+	require.False(t, c.ramp.moving)
+
+	e.Sites[0].State, e.Sites[0].Since = estate.Draining, settled
+	c.install(settled, installed(t, 2, e, nil, nil))
+	require.Equal(t, balance.Doubtful, at(settled), "look-ups are cached")
+	require.Equal(t, "site a-1", c.drains.status()[0].What)
+	require.Zero(t, c.drains.status()[0].Took)
+	for now := settled; now.Before(settled.Add(5 * time.Minute)); now = now.Add(time.Second) {
+		at(now)
+	}
+	require.Equal(t, balance.Closed, c.Pool.Usage()[0].Standing)
+	require.NotZero(t, c.drains.status()[0].Took)
+	require.Len(t, c.drains.status(), 1)
+}
--- /dev/null
+++ b/internal/control/rampstart.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"math"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/placement"
+	"github.com/banyandeal/banyandeal/internal/estate"
+)
+
+// maxRampTime bounds how long a drain may be under way.
+const maxRampTime = time.Hour
+
+// startRamp begins the ramp of a new instance: from a neighbour's position, or
+// else from before the drains that may be under way.
+func (c *Control) startRamp(now time.Time, plan *placement.Plan) {
+	before, since := beforeDrains(c.steer.estate, now)
+	if since.IsZero() {
+		c.ramp.ramp.Start(now, plan)
+		return
+	}
+	old, err := c.Place(c.planInput(before))
+	if err != nil {
+		c.ramp.ramp.Start(now, plan)
+		return
+	}
+	c.ramp.ramp.StartFrom(now, old, plan, since)
+}
+
+// beforeDrains returns a copy of the estate without those drains of regions,
+// zones and sites that may still be under way at the slowest pace, and when the
+// last of them was declared; zero if there are none. Later versions that leave
+// a drain as it is do not move its time.
+func beforeDrains(e *estate.Estate, now time.Time) (before *estate.Estate, since time.Time) {
+	sites, zones, regions := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for _, s := range e.Sites {
+		if !s.State.IsDraining() && !e.ZoneDraining(s.Zone) || now.Sub(s.Since) >= rampTime(e.Shift) {
+			continue
+		}
+		z, _ := e.ZoneOf(s.Zone)
+		sites[s.Name], zones[z.Name], regions[z.Region] = true, true, true
+		if s.Since.After(since) {
+			since = s.Since
+		}
+	}
+	return withoutDrains(e, sites, zones, regions), since
+}
+
+// rampTime is how long the slowest shift of a whole service takes.
+func rampTime(p estate.ShiftPolicy) time.Duration {
+	share := min(p.ColdShare, p.MaxShare)
+	if share <= 0 {
+		return maxRampTime
+	}
+	return time.Duration(min(math.Ceil(float64(time.Second)/share), float64(maxRampTime)))
+}
+
+// withoutDrains returns a copy of the estate in which the named sites, zones and
+// regions are active.
+func withoutDrains(e *estate.Estate, sites, zones, regions map[string]bool) *estate.Estate {
+	c := *e
+	c.Regions = append([]estate.Region(nil), e.Regions...)
+	c.Zones = append([]estate.Zone(nil), e.Zones...)
+	c.Sites = append([]estate.Site(nil), e.Sites...)
+	for i := range c.Regions {
+		activate(&c.Regions[i].State, regions[c.Regions[i].Name])
+	}
+	for i := range c.Zones {
+		activate(&c.Zones[i].State, zones[c.Zones[i].Name])
+	}
+	for i := range c.Sites {
+		activate(&c.Sites[i].State, sites[c.Sites[i].Name])
+	}
+	return &c
+}
+
+func activate(s *estate.State, yes bool) {
+	if yes {
+		*s = estate.Active
+	}
+}
