--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -4,11 +4,12 @@
 
 // Names lists the series in the order in which they are printed.
 var Names = []string{
-	blockTable, blockRebuild, blockContent, blockEstate, blockSplit, blockJoin, blockChange, blockApply, blockChoose,
+	blockTable, blockRebuild, blockContent, blockEstate, blockObjects, blockSplit, blockJoin, blockChange, blockApply, blockChoose,
 	siteContent, siteChange, siteApply, sitePlan, zonePlan, zoneTables, zoneRamp, zoneRest,
-	memberHeap, memberTick, memberChange, memberPublish, memberRecords, zoneLoads,
+	memberHeap, memberTick, memberChange, memberPublish, memberAnew, memberSet, memberRecords, zoneLoads,
 	ownerRow, ownerTick, ownerHeap, linkRow, linkTick, linkHeap, claimRow, keyHeap,
-	wireHeartbeats, wireCalls, wireLookups, wireAnswer,
+	trafficPlain, trafficRelay, trafficThree, trafficMesh,
+	listBytes, wireHeartbeats, wireCalls, wireLookups, wireAnswer, wireSessions,
 }
 
 // Measure measures all series. progress is told each name.
@@ -18,7 +19,7 @@
 		out[s.Name] = s
 		progress(s.Name)
 	}
-	for _, m := range []func(func(Series)) error{measureWire, measureMembers, measureRows, measureZones, measureSites, measureBlocks} {
+	for _, m := range []func(func(Series)) error{measureWire, measureTraffic, measureMembers, measureRows, measureZones, measureSites, measureBlocks} {
 		if err := m(add); err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -22,16 +22,38 @@
 	inForce time.Time
 }
 
-func newConfigState() *configState {
-	return &configState{receiver: publish.NewReceiver(publish.Platform), addrs: map[publish.Source]string{}}
+// newConfigState returns the state of a new instance. It asks the platform,
+// whose answer may be old, and the configured neighbours before it takes a
+// version.
+func newConfigState(self string, neighbours []string) *configState {
+	s := &configState{addrs: map[publish.Source]string{}}
+	ask := []publish.Source{publish.Platform}
+	for _, addr := range neighbours {
+		if addr != self {
+			s.addrs[publish.Source(addr)] = addr
+			ask = append(ask, publish.Source(addr))
+		}
+	}
+	s.receiver = publish.NewReceiver(ask...)
+	return s
 }
 
-// heard notes the version that a neighbour says it has in force.
+// heard notes the version that a neighbour says it has in force. A new instance
+// asks one that it hears of for the first time before it takes a version.
 func (s *configState) heard(from publish.Source, addr string, version uint64) {
+	if _, known := s.addrs[from]; !known && version > 0 {
+		s.receiver.Ask(from)
+	}
 	s.addrs[from] = addr
 	s.receiver.Heard(from, version)
 }
 
+// forget drops a neighbour that is gone.
+func (s *configState) forget(from publish.Source) {
+	delete(s.addrs, from)
+	s.receiver.Forget(from)
+}
+
 // pollConfig reads the head from the platform. Relays do, and an instance
 // without a configuration.
 func (c *Control) pollConfig() {
@@ -132,7 +154,8 @@
 func (c *Control) install(now time.Time, in *publish.Installed) {
 	if err := c.steer.install(in); err != nil {
 		// Every part was checked against its digest, so the content itself is
-		// at fault and the version before stays in force.
+		// at fault and the version before stays in force. The receiver has it
+		// nonetheless: it is not fetched again, and neighbours may have it.
 		c.Log.Error().Err(err).Uint64("version", in.Head.Version).Msg("config_unusable")
 		return
 	}
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -22,6 +22,10 @@
 // outcome is evidence of whether it lives: an address that refuses the
 // connection shows at once that the process is dead.
 func (c *Control) exchange(in membership.Instance) {
+	if c.isStranger(in.Identity) {
+		c.greet(in.Peer)
+		return
+	}
 	n := c.records.neighbour(in.Identity)
 	if n.busy {
 		n.again = true
@@ -29,8 +33,11 @@
 	}
 	n.busy = true
 	msg := c.heartbeat()
-	msg.Global = encodeRefresh(n.global.Request())
-	if in.Zone == c.Self.Zone {
+	shares := c.sharesRecords(in)
+	if shares {
+		msg.Global = encodeRefresh(n.global.Request())
+	}
+	if shares && in.Zone == c.Self.Zone {
 		msg.Local = encodeRefresh(n.local.Request())
 	}
 	probe := membership.Probe{About: in.Identity, Zone: in.Zone, Peer: in.Peer}
@@ -47,6 +54,15 @@
 	})
 }
 
+// sharesRecords reports whether an exchange with an instance carries records.
+// Of the relays of its zone an instance that is none itself shares them with
+// one: from all three each record would come three times.
+func (c *Control) sharesRecords(in membership.Instance) bool {
+	zone := c.members.View().Zone(c.Self.Zone)
+	relay, ok := zone.RecordRelay(c.Self.Identity)
+	return !ok || relay == in.Identity || !zone.IsRelay(in.Identity)
+}
+
 // greet sends a heartbeat without records to an address whose instance is not
 // known yet. Its reply makes it known.
 func (c *Control) greet(addr string) {
@@ -114,7 +130,8 @@
 		c.takeSelf(now, ex)
 		return reply
 	}
-	n := c.records.neighbour(identityOf(ex.From))
+	id := identityOf(ex.From)
+	n := c.records.neighbour(id)
 	c.take(now, ex, n, func(p refresh.Policy, now time.Time, m refresh.Message) {
 		out := encodeRefresh(p.Serve(now, m))
 		if p == n.global {
@@ -123,6 +140,9 @@
 			reply.Local = out
 		}
 	})
+	if c.isStranger(id) {
+		delete(c.records.neighbours, id)
+	}
 	return reply
 }
 
@@ -165,6 +185,9 @@
 		return
 	}
 	c.members.Heartbeat(now, in)
+	if c.isStranger(in.Identity) {
+		return
+	}
 	c.config.heard(publish.Source(in.ID), in.Peer, ex.ConfigVersion)
 	c.hintRows(now, ex.Zone, ex.Region, ex.OwnersVersion, ex.LinksVersion)
 }
@@ -177,6 +200,8 @@
 	switch {
 	case rec.Name == recordLoad:
 		c.takeLoad(now, rec)
+	case rec.Name == recordBackends:
+		c.takeListed(now, rec)
 	case rec.Name == recordZoneLoad:
 		c.takeZoneLoad(now, rec)
 	case rec.Name == recordRamp:
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -20,6 +20,9 @@
 	recordLoad = "load"
 	// recordZoneLoad is the load of a zone; global.
 	recordZoneLoad = "zone-load"
+	// recordBackends is what the platform's list says of a zone's backend
+	// servers; local.
+	recordBackends = "backend-list"
 )
 
 // records is this instance's replica of the soft state that instances share.
@@ -27,6 +30,7 @@
 	self          membership.Identity
 	global, local *refresh.Set
 	neighbours    map[membership.Identity]*neighbour
+	expiries      expiries
 	seq           uint64
 }
 
@@ -41,14 +45,14 @@
 func newRecords(self membership.Identity) *records {
 	return &records{
 		self: self, global: refresh.NewSet(refresh.Limits{}), local: refresh.NewSet(refresh.Limits{}),
-		neighbours: map[membership.Identity]*neighbour{},
+		neighbours: map[membership.Identity]*neighbour{}, expiries: expiries{},
 	}
 }
 
 func (r *records) neighbour(id membership.Identity) *neighbour {
 	n := r.neighbours[id]
 	if n == nil {
-		n = &neighbour{global: refresh.NewDelta(r.global), local: refresh.NewDelta(r.local)}
+		n = &neighbour{global: refresh.NewDeltaTree(r.global), local: refresh.NewDeltaTree(r.local)}
 		r.neighbours[id] = n
 	}
 	return n
@@ -72,11 +76,8 @@
 	for _, at := range []struct {
 		set  *refresh.Set
 		name string
-	}{{r.local, recordLoad}, {r.global, recordZoneLoad}, {r.global, recordRamp}, {r.global, recordQuarantine}} {
-		if rec, ok := at.set.Get(id.ID, at.name); ok && rec.Incarnation == id.Incarnation {
-			rec.Sequence, rec.Deleted, rec.Value = rec.Sequence+1, true, nil
-			at.set.Put(now, rec)
-		}
+	}{{r.local, recordLoad}, {r.local, recordBackends}, {r.global, recordZoneLoad}, {r.global, recordRamp}, {r.global, recordQuarantine}} {
+		r.delete(now, at.set, id.ID, at.name, id.Incarnation)
 	}
 }
 
@@ -104,6 +105,10 @@
 	for i, r := range m.Records {
 		out.Records[i] = encodeRecord(r)
 	}
+	for _, n := range m.Nodes {
+		out.Nodes = append(out.Nodes, &peerpb.RefreshNode{Index: n.Index, Digest: n.Digest})
+	}
+	out.Leaves = m.Leaves
 	return out
 }
 
@@ -112,6 +117,10 @@
 	for i, r := range p.GetRecords() {
 		m.Records[i] = decodeRecord(r)
 	}
+	for _, n := range p.GetNodes() {
+		m.Nodes = append(m.Nodes, refresh.Node{Index: n.GetIndex(), Digest: n.GetDigest()})
+	}
+	m.Leaves = p.GetLeaves()
 	return m
 }
 
--- a/internal/decide/membership/view.go
+++ b/internal/decide/membership/view.go
@@ -55,6 +55,11 @@
 	return out
 }
 
+// AnyUsable reports whether the zone has a live instance.
+func (z ZoneView) AnyUsable() bool {
+	return slices.ContainsFunc(z.Instances, func(in Instance) bool { return in.State == Live })
+}
+
 // IsRelay reports whether id relays for the zone.
 func (z ZoneView) IsRelay(id Identity) bool { return slices.Contains(z.Relays, id) }
 
@@ -110,6 +115,24 @@
 	return out
 }
 
+// RecordRelay returns the relay with which self exchanges records of its own
+// zone z: relays pass them on among themselves, so that one is enough. Each
+// instance chooses a live one for itself. ok is false when self is a relay,
+// which exchanges with all, and when there is none.
+func (z ZoneView) RecordRelay(self Identity) (relay Identity, ok bool) {
+	if z.IsRelay(self) || len(z.Relays) == 0 {
+		return Identity{}, false
+	}
+	live := slices.DeleteFunc(slices.Clone(z.Relays), func(id Identity) bool {
+		i, known := slices.BinarySearchFunc(z.Instances, id, func(in Instance, d Identity) int { return in.Compare(d) })
+		return !known || z.Instances[i].State != Live
+	})
+	if len(live) == 0 {
+		return z.Relays[0], true
+	}
+	return chooseRelay(self, ZoneView{Relays: live}), true
+}
+
 // chooseRelay spreads the relays of one zone over those of another.
 func chooseRelay(self Identity, z ZoneView) Identity {
 	best := z.Relays[0]
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -1,11 +1,12 @@
 // Package route chooses where a request runs: on a backend server owned here,
 // by a neighbour in the zone that has room, or in another zone under the cap of
-// the link to it. When no place takes the request within the mean time of
-// one it is answered as not run, with a time to come back. Further attempts follow the rules and the
-// budget of the retry package.
+// the link to it. When no place takes the request within the mean time of one
+// it is answered as not run, with a time to come back. Further attempts follow
+// the rules and the budget of the retry package.
 //
 // What an operator sees: the counters route.own, route.neighbour, route.zone,
-// route.retry, route.hedge and route.wait, and a span for each place tried.
+// route.relay, route.retry, route.hedge and route.wait, and a span for each
+// place tried.
 package route
 
 import (
@@ -73,7 +74,7 @@
 		c := *r
 		c.Avoid = filter.NewAvoid()
 		s := &search{Filter: f, own: own, snap: f.Snapshot(), r: &c, seen: newVisited()}
-		if r.Stage == filter.StageZone {
+		if r.Stage >= filter.StageRelay {
 			// The instance that passed the request on decides on retries.
 			return s.attempt(ctx)
 		}
@@ -140,10 +141,10 @@
 	return &c
 }
 
-// patience is how long the request may wait for a place. One that came from
-// another zone does not: its sender looks for the next place.
+// patience is how long the request may wait for a place. One that another
+// instance passed on does not: its sender looks for the next place.
 func (s *search) patience() time.Duration {
-	if s.r.Stage == filter.StageZone {
+	if s.r.Stage >= filter.StageRelay {
 		return 0
 	}
 	return s.Policy.patience(s.r.Service)
@@ -172,7 +173,14 @@
 // unseen reports whether a place turned the request away before any backend
 // server saw it.
 func unseen(e *outcome.Error) bool {
-	return e.Outcome == outcome.NotRun && (e.Kind == outcome.KindNoCapacity || e.Kind == outcome.KindPeerLost || e.Kind == outcome.KindNotReady)
+	if e.Outcome != outcome.NotRun {
+		return false
+	}
+	switch e.Kind {
+	case outcome.KindNoCapacity, outcome.KindLinkFull, outcome.KindPeerLost, outcome.KindNotReady:
+		return true
+	}
+	return false
 }
 
 func (s *search) noCapacity() *outcome.Error {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -38,6 +38,10 @@
 	conns   map[*yamux.Session]struct{}
 	closed  bool
 	wg      sync.WaitGroup
+	// inProgress counts calls; idle is made anew when the first begins, and
+	// closed when the last has ended.
+	inProgress int
+	idle       chan struct{}
 }
 
 // NewServer returns a server that passes calls to handler.
@@ -89,14 +93,57 @@
 			return
 		}
 		streams <- struct{}{}
-		s.wg.Add(1)
+		if !s.begin() {
+			stream.Close()
+			return
+		}
 		go func() {
-			defer func() { <-streams; s.wg.Done() }()
+			defer func() { <-streams; s.end() }()
 			s.serveStream(stream)
 		}()
 	}
 }
 
+// begin counts a call in progress, unless the server is closed.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.wg.Add(1)
+	if s.inProgress++; s.inProgress == 1 {
+		s.idle = make(chan struct{})
+	}
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inProgress--; s.inProgress == 0 {
+		close(s.idle)
+	}
+	s.wg.Done()
+}
+
+// Drain returns when no call is in progress, its reply sent, or when ctx ends
+// and some are. New calls are still served: the senders end them.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	idle, busy := s.idle, s.inProgress > 0
+	s.mu.Unlock()
+	if !busy {
+		return nil
+	}
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
+
 // serveStream reads one call and its whole body, then answers it. After the
 // body the sender sends nothing, so a read that ends means cancellation.
 func (s *Server) serveStream(stream *yamux.Stream) {
@@ -117,6 +164,8 @@
 	go func() {
 		r.ReadByte()
 		cancel()
+		// A reply that nobody reads would wait for its stream to time out.
+		stream.SetWriteDeadline(time.Unix(1, 0))
 	}()
 	reply, out := s.handler.ServeCall(ctx, call, bytes.NewReader(body))
 	if out != nil {
