--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -155,7 +155,7 @@
 // longer.
 func (s *search) awaitRoom(ctx context.Context, until time.Time) bool {
 	part := time.Duration((1 + rand.Float64()) / 2 * float64(s.r.Service.MeanTime) / waitParts)
-	if time.Now().Add(part).After(until) {
+	if part <= 0 || time.Now().Add(part).After(until) {
 		return false
 	}
 	t := time.NewTimer(part)
