--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -68,9 +68,13 @@
 	health  *healthState
 	links   linkState
 	timers  timers
-	// dirty is set when the snapshot no longer matches the state.
-	dirty   bool
-	leaving *leavingState
+	// dirty is set when the snapshot no longer matches the state; loadsDirty
+	// when only reports of load are newer, which wait for the next tick.
+	dirty, loadsDirty bool
+	builder           snapshot.Builder
+	leaving           *leavingState
+	// isCondemned is set for good once others hold this incarnation for dead.
+	isCondemned bool
 	// platformUp tells whether the last call to the platform succeeded.
 	platformUp atomic.Bool
 	drains     drainLog
@@ -79,7 +83,7 @@
 
 // timers holds when periodic work is due next.
 type timers struct {
-	heartbeat, list, configPoll, health time.Time
+	heartbeat, list, configPoll, health, sweep time.Time
 }
 
 // New returns the control state of an instance at its start.
@@ -173,6 +177,7 @@
 
 func (c *Control) tick(now time.Time) {
 	t := c.Settings.Timing
+	c.dirty, c.loadsDirty = c.dirty || c.loadsDirty, false
 	c.members.Tick(now)
 	if due(&c.timers.list, now, t.ListPoll) {
 		c.pollList()
@@ -185,6 +190,7 @@
 	c.tickOwners(now)
 	c.tickLinks(now)
 	c.tickLeaving(now)
+	c.tickRecords(now)
 	c.Keeper.Step(once.Tick{})
 	if due(&c.timers.heartbeat, now, t.Heartbeat) {
 		c.publishLoads(now)
--- a/internal/links/gate.go
+++ b/internal/links/gate.go
@@ -31,6 +31,14 @@
 	g.region, g.machine = region, m
 }
 
+// Stop ends the use of links for good: no right is given any more, and the
+// machine gets no further events. Requests under way go on.
+func (g *Gate) Stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.machine = nil
+}
+
 // With calls f with the machine, unless there is none yet.
 func (g *Gate) With(f func(m *linkcap.Machine)) {
 	g.mu.Lock()
@@ -49,8 +57,6 @@
 	if region == g.region {
 		return func() {}, true
 	}
-	// The right goes back to the machine that gave it, if another one is in
-	// use by then.
 	m := g.machine
 	if m == nil || !m.TryAcquire(region, now) {
 		return nil, false
