--- a/internal/links/gate.go
+++ b/internal/links/gate.go
@@ -57,6 +57,8 @@
 	if region == g.region {
 		return func() {}, true
 	}
+	// The right goes back to the machine that gave it, if another one is in
+	// use by then.
 	m := g.machine
 	if m == nil || !m.TryAcquire(region, now) {
 		return nil, false
