--- a/internal/control/ramp_test.go
+++ b/internal/control/ramp_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/decide/health"
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/estate"
 )
 
@@ -100,3 +101,24 @@
 	require.NotZero(t, c.drains.status()[0].Took)
 	require.Len(t, c.drains.status(), 1)
 }
+
+// A zone of two instances is not lost while one of them stops, and is once both
+// do; it comes back with the next one.
+func TestZoneIsLostWithItsLastInstance(t *testing.T) {
+	c := newTestControl(t, nil)
+	c.install(epoch, installed(t, 1, testEstate(), nil, nil))
+	now := epoch.Add(zoneGrace)
+	lost := func(id string, incarnation uint64, state membership.State) bool {
+		in := instance(id, incarnation, "b")
+		in.State, in.Sequence = state, 1
+		c.serveExchange(now, heartbeatOf(t, in, 1, nil, nil))
+		c.settleMembers(now)
+		c.judgeZones(now)
+		return c.ramp.lost["b"]
+	}
+	require.False(t, lost("b1", 1, membership.Live))
+	require.False(t, lost("b2", 1, membership.Live))
+	require.False(t, lost("b1", 1, membership.Leaving))
+	require.True(t, lost("b2", 1, membership.Leaving))
+	require.False(t, lost("b1", 2, membership.Live))
+}
