membership: a lagging list does not make a new run leave

Cause: an instance that was replaced under the same id and address read in the platform's lagging list that it is leaving, which was said of its predecessor. It left for good: it never took work again, and nothing ended it. Ruled out: going back to live when a later list says so; leaving is final for others, who may have moved what it held. Before: "z1 a#2: live -> leaving (leave)" one second after its start.

--- a/internal/decide/membership/machine.go
+++ b/internal/decide/membership/machine.go
@@ -13,6 +13,8 @@
 type Machine struct {
 	cfg  Config
 	self Instance
+	// started is when this run began.
+	started time.Time
 	// members holds every known incarnation, self included.
 	members map[Identity]*member
 	// order holds the keys of members, sorted; nil when it has to be made anew.
@@ -56,7 +58,7 @@
 func New(cfg Config, now time.Time) *Machine {
 	cfg = cfg.withDefaults()
 	m := &Machine{
-		cfg: cfg, self: cfg.Self,
+		cfg: cfg, self: cfg.Self, started: now,
 		members:   map[Identity]*member{},
 		byPeer:    map[string][]Identity{},
 		zoneHeard: map[string]time.Time{},
@@ -227,7 +229,8 @@
 	if !ok {
 		return
 	}
-	if own.State == platform.InstanceLeaving && own.Peer == m.self.Peer {
+	// A list may still tell of an earlier run under the same ID and address.
+	if own.State == platform.InstanceLeaving && own.Peer == m.self.Peer && now.Sub(m.started) >= m.cfg.DelistAfter {
 		m.Leave(now)
 	}
 	for _, id := range m.sorted() {
