control: traffic never waits for control; lists are taken in order

Cause: (1) a request that could not reach an instance waited for room in control's queue of events, so a control goroutine that is busy held up traffic. (2) Reads of the platform's list could overlap; a slow one was then taken after a later one. Ruled out: a larger queue, which only moves the point. After: the event is dropped, as those of results and notices are, and one read is under way at a time.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -78,7 +78,10 @@
 	// platformUp tells whether the last call to the platform succeeded.
 	platformUp atomic.Bool
 	drains     drainLog
-	fatal      chan error
+	// listing is set while the platform's list is read: a slow read must not be
+	// taken after a later one.
+	listing bool
+	fatal   chan error
 }
 
 // timers holds when periodic work is due next.
@@ -136,6 +139,17 @@
 	}
 }
 
+// offer hands an event to the control goroutine unless that has no time for it,
+// and reports whether it did.
+func (c *Control) offer(event func(now time.Time)) bool {
+	select {
+	case c.events <- event:
+		return true
+	default:
+		return false
+	}
+}
+
 // ask runs f in the control goroutine and returns its result. ok is false when
 // the goroutine has ended or ctx has; f may still run then.
 func ask[T any](ctx context.Context, c *Control, f func(now time.Time) T) (res T, ok bool) {
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -75,12 +75,9 @@
 	if !ok {
 		return
 	}
-	event := func(now time.Time) {
+	if !c.offer(func(now time.Time) {
 		c.health.machine.Step(health.Event{Name: r.Backend, Source: health.InBand, News: news, At: now})
-	}
-	select {
-	case c.events <- event:
-	default:
+	}) {
 		c.Metrics.Count("health.results_dropped")
 	}
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -17,15 +17,19 @@
 // pollList reads the platform's list. Only relays read it, and an instance
 // that knows nobody yet.
 func (c *Control) pollList() {
-	if !c.isRelay() {
+	if !c.isRelay() || c.listing {
 		return
 	}
+	c.listing = true
 	c.start(func(ctx context.Context) {
 		list, err := c.Platform.Instances(ctx)
 		c.platformCall(err)
-		if err == nil {
-			c.post(func(now time.Time) { c.takeList(now, list) })
-		}
+		c.post(func(now time.Time) {
+			c.listing = false
+			if err == nil {
+				c.takeList(now, list)
+			}
+		})
 	})
 }
 
@@ -86,9 +90,11 @@
 	}
 }
 
-// Suspect probes the instance at an address that could not be reached.
+// Suspect probes the instance at an address that could not be reached. Traffic
+// calls it, so it never blocks: there is another failure if control has no time
+// for this one.
 func (c *Control) Suspect(addr string) {
-	c.post(func(time.Time) {
+	c.offer(func(time.Time) {
 		for _, z := range c.members.View().Zones {
 			for _, in := range z.Instances {
 				if in.Peer == addr && in.State != membership.Gone {
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -17,7 +17,8 @@
 
 // TellQuarantine brings notices to the neighbours in the zone at once.
 func (c *Control) TellQuarantine(notices []quarantine.Notice) {
-	event := func(time.Time) {
+	// If control has no time, the digest of the next heartbeat has them too.
+	c.offer(func(time.Time) {
 		call := &peerpb.Call{Call: &peerpb.Call_Quarantine{Quarantine: &peerpb.QuarantineNotice{Entries: guard.Encode(notices)}}}
 		for _, in := range c.members.View().Zone(c.Self.Zone).Usable() {
 			if in.Identity != c.Self.Identity {
@@ -25,12 +26,7 @@
 			}
 		}
 		c.Log.Warn().Int("requests", len(notices)).Msg("quarantine_notice")
-	}
-	select {
-	case c.events <- event:
-	default:
-		// The digest of the next heartbeat has them too.
-	}
+	})
 }
 
 // tell sends a call whose reply says nothing.
