pool, control: work of a removed backend server counts; fast clocks

Cause: (1) the pool said that a backend server which has left the configuration has nothing in flight, so its owner gave it up after RemoveAfter (10 s) with work running for as long as the service's deadline; declared again, it could have another owner with all its slots. (2) A new instance kept the ramp position with the latest time, also of a neighbour whose clock is far ahead, which is refused in the end; positions of others came too late then. Before: InFlight 0 with one request out; the position of one hour ahead kept. After: 1 until it ends; the position of the good clock.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -205,7 +205,7 @@
 	case rec.Name == recordZoneLoad:
 		c.takeZoneLoad(now, rec)
 	case rec.Name == recordRamp:
-		c.takeRamp(rec)
+		c.takeRamp(now, rec)
 	case rec.Name == recordQuarantine:
 		c.takeQuarantine(rec)
 	case strings.HasPrefix(rec.Name, recordMoved):
--- a/internal/control/ramp.go
+++ b/internal/control/ramp.go
@@ -175,9 +175,9 @@
 	c.logError("ramp_record_failed", c.records.set(now, c.records.global, recordRamp, c.ramp.ramp.Position()))
 }
 
-func (c *Control) takeRamp(rec refresh.Record) {
+func (c *Control) takeRamp(now time.Time, rec refresh.Record) {
 	var p shift.Position
-	if c.ramp.ticking || json.Unmarshal(rec.Value, &p) != nil || !p.At.After(c.ramp.position.At) {
+	if c.ramp.ticking || json.Unmarshal(rec.Value, &p) != nil || !p.At.After(c.ramp.position.At) || p.At.After(now.Add(shift.MaxSkew)) {
 		return
 	}
 	c.ramp.position = p
--- a/internal/control/ramp_test.go
+++ b/internal/control/ramp_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -9,6 +10,8 @@
 	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/decide/health"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/refresh"
+	"github.com/banyandeal/banyandeal/internal/decide/shift"
 	"github.com/banyandeal/banyandeal/internal/estate"
 )
 
@@ -122,3 +125,17 @@
 	require.True(t, lost("b2", 1, membership.Leaving))
 	require.False(t, lost("b1", 2, membership.Live))
 }
+
+// A neighbour whose clock is far ahead does not keep a new instance from taking
+// over the position of another.
+func TestPositionOfFastClockIsIgnored(t *testing.T) {
+	c := newTestControl(t, nil)
+	tell := func(owner string, at time.Time) {
+		value, err := json.Marshal(shift.Position{At: at})
+		require.NoError(t, err)
+		c.takeRecord(epoch, refresh.Record{Owner: owner, Name: recordRamp, Value: value})
+	}
+	tell("e2", epoch.Add(time.Hour))
+	tell("e3", epoch.Add(-time.Second))
+	require.Equal(t, epoch.Add(-time.Second), c.ramp.position.At)
+}
--- a/internal/decide/shift/position.go
+++ b/internal/decide/shift/position.go
@@ -72,16 +72,16 @@
 	return out
 }
 
-// maxSkew is how far in the future a neighbour's position may be by this
+// MaxSkew is how far in the future a neighbour's position may be by this
 // instance's clock.
-const maxSkew = time.Minute
+const MaxSkew = time.Minute
 
 // Adopt takes a neighbour's position over, if it is further in time than any
 // taken before, and reports whether it did. It does so only before the first
 // Tick: an instance that has answered look-ups by its own shares goes on by
 // steps, so that nothing jumps.
 func (r *Ramp) Adopt(now time.Time, p Position) bool {
-	if r.anchored || r.plan == nil || !p.At.After(r.adopted) || p.At.After(now.Add(maxSkew)) {
+	if r.anchored || r.plan == nil || !p.At.After(r.adopted) || p.At.After(now.Add(MaxSkew)) {
 		return false
 	}
 	r.adopted = p.At
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -270,14 +270,16 @@
 	return 0
 }
 
-// InFlight returns what the named backend server has in flight from here.
+// InFlight returns what the named backend server has in flight from here, also
+// after Set has left it out.
 func (p *Pool) InFlight(name string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m := p.backends[name]; m != nil {
-		return p.inFlight(m)
+	n := 0
+	for _, b := range p.services {
+		n += b.InFlight(name)
 	}
-	return 0
+	return n
 }
 
 // Total returns what all backend servers have in flight from here.
