control: a load record may come before the record of its instance

Cause: since loads of dead instances are refused, those of instances not known yet were too, though the two records may come by different exchanges; the instance then counted as without slots until its next report. Before: TestLoadBeforeInstance holds no load. Ruled out as the cause of zone_relays failing now and then: it still does.

--- a/internal/control/expiry.go
+++ b/internal/control/expiry.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
 	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 )
@@ -75,6 +77,7 @@
 	if !due(&c.timers.sweep, now, sweepPeriod) {
 		return
 	}
+	maps.DeleteFunc(c.steer.loads, func(id membership.Identity, _ map[string]load.Report) bool { return c.isStranger(id) })
 	for _, addr := range c.records.sweep(now) {
 		if !c.knowsPeer(addr) {
 			c.start(func(context.Context) { c.Peers.Forget(addr) })
@@ -82,6 +85,12 @@
 	}
 }
 
+// isGone reports whether an incarnation is known to be dead.
+func (c *Control) isGone(id membership.Identity) bool {
+	in, ok := c.members.View().Instance(id)
+	return ok && in.State == membership.Gone
+}
+
 // isStranger reports whether an incarnation is unknown or dead: nothing is kept
 // for it.
 func (c *Control) isStranger(id membership.Identity) bool {
--- a/internal/control/expiry_test.go
+++ b/internal/control/expiry_test.go
@@ -90,3 +90,19 @@
 	require.True(t, c.isStranger(old.Identity))
 	require.Equal(t, "e2b:90", c.config.addrs["e2"])
 }
+
+// A load record that comes before the record of its instance counts; if the
+// instance never becomes known, it goes with the next sweep.
+func TestLoadBeforeInstance(t *testing.T) {
+	c := newTestControl(t, nil)
+	early, never := instance("e2", 1, "a"), instance("x", 1, "a")
+	for _, in := range []membership.Instance{early, never} {
+		c.takeRecord(epoch, loadRecord(in, 1))
+	}
+	require.Len(t, c.steer.loads, 2)
+	c.serveExchange(epoch, heartbeatOf(t, early, 1, nil, nil))
+	c.settleMembers(epoch)
+	c.tickRecords(epoch.Add(sweepPeriod))
+	require.Len(t, c.steer.loads, 1)
+	require.Contains(t, c.steer.loads, early.Identity)
+}
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -104,7 +104,8 @@
 func (c *Control) takeLoad(now time.Time, rec refresh.Record) {
 	var report loadReport
 	id := membership.Identity{ID: rec.Owner, Incarnation: rec.Incarnation}
-	if c.isStranger(id) || json.Unmarshal(rec.Value, &report) != nil {
+	// The record may be here before that of its instance.
+	if c.isGone(id) || json.Unmarshal(rec.Value, &report) != nil {
 		return
 	}
 	c.reported(report, c.steer.loads[id])
