--- a/internal/filter/route/places.go
+++ b/internal/filter/route/places.go
@@ -54,6 +54,18 @@
 	return &visited{instances: map[string]bool{}, zones: map[string]int{}, full: map[string]bool{}, relayed: map[string]bool{}}
 }
 
+// reset lets every place be tried again.
+func (v *visited) reset() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.own = false
+	clear(v.instances)
+	clear(v.zones)
+	clear(v.full)
+	clear(v.relayed)
+	v.relays = 0
+}
+
 // leaveOwn leaves out the backend servers owned here.
 func (v *visited) leaveOwn() {
 	v.mu.Lock()
