--- a/internal/control/ramp_test.go
+++ b/internal/control/ramp_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -8,6 +9,9 @@
 
 	"github.com/banyandeal/banyandeal/internal/decide/balance"
 	"github.com/banyandeal/banyandeal/internal/decide/health"
+	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/refresh"
+	"github.com/banyandeal/banyandeal/internal/decide/shift"
 	"github.com/banyandeal/banyandeal/internal/estate"
 )
 
@@ -100,3 +104,38 @@
 	require.NotZero(t, c.drains.status()[0].Took)
 	require.Len(t, c.drains.status(), 1)
 }
+
+// A zone of two instances is not lost while one of them stops, and is once both
+// do; it comes back with the next one.
+func TestZoneIsLostWithItsLastInstance(t *testing.T) {
+	c := newTestControl(t, nil)
+	c.install(epoch, installed(t, 1, testEstate(), nil, nil))
+	now := epoch.Add(zoneGrace)
+	lost := func(id string, incarnation uint64, state membership.State) bool {
+		in := instance(id, incarnation, "b")
+		in.State, in.Sequence = state, 1
+		c.serveExchange(now, heartbeatOf(t, in, 1, nil, nil))
+		c.settleMembers(now)
+		c.judgeZones(now)
+		return c.ramp.lost["b"]
+	}
+	require.False(t, lost("b1", 1, membership.Live))
+	require.False(t, lost("b2", 1, membership.Live))
+	require.False(t, lost("b1", 1, membership.Leaving))
+	require.True(t, lost("b2", 1, membership.Leaving))
+	require.False(t, lost("b1", 2, membership.Live))
+}
+
+// A neighbour whose clock is far ahead does not keep a new instance from taking
+// over the position of another.
+func TestPositionOfFastClockIsIgnored(t *testing.T) {
+	c := newTestControl(t, nil)
+	tell := func(owner string, at time.Time) {
+		value, err := json.Marshal(shift.Position{At: at})
+		require.NoError(t, err)
+		c.takeRecord(epoch, refresh.Record{Owner: owner, Name: recordRamp, Value: value})
+	}
+	tell("e2", epoch.Add(time.Hour))
+	tell("e3", epoch.Add(-time.Second))
+	require.Equal(t, epoch.Add(-time.Second), c.ramp.position.At)
+}
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -108,7 +108,7 @@
 			return nil, s.noCapacity()
 		}
 		if !ok {
-			return nil, last
+			return nil, s.comeBack(last)
 		}
 		release, ok := s.Links.Acquire(p.region)
 		if !ok {
@@ -131,6 +131,16 @@
 	}
 }
 
+// comeBack gives an error of a place that named no time to come back one.
+func (s *search) comeBack(e *outcome.Error) *outcome.Error {
+	if e.RetryAfter > 0 {
+		return e
+	}
+	c := *e
+	c.RetryAfter = s.retryAfter()
+	return &c
+}
+
 // patience is how long the request may wait for a place. One that another
 // instance passed on does not: its sender looks for the next place.
 func (s *search) patience() time.Duration {
@@ -145,7 +155,7 @@
 // longer.
 func (s *search) awaitRoom(ctx context.Context, until time.Time) bool {
 	part := time.Duration((1 + rand.Float64()) / 2 * float64(s.r.Service.MeanTime) / waitParts)
-	if time.Now().Add(part).After(until) {
+	if part <= 0 || time.Now().Add(part).After(until) {
 		return false
 	}
 	t := time.NewTimer(part)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -131,8 +131,8 @@
 			require.Positive(t, err.RetryAfter, name)
 		}
 	}
-	for stage, ok := range map[int32]bool{-1: false, 0: false, 1: true, 2: true, 3: true, 4: false} {
-		_, err := forward.ToRequest(e, &peerpb.Forward{Service: "scoring", Stage: stage, DeadlineMs: -5}, nil, time.Now())
-		require.Equal(t, ok, err == nil, "stage %d", stage)
+	for stage := filter.StageEnter - 1; stage <= filter.StageOwn+1; stage++ {
+		_, err := forward.ToRequest(e, &peerpb.Forward{Service: "scoring", Stage: int32(stage), DeadlineMs: -5}, nil, time.Now())
+		require.Equal(t, stage > filter.StageEnter && stage <= filter.StageOwn, err == nil, "stage %d", stage)
 	}
 }
