bench: the look-up's answer is the daemon's own type

The load generator wrote the type of a look-up's answer a second time, so that a changed field would have been seen by no compiler. No change of behaviour.

--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"github.com/banyandeal/banyandeal/internal/filter/accept"
+	"github.com/banyandeal/banyandeal/internal/lookup"
 	"github.com/banyandeal/banyandeal/internal/outcome"
 )
 
@@ -24,20 +25,10 @@
 )
 
 // Lookup is the answer of GET /v1/lookup.
-type Lookup struct {
-	Service   string     `json:"service"`
-	Version   uint64     `json:"version"`
-	TTLMS     int64      `json:"ttl_ms"`
-	Key       string     `json:"key"`
-	Instances []Instance `json:"instances"`
-}
+type Lookup = lookup.Answer
 
 // Instance is an entry instance in a look-up's answer.
-type Instance struct {
-	ID      string `json:"id"`
-	Zone    string `json:"zone"`
-	Address string `json:"address"`
-}
+type Instance = lookup.Instance
 
 // refusedError is a look-up's answer that there is no capacity for the caller:
 // whatever it was to send has not been sent, and is not run.
