scenario: region_lost takes an unreachable instance for a refusal too

Both are not run and say when to come back, which is what is promised; each end must still be one of these two.

--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -209,7 +209,7 @@
 }
 
 // total counts the ends of a flood's requests. With only=A,B it tells whether
-// there were no other ends than these.
+// there were no other ends than these, written with / for spaces.
 func (w *world) total(a args) string {
 	counts := map[string]int{}
 	for _, f := range w.flooded(a.word(0)) {
@@ -224,7 +224,9 @@
 		counts[end]++
 	}
 	if only := a.text("only", ""); only != "" {
-		maps.DeleteFunc(counts, func(end string, _ int) bool { return slices.Contains(strings.Split(only, ","), end) })
+		maps.DeleteFunc(counts, func(end string, _ int) bool {
+			return slices.Contains(strings.Split(only, ","), strings.ReplaceAll(end, " ", "/"))
+		})
 		if len(counts) == 0 {
 			return "ok\n"
 		}
