edge: a whole path on the users' platform

The daemon gets a subcommand that follows the platform's store, answers look-ups and readiness checks and forwards requests by rendezvous hashing with the load that answers report. platform/ decodes names, formats and calls.

--- a/cmd/banyandeald/main.go
+++ b/cmd/banyandeald/main.go
@@ -13,6 +13,8 @@
 
 	"github.com/banyandeal/banyandeal/internal/config/static"
 	"github.com/banyandeal/banyandeal/internal/daemon"
+	edge "github.com/banyandeal/banyandeal/internal/edge/daemon"
+	"github.com/banyandeal/banyandeal/platform"
 )
 
 // Exit codes.
@@ -54,7 +56,23 @@
 			text("log-level", "BANYAND_LOG_LEVEL", "debug, info, warn or error"),
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{platformCommand()},
+	}
+}
+
+// platformCommand runs the daemon on the users' platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "serve as an entry instance of the users' platform; " + platform.SettingsEnv + " names the settings file",
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			return errors.Trace(edge.Main(ctx, os.Getenv(platform.SettingsEnv), reload, os.Stdout))
+		},
 	}
 }
 
--- /dev/null
+++ b/internal/decide/affinity/affinity.go
@@ -0,0 +1,380 @@
+// Package affinity decides which backend server gets a request.
+//
+// Every instance ranks the backend servers of an object in the same order
+// without a message, by weighted rendezvous hashing, and takes the one that is
+// expected to answer first: a warm one that is busy against a free one that
+// has to load the object. What is expected comes from the answers: the load
+// that they report, with its age, the time that they took, and how they ended.
+//
+// Balancer is a pure state machine: events and the time go in, choices come
+// out. It is not safe for concurrent use.
+package affinity
+
+import (
+	"math"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/hrw"
+	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+)
+
+const (
+	// remoteRTT is the round trip to another region until one was measured.
+	remoteRTT = 70 * time.Millisecond
+	// loadMemory is the age at which a reported load has lost most of its
+	// weight against the average of what was reported.
+	loadMemory = 600 * time.Millisecond
+	// failureMemory is the half-life of the failure rate of a backend server.
+	failureMemory = 3 * time.Second
+	// failureStep is the weight of the newest end in the failure rate.
+	failureStep = 0.3
+	// workStep is the weight of the newest run in averages of run times.
+	workStep = 0.15
+	// maxObjects bounds the objects remembered for one backend server.
+	maxObjects = 256
+	// minBackoff and maxBackoff bound the time for which an address that
+	// refuses connections is left alone.
+	minBackoff = 200 * time.Millisecond
+	maxBackoff = 2 * time.Second
+)
+
+// Config holds the settings of a Balancer.
+type Config struct {
+	Region   string
+	RegionOf map[string]string
+}
+
+// Profile is what is known of the requests of one route.
+type Profile struct {
+	// Warm and Cold are the expected run times with and without the object.
+	Warm, Cold time.Duration
+	// Objective is the time within which an answer has its full worth.
+	Objective time.Duration
+}
+
+// Query asks for a backend server.
+type Query struct {
+	// Object names the object with its route; empty if there is none.
+	Object  string
+	Profile Profile
+	// Backends are the candidates, Weights their shares of the objects.
+	Backends []*traffic.Backend
+	Weights  map[string]float64
+	// Tried holds the ids that the request was sent to.
+	Tried map[string]bool
+	// ColdRate is the requests per second that a cold backend server may get
+	// from this instance.
+	ColdRate float64
+}
+
+// Choice is the answer to a Query.
+type Choice struct {
+	Backend *traffic.Backend
+	// Rank is the place of the backend server in the order of the object.
+	Rank int
+	// Expected is the time until the answer, Wait the part before the run.
+	Expected, Wait time.Duration
+	// Warm tells that the object was sent there before.
+	Warm bool
+	// LoadAge is the age of the load report behind Wait, negative without one.
+	LoadAge time.Duration
+}
+
+// Load is what a backend server says of itself in an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// End tells how a request at a backend server ended.
+type End uint8
+
+// Ends of requests.
+const (
+	// Answered has an answer of a run.
+	Answered End = iota
+	// Failed has no answer, a spoilt one, or a server error.
+	Failed
+	// Shed was refused, not run.
+	Shed
+	// Unreachable could not be sent.
+	Unreachable
+	// Abandoned was withdrawn by the caller or timed out.
+	Abandoned
+)
+
+// server is what is known of one incarnation of a backend server.
+type server struct {
+	inflight int
+	// others is the load by other instances as last reported, average its
+	// moving average, reported the time of the report.
+	others, average float64
+	reported        time.Time
+	// slowness is the ratio of run times to what was expected.
+	slowness float64
+	// runTime is the average time of a run in seconds.
+	runTime    float64
+	failures   float64
+	failedAt   time.Time
+	backoff    time.Duration
+	avoidUntil time.Time
+	objects    map[string]time.Time
+	coldTokens float64
+	coldFilled time.Time
+}
+
+// Balancer chooses backend servers.
+type Balancer struct {
+	cfg     Config
+	servers map[string]*server
+	// rtt is the measured round trip to each region.
+	rtt map[string]time.Duration
+}
+
+// New returns a Balancer that knows of no backend server.
+func New(cfg Config) *Balancer {
+	return &Balancer{cfg: cfg, servers: map[string]*server{}, rtt: map[string]time.Duration{}}
+}
+
+// Retain forgets the backend servers that keep does not name.
+func (b *Balancer) Retain(keep func(id string) bool) {
+	for id, s := range b.servers {
+		if s.inflight == 0 && !keep(id) {
+			delete(b.servers, id)
+		}
+	}
+}
+
+func (b *Balancer) server(id string, now time.Time) *server {
+	s := b.servers[id]
+	if s == nil {
+		s = &server{slowness: 1, objects: map[string]time.Time{}, coldFilled: now}
+		b.servers[id] = s
+	}
+	return s
+}
+
+// Choose returns the candidate that is expected to answer first, or false when
+// none may get the request.
+func (b *Balancer) Choose(q Query, now time.Time) (Choice, bool) {
+	var best Choice
+	bestCost := math.Inf(1)
+	ranks := b.ranks(q)
+	for i, backend := range q.Backends {
+		if q.Tried[backend.ID] {
+			continue
+		}
+		s := b.server(backend.ID, now)
+		if now.Before(s.avoidUntil) || !s.mayStartCold(backend, q.ColdRate, now) {
+			continue
+		}
+		choice := b.expect(q, s, backend, now)
+		choice.Rank = ranks[i]
+		cost := b.cost(q, s, choice, now)
+		if cost < bestCost || cost == bestCost && choice.Rank < best.Rank {
+			best, bestCost = choice, cost
+		}
+	}
+	return best, best.Backend != nil
+}
+
+// ranks returns the place of each candidate in the order of the object.
+func (b *Balancer) ranks(q Query) []int {
+	scores := make([]float64, len(q.Backends))
+	for i, backend := range q.Backends {
+		scores[i] = hrw.Score(q.Object, backend.ID, max(q.Weights[backend.ID], minWeight))
+	}
+	ranks := make([]int, len(scores))
+	for i, a := range scores {
+		for _, other := range scores {
+			if other > a {
+				ranks[i]++
+			}
+		}
+	}
+	return ranks
+}
+
+func (b *Balancer) expect(q Query, s *server, backend *traffic.Backend, now time.Time) Choice {
+	_, warm := s.objects[q.Object]
+	work := q.Profile.Cold
+	if warm && q.Object != "" {
+		work = q.Profile.Warm
+	}
+	wait := s.wait(backend.Slots, q.Profile, now)
+	run := time.Duration(float64(work) * s.slowness)
+	age := time.Duration(-1)
+	if !s.reported.IsZero() {
+		age = now.Sub(s.reported)
+	}
+	return Choice{
+		Backend: backend, Wait: wait, Warm: warm, LoadAge: age,
+		Expected: b.RoundTrip(backend.Zone) + wait + run,
+	}
+}
+
+// cost orders candidates: the expected time, what a failure would cost, and a
+// little for each rank so that an object stays with its first choices.
+func (b *Balancer) cost(q Query, s *server, c Choice, now time.Time) float64 {
+	rankCost := float64(c.Rank) * rankShare * q.Profile.Warm.Seconds()
+	failureCost := s.failureRate(now) * 2 * q.Profile.Objective.Seconds()
+	return c.Expected.Seconds() + rankCost + failureCost
+}
+
+// rankShare is the cost of one rank as a share of the warm run time.
+const rankShare = 0.05
+
+// minWeight keeps a candidate without a share behind all others.
+const minWeight = 1e-6
+
+// RoundTrip returns the expected round trip to an availability zone.
+func (b *Balancer) RoundTrip(zone string) time.Duration {
+	region := b.cfg.RegionOf[zone]
+	if rtt, ok := b.rtt[region]; ok {
+		return rtt
+	}
+	if region == b.cfg.Region {
+		return 0
+	}
+	return remoteRTT
+}
+
+// load returns the expected number of requests at the backend server.
+func (s *server) load(now time.Time) float64 {
+	if s.reported.IsZero() {
+		return float64(s.inflight)
+	}
+	fresh := math.Exp(-now.Sub(s.reported).Seconds() / loadMemory.Seconds())
+	return float64(s.inflight) + s.others*fresh + s.average*(1-fresh)
+}
+
+func (s *server) wait(slots int, p Profile, now time.Time) time.Duration {
+	ahead := s.load(now) - float64(slots) + 1
+	if ahead <= 0 {
+		return 0
+	}
+	run := s.runTime
+	if run == 0 {
+		run = p.Warm.Seconds()
+	}
+	return time.Duration(ahead / float64(slots) * run * float64(time.Second))
+}
+
+func (s *server) failureRate(now time.Time) float64 {
+	age := now.Sub(s.failedAt).Seconds()
+	return s.failures * math.Exp2(-age/failureMemory.Seconds())
+}
+
+func (s *server) noteEnd(failed bool, now time.Time) {
+	rate := s.failureRate(now) * (1 - failureStep)
+	if failed {
+		rate += failureStep
+	}
+	s.failures, s.failedAt = rate, now
+}
+
+// mayStartCold reports whether the pace of a cold backend server allows one
+// more request.
+func (s *server) mayStartCold(backend *traffic.Backend, rate float64, now time.Time) bool {
+	if !now.Before(backend.ColdUntil) || rate <= 0 {
+		return true
+	}
+	s.fillCold(rate, now)
+	return s.coldTokens >= 1
+}
+
+func (s *server) fillCold(rate float64, now time.Time) {
+	passed := now.Sub(s.coldFilled).Seconds()
+	s.coldTokens = math.Min(1, s.coldTokens+passed*rate)
+	s.coldFilled = now
+}
+
+// Sent counts a request that goes to the chosen backend server.
+func (b *Balancer) Sent(c Choice, q Query, now time.Time) {
+	s := b.server(c.Backend.ID, now)
+	s.inflight++
+	if now.Before(c.Backend.ColdUntil) {
+		s.coldTokens = math.Max(0, s.coldTokens-1)
+	}
+	if q.Object != "" {
+		s.remember(q.Object, now)
+	}
+}
+
+func (s *server) remember(object string, now time.Time) {
+	if _, known := s.objects[object]; !known && len(s.objects) >= maxObjects {
+		oldest, at := "", now
+		for o, t := range s.objects {
+			if t.Before(at) {
+				oldest, at = o, t
+			}
+		}
+		delete(s.objects, oldest)
+	}
+	s.objects[object] = now
+}
+
+// Result is what is known at the end of a request.
+type Result struct {
+	End End
+	// Took is the time from the sending to the whole answer.
+	Took time.Duration
+	// Load is what the answer reported, nil without it.
+	Load *Load
+	// RTT is the time in which a connection was opened, 0 if one was kept.
+	RTT time.Duration
+}
+
+// Ended takes in the end of a request that Sent has counted.
+func (b *Balancer) Ended(c Choice, q Query, r Result, now time.Time) {
+	s := b.server(c.Backend.ID, now)
+	s.inflight--
+	if r.RTT > 0 {
+		b.measureRTT(c.Backend.Zone, r.RTT)
+	}
+	if r.Load != nil {
+		s.report(*r.Load, now)
+	}
+	switch r.End {
+	case Answered:
+		s.noteEnd(false, now)
+		s.backoff = 0
+		run := math.Max(0, (r.Took - b.RoundTrip(c.Backend.Zone) - c.Wait).Seconds())
+		expected := q.Profile.Cold.Seconds()
+		if c.Warm {
+			expected = q.Profile.Warm.Seconds()
+		}
+		s.slowness += workStep * (run/math.Max(expected, 0.001) - s.slowness)
+		s.runTime = average(s.runTime, run)
+	case Failed:
+		s.noteEnd(true, now)
+		delete(s.objects, q.Object)
+	case Shed:
+		s.noteEnd(true, now)
+	case Unreachable:
+		delete(s.objects, q.Object)
+		s.noteEnd(true, now)
+		s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
+		s.avoidUntil = now.Add(s.backoff)
+	}
+}
+
+func (s *server) report(l Load, now time.Time) {
+	s.others = math.Max(0, float64(l.Running+l.Waiting-s.inflight))
+	s.average = average(s.average, s.others)
+	s.reported = now
+}
+
+func average(old, value float64) float64 {
+	if old == 0 {
+		return value
+	}
+	return old + workStep*(value-old)
+}
+
+func (b *Balancer) measureRTT(zone string, rtt time.Duration) {
+	region := b.cfg.RegionOf[zone]
+	old, ok := b.rtt[region]
+	if !ok || rtt < old {
+		b.rtt[region] = rtt
+		return
+	}
+	b.rtt[region] = old + time.Duration(workStep*float64(rtt-old))
+}
--- /dev/null
+++ b/internal/edge/filter/dispatch/desk.go
@@ -0,0 +1,232 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/decide/retry"
+	"github.com/banyandeal/banyandeal/internal/edge/control"
+	"github.com/banyandeal/banyandeal/internal/edge/gateway"
+	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+)
+
+const (
+	// budgetShare is the part of the common retry budget that is used, the
+	// rest allows for instances that count differently.
+	budgetShare = 0.7
+	// coldObjective and warmObjective are the run times expected of a route
+	// until some were seen, as shares of its objective.
+	coldObjective = 1.2
+	warmObjective = 0.4
+	profileStep   = 0.1
+)
+
+// Desk holds the state of all decisions on requests behind one lock.
+type Desk struct {
+	settings *traffic.Settings
+	mu       sync.Mutex
+	balancer *affinity.Balancer
+	profiles map[string]*affinity.Profile
+	budgets  map[string]*retry.Budget
+	draws    map[string]*splitter
+	// view and weights belong to each other.
+	view    *control.View
+	weights map[string]map[string]float64
+}
+
+// NewDesk returns a Desk that knows nothing.
+func NewDesk(s *traffic.Settings) *Desk {
+	return &Desk{
+		settings: s, balancer: affinity.New(affinity.Config{Region: s.Region, RegionOf: s.RegionOf}),
+		profiles: map[string]*affinity.Profile{}, budgets: map[string]*retry.Budget{}, draws: map[string]*splitter{},
+	}
+}
+
+// splitter spreads the requests of a route over its targets in the proportion
+// of their weights.
+type splitter struct{ credit map[string]float64 }
+
+func (s *splitter) draw(targets []traffic.Target) string {
+	total, best := 0.0, ""
+	for _, t := range targets {
+		total += t.Weight
+		s.credit[t.Service] += t.Weight
+		if best == "" || s.credit[t.Service] > s.credit[best] {
+			best = t.Service
+		}
+	}
+	s.credit[best] -= total
+	return best
+}
+
+// begin prepares the attempts of a request.
+func (d *Desk) begin(ex *gateway.Exchange) *try {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.adopt(ex.View)
+	name := d.target(ex.Route)
+	ex.Outcome.Service = name
+	service := ex.View.Config.Services[name]
+	t := &try{ex: ex, service: service}
+	if service == nil {
+		return t
+	}
+	d.budget(name).Deposit(time.Now())
+	object := ""
+	if ex.Object != "" && ex.Route.Sticky {
+		object = ex.Route.Prefix + ex.Object
+	}
+	t.query = affinity.Query{
+		Object: object, Profile: *d.profile(ex.Route, name), Backends: d.candidates(ex, name), Weights: d.weights[name],
+		Tried: map[string]bool{}, ColdRate: service.ColdRate / float64(max(1, len(ex.View.Members))),
+	}
+	if object == "" {
+		// Without an object any backend server is as good as another.
+		t.query.Object = ex.ID
+	}
+	return t
+}
+
+func (d *Desk) target(r *traffic.Route) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	key := r.Host + r.Prefix
+	if d.draws[key] == nil {
+		d.draws[key] = &splitter{credit: map[string]float64{}}
+	}
+	return d.draws[key].draw(r.Targets)
+}
+
+// adopt takes a newer view in.
+func (d *Desk) adopt(v *control.View) {
+	if d.view == v {
+		return
+	}
+	d.view = v
+	d.weights = map[string]map[string]float64{}
+	known := map[string]bool{}
+	for service, list := range v.Backends {
+		d.weights[service] = affinity.Shares(d.settings.Region, d.settings.RegionOf, list)
+		for _, b := range list {
+			known[b.ID] = true
+		}
+	}
+	d.balancer.Retain(func(id string) bool { return known[id] })
+}
+
+// candidates returns the backend servers that the route's homes allow.
+func (d *Desk) candidates(ex *gateway.Exchange, service string) []*traffic.Backend {
+	all := ex.View.Backends[service]
+	if len(ex.Route.HomeRegions) == 0 {
+		return all
+	}
+	var allowed []*traffic.Backend
+	for _, b := range all {
+		for _, home := range ex.Route.HomeRegions {
+			if d.settings.RegionOf[b.Zone] == home {
+				allowed = append(allowed, b)
+			}
+		}
+	}
+	return allowed
+}
+
+func (d *Desk) profile(r *traffic.Route, service string) *affinity.Profile {
+	key := r.Prefix + "\x00" + service
+	p := d.profiles[key]
+	if p == nil {
+		p = &affinity.Profile{
+			Cold: time.Duration(coldObjective * float64(r.Objective)),
+			Warm: time.Duration(warmObjective * float64(r.Objective)),
+		}
+		d.profiles[key] = p
+	}
+	p.Objective = r.Objective
+	return p
+}
+
+func (d *Desk) budget(service string) *retry.Budget {
+	b := d.budgets[service]
+	if b == nil {
+		bounds := d.settings.Bounds
+		members := float64(max(1, len(d.view.Members)))
+		slack := budgetShare * bounds.RetrySlack / members
+		b = retry.NewBudget(retry.BudgetConfig{
+			Share:   budgetShare * bounds.RetryRatio,
+			MinRate: slack / 2 / bounds.RetryWindow.Seconds(),
+			Burst:   max(1, slack/2),
+		}, time.Now())
+		d.budgets[service] = b
+	}
+	return b
+}
+
+// choose returns the backend server for the next attempt, or the reason why
+// there is none.
+func (d *Desk) choose(t *try) (affinity.Choice, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	if len(t.query.Backends) == 0 {
+		return affinity.Choice{}, "no_backends"
+	}
+	choice, ok := d.balancer.Choose(t.query, now)
+	if !ok {
+		return choice, "none_usable"
+	}
+	if choice.Expected > t.ex.Deadline.Sub(now) {
+		return choice, "no_time"
+	}
+	d.balancer.Sent(choice, t.query, now)
+	return choice, ""
+}
+
+func (d *Desk) ended(t *try, c affinity.Choice, r affinity.Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.balancer.Ended(c, t.query, r, time.Now())
+	if r.End == affinity.Answered {
+		d.learn(t, c, r)
+	}
+}
+
+// learn takes a run time into what is expected of the route.
+func (d *Desk) learn(t *try, c affinity.Choice, r affinity.Result) {
+	p := d.profile(t.ex.Route, t.service.Name)
+	run := max(0, r.Took-d.balancer.RoundTrip(c.Backend.Zone)-c.Wait)
+	mean := &p.Cold
+	if c.Warm {
+		mean = &p.Warm
+	}
+	*mean += time.Duration(profileStep * float64(run-*mean))
+}
+
+// mayRepeat reports whether a request that may have run can go to a further
+// backend server.
+func (d *Desk) mayRepeat(t *try) bool {
+	return t.ex.Route.Idempotent && t.runs < t.ex.Route.MaxAttempts
+}
+
+// takeRetry draws on the budget for further attempts.
+func (d *Desk) takeRetry(t *try) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(t.service.Name).Take(time.Now())
+}
+
+// Waits of callers that are turned away, as shares of what is left to them.
+const (
+	minReturn = 0.06
+	maxReturn = 0.25
+)
+
+// retryAfter returns when a caller that was turned away may come back: spread,
+// so that callers do not return together, and soon enough for another try.
+func (d *Desk) retryAfter(ex *gateway.Exchange) time.Duration {
+	left := time.Until(ex.CallerDeadline)
+	share := minReturn + (maxReturn-minReturn)*rand.Float64()
+	return max(0, time.Duration(share*float64(left)))
+}
--- /dev/null
+++ b/internal/edge/filter/expire/expire.go
@@ -0,0 +1,28 @@
+// Package expire bounds the time that a request may take.
+package expire
+
+import (
+	"context"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/edge/gateway"
+	"github.com/banyandeal/banyandeal/internal/edge/ingress"
+)
+
+// Filter implements gateway.Filter.
+type Filter struct{}
+
+// Serve implements gateway.Filter.
+func (Filter) Serve(ctx context.Context, ex *gateway.Exchange, next gateway.Next) *ingress.Answer {
+	ex.Deadline = ex.CallerDeadline
+	if limit := ex.Received.Add(ex.Route.Timeout); ex.Route.Timeout > 0 && limit.Before(ex.Deadline) {
+		ex.Deadline = limit
+	}
+	if !time.Now().Before(ex.Deadline) {
+		ex.Outcome.Reason = "expired"
+		return gateway.NotRun(0, "the deadline passed before the request could be sent")
+	}
+	ctx, cancel := context.WithDeadline(ctx, ex.Deadline)
+	defer cancel()
+	return next(ctx, ex)
+}
--- /dev/null
+++ b/internal/edge/filter/match/match.go
@@ -0,0 +1,32 @@
+// Package match finds the route of a request.
+package match
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/edge/gateway"
+	"github.com/banyandeal/banyandeal/internal/edge/ingress"
+)
+
+// startWait is when a caller may come back to an instance that has no
+// configuration yet.
+const startWait = 300 * time.Millisecond
+
+// Filter implements gateway.Filter.
+type Filter struct{}
+
+// Serve implements gateway.Filter.
+func (Filter) Serve(ctx context.Context, ex *gateway.Exchange, next gateway.Next) *ingress.Answer {
+	if ex.View.Config == nil {
+		ex.Outcome.Reason = "no_config"
+		return gateway.NotRun(startWait, "the instance is starting; come back later")
+	}
+	ex.Route = ex.View.Config.Match(ex.Host, ex.Target)
+	if ex.Route == nil {
+		ex.Outcome.Reason = "no_route"
+		return gateway.Final(http.StatusNotFound, "no route has this host and path")
+	}
+	return next(ctx, ex)
+}
