affinity: the first choice of an object is taken to know it

Cause: an instance took only backend servers that it had used itself as warm, so the instances of a region spread an object over several and each copy was loaded anew. Ruled out: objects shared between regions (each is asked for in one region only, by a log of all requests).

--- a/internal/decide/affinity/affinity.go
+++ b/internal/decide/affinity/affinity.go
@@ -11,7 +11,9 @@
 package affinity
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/hrw"
@@ -52,6 +54,15 @@
 	Objective time.Duration
 }
 
+// Nearest returns the expected run time, warm or cold, that a run is closer to
+// by ratio.
+func (p Profile) Nearest(run time.Duration) time.Duration {
+	if float64(run)*float64(run) < float64(p.Warm)*float64(p.Cold) {
+		return p.Warm
+	}
+	return p.Cold
+}
+
 // Query asks for a backend server.
 type Query struct {
 	// Object names the object with its route; empty if there is none.
@@ -156,57 +167,61 @@
 func (b *Balancer) Choose(q Query, now time.Time) (Choice, bool) {
 	var best Choice
 	bestCost := math.Inf(1)
-	ranks := b.ranks(q)
-	for i, backend := range q.Backends {
-		if q.Tried[backend.ID] {
-			continue
-		}
-		s := b.server(backend.ID, now)
-		if now.Before(s.avoidUntil) || !s.mayStartCold(backend, q.ColdRate, now) {
-			continue
-		}
-		choice := b.expect(q, s, backend, now)
-		choice.Rank = ranks[i]
-		cost := b.cost(q, s, choice, now)
-		if cost < bestCost || cost == bestCost && choice.Rank < best.Rank {
+	for rank, c := range b.rank(q, now) {
+		choice := b.expect(q, c, rank, now)
+		if cost := b.cost(q, c.server, choice, now); cost < bestCost {
 			best, bestCost = choice, cost
 		}
 	}
 	return best, best.Backend != nil
 }
 
-// ranks returns the place of each candidate in the order of the object.
-func (b *Balancer) ranks(q Query) []int {
-	scores := make([]float64, len(q.Backends))
-	for i, backend := range q.Backends {
-		scores[i] = hrw.Score(q.Object, backend.ID, max(q.Weights[backend.ID], minWeight))
-	}
-	ranks := make([]int, len(scores))
-	for i, a := range scores {
-		for _, other := range scores {
-			if other > a {
-				ranks[i]++
-			}
+// candidate is a backend server that may get the request.
+type candidate struct {
+	backend *traffic.Backend
+	server  *server
+	score   float64
+}
+
+// rank returns the candidates that may get the request in the order of its
+// object, which is the same at every instance of the region.
+func (b *Balancer) rank(q Query, now time.Time) []candidate {
+	list := make([]candidate, 0, len(q.Backends))
+	for _, backend := range q.Backends {
+		if q.Tried[backend.ID] {
+			continue
 		}
+		s := b.server(backend.ID, now)
+		if now.Before(s.avoidUntil) || !s.mayStartCold(backend, q.ColdRate, now) {
+			continue
+		}
+		score := hrw.Score(q.Object, backend.ID, max(q.Weights[backend.ID], minWeight))
+		list = append(list, candidate{backend: backend, server: s, score: score})
 	}
-	return ranks
+	slices.SortFunc(list, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.backend.ID, y.backend.ID))
+	})
+	return list
 }
 
-func (b *Balancer) expect(q Query, s *server, backend *traffic.Backend, now time.Time) Choice {
-	_, warm := s.objects[q.Object]
+// expect returns what is expected of a candidate. The first of an object's
+// order is taken to know it, since every instance prefers that one.
+func (b *Balancer) expect(q Query, c candidate, rank int, now time.Time) Choice {
+	s := c.server
+	_, known := s.objects[q.Object]
 	work := q.Profile.Cold
-	if warm && q.Object != "" {
+	if known || rank == 0 {
 		work = q.Profile.Warm
 	}
-	wait := s.wait(backend.Slots, q.Profile, now)
+	wait := s.wait(c.backend.Slots, q.Profile, now)
 	run := time.Duration(float64(work) * s.slowness)
 	age := time.Duration(-1)
 	if !s.reported.IsZero() {
 		age = now.Sub(s.reported)
 	}
 	return Choice{
-		Backend: backend, Wait: wait, Warm: warm, LoadAge: age,
-		Expected: b.RoundTrip(backend.Zone) + wait + run,
+		Backend: c.backend, Rank: rank, Wait: wait, Warm: known, LoadAge: age,
+		Expected: b.RoundTrip(c.backend.Zone) + wait + run,
 	}
 }
 
@@ -336,13 +351,10 @@
 	case Answered:
 		s.noteEnd(false, now)
 		s.backoff = 0
-		run := math.Max(0, (r.Took - b.RoundTrip(c.Backend.Zone) - c.Wait).Seconds())
-		expected := q.Profile.Cold.Seconds()
-		if c.Warm {
-			expected = q.Profile.Warm.Seconds()
-		}
-		s.slowness += workStep * (run/math.Max(expected, 0.001) - s.slowness)
-		s.runTime = average(s.runTime, run)
+		run := b.RunTime(c, r)
+		expected := q.Profile.Nearest(run)
+		s.slowness += workStep * (run.Seconds()/math.Max(expected.Seconds(), 0.001) - s.slowness)
+		s.runTime = average(s.runTime, run.Seconds())
 	case Failed:
 		s.noteEnd(true, now)
 		delete(s.objects, q.Object)
@@ -356,6 +368,12 @@
 	}
 }
 
+// RunTime returns how long an answered request ran at the backend server, from
+// what it took less the way and the wait that were expected.
+func (b *Balancer) RunTime(c Choice, r Result) time.Duration {
+	return max(time.Millisecond, r.Took-b.RoundTrip(c.Backend.Zone)-c.Wait)
+}
+
 func (s *server) report(l Load, now time.Time) {
 	s.others = math.Max(0, float64(l.Running+l.Waiting-s.inflight))
 	s.average = average(s.average, s.others)
--- a/internal/edge/filter/dispatch/desk.go
+++ b/internal/edge/filter/dispatch/desk.go
@@ -196,9 +196,9 @@
 // learn takes a run time into what is expected of the route.
 func (d *Desk) learn(t *try, c affinity.Choice, r affinity.Result) {
 	p := d.profile(t.ex.Route, t.service.Name)
-	run := max(0, r.Took-d.balancer.RoundTrip(c.Backend.Zone)-c.Wait)
+	run := d.balancer.RunTime(c, r)
 	mean := &p.Cold
-	if c.Warm {
+	if p.Nearest(run) == p.Warm {
 		mean = &p.Warm
 	}
 	*mean += time.Duration(profileStep * float64(run-*mean))
