affinity, dispatch: places for an object, and no wait that makes late

Cause: in a crowd each instance spread an object over all backend servers, so nothing stayed warm, and requests queued until their route gave them up while their runs held slots. An object keeps to two places and more by its rate; a request whose wait would spoil the objective is refused at once. The load that an answer reports counts the request itself, so it is compared before that one is taken off.

--- a/internal/decide/affinity/affinity.go
+++ b/internal/decide/affinity/affinity.go
@@ -73,6 +73,8 @@
 	Weights  map[string]float64
 	// Tried holds the ids that the request was sent to.
 	Tried map[string]bool
+	// Peers is the number of instances that get requests for the object.
+	Peers int
 	// ColdRate is the requests per second that a cold backend server may get
 	// from this instance.
 	ColdRate float64
@@ -137,11 +139,13 @@
 	servers map[string]*server
 	// rtt is the measured round trip to each region.
 	rtt map[string]time.Duration
+	// rates holds how often each object is asked for here.
+	rates map[string]rate
 }
 
 // New returns a Balancer that knows of no backend server.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, servers: map[string]*server{}, rtt: map[string]time.Duration{}}
+	return &Balancer{cfg: cfg, servers: map[string]*server{}, rtt: map[string]time.Duration{}, rates: map[string]rate{}}
 }
 
 // Retain forgets the backend servers that keep does not name.
@@ -167,7 +171,8 @@
 func (b *Balancer) Choose(q Query, now time.Time) (Choice, bool) {
 	var best Choice
 	bestCost := math.Inf(1)
-	for rank, c := range b.rank(q, now) {
+	ranked := b.rank(q, now)
+	for rank, c := range ranked[:min(len(ranked), b.places(q, ranked, now))] {
 		choice := b.expect(q, c, rank, now)
 		if cost := b.cost(q, c.server, choice, now); cost < bestCost {
 			best, bestCost = choice, cost
@@ -204,6 +209,17 @@
 	return list
 }
 
+// places returns how many backend servers an object may use: as many as its
+// load fills, and one more that takes what the others cannot.
+func (b *Balancer) places(q Query, ranked []candidate, now time.Time) int {
+	if len(ranked) == 0 {
+		return 0
+	}
+	rate := b.rates[q.Object].at(now) * float64(max(1, q.Peers))
+	slots := float64(ranked[0].backend.Slots)
+	return 2 + int(rate*q.Profile.Warm.Seconds()/(slots*fillTarget))
+}
+
 // expect returns what is expected of a candidate. The first of an object's
 // order is taken to know it, since every instance prefers that one.
 func (b *Balancer) expect(q Query, c candidate, rank int, now time.Time) Choice {
@@ -233,6 +249,10 @@
 	return c.Expected.Seconds() + rankCost + failureCost
 }
 
+// fillTarget is the part of a backend server's slots that one object may fill
+// before it gets a further place.
+const fillTarget = 0.5
+
 // rankShare is the cost of one rank as a share of the warm run time.
 const rankShare = 0.05
 
@@ -310,7 +330,19 @@
 	}
 	if q.Object != "" {
 		s.remember(q.Object, now)
+		b.countObject(q.Object, now)
+	}
+}
+
+func (b *Balancer) countObject(object string, now time.Time) {
+	if len(b.rates) >= maxRates {
+		for o, r := range b.rates {
+			if r.at(now) < forgottenRate {
+				delete(b.rates, o)
+			}
+		}
 	}
+	b.rates[object] = b.rates[object].count(now)
 }
 
 func (s *server) remember(object string, now time.Time) {
@@ -340,13 +372,13 @@
 // Ended takes in the end of a request that Sent has counted.
 func (b *Balancer) Ended(c Choice, q Query, r Result, now time.Time) {
 	s := b.server(c.Backend.ID, now)
-	s.inflight--
 	if r.RTT > 0 {
 		b.measureRTT(c.Backend.Zone, r.RTT)
 	}
 	if r.Load != nil {
 		s.report(*r.Load, now)
 	}
+	s.inflight--
 	switch r.End {
 	case Answered:
 		s.noteEnd(false, now)
@@ -374,6 +406,7 @@
 	return max(time.Millisecond, r.Took-b.RoundTrip(c.Backend.Zone)-c.Wait)
 }
 
+// report takes in a load that counts the request whose answer brought it.
 func (s *server) report(l Load, now time.Time) {
 	s.others = math.Max(0, float64(l.Running+l.Waiting-s.inflight))
 	s.average = average(s.average, s.others)
--- a/internal/edge/filter/dispatch/desk.go
+++ b/internal/edge/filter/dispatch/desk.go
@@ -21,6 +21,10 @@
 	coldObjective = 1.2
 	warmObjective = 0.4
 	profileStep   = 0.1
+	// patienceShare is the part of what a warm run leaves of the objective that
+	// may be spent waiting; the rest covers what the estimate misses.
+	patienceShare = 0.7
+	minPatience   = 20 * time.Millisecond
 )
 
 // Desk holds the state of all decisions on requests behind one lock.
@@ -34,6 +38,8 @@
 	// view and weights belong to each other.
 	view    *control.View
 	weights map[string]map[string]float64
+	// peers is the number of instances in the region, this one included.
+	peers int
 }
 
 // NewDesk returns a Desk that knows nothing.
@@ -80,7 +86,7 @@
 	}
 	t.query = affinity.Query{
 		Object: object, Profile: *d.profile(ex.Route, name), Backends: d.candidates(ex, name), Weights: d.weights[name],
-		Tried: map[string]bool{}, ColdRate: service.ColdRate / float64(max(1, len(ex.View.Members))),
+		Tried: map[string]bool{}, Peers: d.peers, ColdRate: service.ColdRate / float64(max(1, len(ex.View.Members))),
 	}
 	if object == "" {
 		// Without an object any backend server is as good as another.
@@ -107,6 +113,12 @@
 	}
 	d.view = v
 	d.weights = map[string]map[string]float64{}
+	d.peers = 0
+	for _, m := range v.Members {
+		if d.settings.RegionOf[m.Zone] == d.settings.Region {
+			d.peers++
+		}
+	}
 	known := map[string]bool{}
 	for service, list := range v.Backends {
 		d.weights[service] = affinity.Shares(d.settings.Region, d.settings.RegionOf, list)
@@ -180,10 +192,20 @@
 	if choice.Expected > t.ex.Deadline.Sub(now) {
 		return choice, "no_time"
 	}
+	if choice.Wait > t.patience() {
+		return choice, "queue_full"
+	}
 	d.balancer.Sent(choice, t.query, now)
 	return choice, ""
 }
 
+// patience is the longest wait for a slot that a warm run still leaves within
+// the objective. Requests that wait longer would be late, and make those behind
+// them late.
+func (t *try) patience() time.Duration {
+	return max(minPatience, time.Duration(patienceShare*float64(t.ex.Route.Objective-t.query.Profile.Warm)))
+}
+
 func (d *Desk) ended(t *try, c affinity.Choice, r affinity.Result) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -89,6 +89,7 @@
 	if end.ran {
 		t.runs++
 	}
+	o.Reason = end.reason
 	return end
 }
 
@@ -163,7 +164,6 @@
 // that is.
 func (f *Filter) final(ctx context.Context, t *try, end ending) *ingress.Answer {
 	o := &t.ex.Outcome
-	o.Reason = end.reason
 	if end.err != nil {
 		o.Detail = end.err.Error()
 	}
