feeds, relay: one instance of a region reads the store for the others

Ruled out: longer waits alone (changes, not idle polls, made most calls). The first instance of a shared order reads, the others ask it over yamux; a silent or cut-off reader is left within about 1.3 s for the next or the store. The reader also finds dead instances and removes their rows.

--- a/Makefile
+++ b/Makefile
@@ -28,12 +28,14 @@
 fuzz:
 	@scripts/fuzz $(FUZZTIME)
 
-# Generated code is committed; this target is only for a changed peer.proto
+# Generated code is committed; this target is only for a changed .proto
 # and needs protoc.
 generate:
 	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH=$(CURDIR)/bin:$$PATH protoc -I internal/peer/peerpb --go_out=. \
 		--go_opt=module=github.com/banyandeal/banyandeal internal/peer/peerpb/peer.proto
+	PATH=$(CURDIR)/bin:$$PATH protoc -I internal/edge/relay/relaypb --go_out=. \
+		--go_opt=module=github.com/banyandeal/banyandeal internal/edge/relay/relaypb/relay.proto
 
 # Runs a whole estate on loopback with load and faults; fails when a promise
 # was broken.
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +26,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/filter/match"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
+	"github.com/banyandeal/banyandeal/internal/edge/relay"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 	"github.com/banyandeal/banyandeal/internal/telemetry"
 	"github.com/banyandeal/banyandeal/platform"
@@ -57,8 +59,13 @@
 	ingress   *ingress.Server
 	register  *feeds.Registration
 	store     *platform.Store
+	replica   *feeds.Replica
+	switches  *feeds.Switch
+	janitor   *janitor
 }
 
+func peerAddress(s *traffic.Settings) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
+
 // New builds an instance from its settings.
 func New(s *traffic.Settings, log zerolog.Logger, m *telemetry.Metrics) *Daemon {
 	d := &Daemon{settings: s, log: log, metrics: m, control: control.New(log), store: platform.NewStore(s.Store.Address)}
@@ -68,8 +75,11 @@
 		accesslog.New(log, m), identify.Filter{}, match.Filter{}, expire.Filter{},
 		dispatch.New(pool, dispatch.NewDesk(s)))
 	d.ingress = ingress.New(handler, d.refuse, d.limits, maxCallerConns)
+	d.replica = feeds.NewReplica()
+	d.switches = feeds.NewSwitch(s.Instance, s.Region, d.store, relay.NewClient(s.Instance), log)
+	d.janitor = newJanitor(d)
 	d.register = &feeds.Registration{Store: d.store, Log: log, Self: traffic.Member{
-		Name: s.Instance, Zone: s.Zone, Callers: s.Listen.Callers, Incarnation: time.Now().UnixNano(),
+		Name: s.Instance, Zone: s.Zone, Callers: s.Listen.Callers, Peer: peerAddress(s), Incarnation: time.Now().UnixNano(),
 	}}
 	return d
 }
@@ -93,12 +103,15 @@
 	if err != nil {
 		return errors.Annotate(err, "listen for callers; check listen.front")
 	}
-	failed := make(chan error, 2)
+	failed := make(chan error, 4)
 	if err := d.serveHTTP(failed); err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if err := d.serveRelay(background, failed); err != nil {
+		return err
+	}
 	d.follow(background)
 	go func() { failed <- d.ingress.Serve(callers) }()
 	d.log.Info().Str("event", "start").Str("zone", d.settings.Zone).Str("callers", d.settings.Listen.Callers).Msg("")
@@ -114,20 +127,29 @@
 // follow starts the control goroutine and what feeds it.
 func (d *Daemon) follow(ctx context.Context) {
 	go d.control.Run(ctx)
-	for _, f := range []*feeds.Feed{
-		feeds.Operator(d.store, d.control.Push, d.log),
-		feeds.Backends(d.store, d.control.Push, d.log),
-		feeds.Members(d.store, d.control.Push, d.log),
-	} {
+	for _, f := range feeds.Feeds(d.switches, d.replica, d.control.Push, d.log) {
 		go f.Run(ctx)
 	}
 	go func() {
 		if err := d.register.Join(ctx); err != nil {
 			d.log.Warn().Str("event", "join_ended").Err(err).Msg("")
+			return
 		}
+		d.janitor.run(ctx)
 	}()
 }
 
+// serveRelay answers the instances that read the store through this one.
+func (d *Daemon) serveRelay(ctx context.Context, failed chan<- error) error {
+	l, err := net.Listen("tcp", peerAddress(d.settings))
+	if err != nil {
+		return errors.Annotate(err, "listen for other instances; check ip and inner_ports")
+	}
+	server := relay.NewServer(d.replica, d.janitor.heard)
+	go func() { failed <- server.Serve(ctx, l) }()
+	return nil
+}
+
 // serveHTTP serves look-ups and readiness checks.
 func (d *Daemon) serveHTTP(failed chan<- error) error {
 	handlers := map[string]http.Handler{}
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -33,6 +33,9 @@
 // Stop makes the instance not ready and keeps it out of its own answers.
 func (d *Directory) Stop() { d.stopping.Store(true) }
 
+// Stopping reports whether Stop was called.
+func (d *Directory) Stopping() bool { return d.stopping.Load() }
+
 // Ready answers 200 while the instance takes requests.
 func (d *Directory) Ready(w http.ResponseWriter, _ *http.Request) {
 	if d.stopping.Load() || d.control.View().Config == nil {
--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -20,47 +20,52 @@
 const TableMembers = "members"
 
 const (
-	// urgentWait and calmWait bound one wait for changes. A feed whose
-	// connection has gone silent is noticed after its wait.
-	urgentWait = 4 * time.Second
-	calmWait   = 15 * time.Second
+	// storeWait and calmWait bound one wait for changes at the store.
+	storeWait = 6 * time.Second
+	calmWait  = 15 * time.Second
+	// beatWait bounds one wait at a reader, so that a silent one is noticed;
+	// one feed is enough for that, the others wait for restWait.
+	beatWait = 700 * time.Millisecond
+	restWait = 8 * time.Second
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
+	// Pauses after changes, in which more of them come together.
+	operatorPause = 20 * time.Millisecond
+	backendPause  = 200 * time.Millisecond
+	memberPause   = 500 * time.Millisecond
 )
 
 // Feed follows one table.
 type Feed struct {
-	Store *platform.Store
-	Table string
-	Kind  control.Kind
-	Push  func(context.Context, control.Update)
-	Log   zerolog.Logger
+	switches *Switch
+	replica  *Replica
+	table    string
+	kind     control.Kind
+	push     func(context.Context, control.Update)
+	log      zerolog.Logger
 	// decode turns rows into an update.
 	decode func(rows []platform.Row) control.Update
-	wait   time.Duration
-	lostAt time.Time
+	// wait and readerWait bound one wait at the store and at a reader.
+	wait, readerWait time.Duration
+	pause            time.Duration
+	lostAt           time.Time
 }
 
-// Operator returns the feed of the operator's table.
-func Operator(s *platform.Store, push func(context.Context, control.Update), log zerolog.Logger) *Feed {
-	f := &Feed{Store: s, Table: platform.TableOperator, Kind: control.KindOperator, Push: push, Log: log, wait: urgentWait}
-	f.decode = f.operator
-	return f
-}
-
-// Backends returns the feed of the backend servers' table.
-func Backends(s *platform.Store, push func(context.Context, control.Update), log zerolog.Logger) *Feed {
-	f := &Feed{Store: s, Table: platform.TableBackends, Kind: control.KindBackends, Push: push, Log: log, wait: urgentWait}
-	f.decode = f.backends
-	return f
-}
-
-// Members returns the feed of the entry instances' table.
-func Members(s *platform.Store, push func(context.Context, control.Update), log zerolog.Logger) *Feed {
-	f := &Feed{Store: s, Table: TableMembers, Kind: control.KindMembers, Push: push, Log: log, wait: calmWait}
-	f.decode = f.members
-	return f
+// Feeds returns the feeds of the operator's table, the backend servers' and the
+// entry instances'.
+func Feeds(s *Switch, r *Replica, push func(context.Context, control.Update), log zerolog.Logger) []*Feed {
+	operator := &Feed{table: platform.TableOperator, kind: control.KindOperator, wait: storeWait, readerWait: beatWait, pause: operatorPause}
+	operator.decode = operator.operator
+	backends := &Feed{table: platform.TableBackends, kind: control.KindBackends, wait: storeWait, readerWait: restWait, pause: backendPause}
+	backends.decode = backends.backends
+	members := &Feed{table: TableMembers, kind: control.KindMembers, wait: calmWait, readerWait: restWait, pause: memberPause}
+	members.decode = members.members
+	all := []*Feed{operator, backends, members}
+	for _, f := range all {
+		f.switches, f.replica, f.push, f.log = s, r, push, log
+	}
+	return all
 }
 
 // Run follows the table until ctx ends.
@@ -68,20 +73,26 @@
 	backoff := minBackoff
 	version, synced := uint64(0), false
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, version, synced)
+		used := f.switches.pick()
+		next, err := f.step(ctx, used, version, synced)
 		switch {
 		case err == nil:
 			version, synced, backoff = next, true, minBackoff
 			continue
 		case ctx.Err() != nil:
 			return
+		case used.ctx.Err() != nil:
+			// Another source was chosen meanwhile.
+			continue
 		case errors.Is(err, platform.ErrCompacted):
 			synced = false
 			continue
 		}
-		f.lost(ctx, err)
-		sleep(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
-		backoff = min(2*backoff, maxBackoff)
+		f.lost(ctx, used, err)
+		if used.direct() {
+			sleep(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
+			backoff = min(2*backoff, maxBackoff)
+		}
 	}
 }
 
@@ -93,52 +104,81 @@
 }
 
 // step reads the whole table, or waits for its next changes.
-func (f *Feed) step(ctx context.Context, version uint64, synced bool) (uint64, error) {
-	if !synced {
-		rows, next, err := f.Store.Rows(ctx, f.Table)
-		if err != nil {
-			return 0, errors.Trace(err)
-		}
-		u := f.decode(rows)
-		u.Full = true
-		f.push(ctx, u)
-		return next, nil
+func (f *Feed) step(ctx context.Context, used selection, version uint64, synced bool) (uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(used.ctx, cancel)()
+	if !used.direct() {
+		f.replica.Lost(f.table)
 	}
-	wait := f.wait
-	if !f.lostAt.IsZero() {
-		// Learn soon whether the store is back.
-		wait = 0
+	if !synced {
+		return f.read(ctx, used)
 	}
-	rows, next, err := f.Store.Changes(ctx, f.Table, version, wait)
+	rows, next, err := used.source.Changes(ctx, f.table, version, f.waitAt(used))
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
+	next = max(version, next)
+	if used.direct() {
+		f.replica.Apply(f.table, rows, next)
+	}
 	if len(rows) > 0 || !f.lostAt.IsZero() {
-		f.push(ctx, f.decode(rows))
+		f.deliver(ctx, f.decode(rows))
+		sleep(ctx, f.pause)
 	}
-	return max(version, next), nil
+	return next, nil
 }
 
-func (f *Feed) push(ctx context.Context, u control.Update) {
-	u.Kind = f.Kind
+func (f *Feed) read(ctx context.Context, used selection) (uint64, error) {
+	rows, version, err := used.source.Rows(ctx, f.table)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	if used.direct() {
+		f.replica.Reset(f.table, rows, version)
+	}
+	u := f.decode(rows)
+	u.Full = true
+	f.deliver(ctx, u)
+	return version, nil
+}
+
+// waitAt returns how long to wait for changes. After a failure it is short, to
+// learn soon that the source is back.
+func (f *Feed) waitAt(used selection) time.Duration {
+	switch {
+	case !f.lostAt.IsZero():
+		return 0
+	case used.direct():
+		return f.wait
+	}
+	return f.readerWait
+}
+
+func (f *Feed) deliver(ctx context.Context, u control.Update) {
+	u.Kind = f.kind
 	if !f.lostAt.IsZero() {
 		u.Regained, u.Away = true, time.Since(f.lostAt)
 		f.lostAt = time.Time{}
 	}
-	f.Push(ctx, u)
+	f.push(ctx, u)
 }
 
-func (f *Feed) lost(ctx context.Context, err error) {
-	if !f.lostAt.IsZero() {
+// lost takes in that a source failed. While another one may be left, nothing is
+// lost yet.
+func (f *Feed) lost(ctx context.Context, used selection, err error) {
+	f.replica.Lost(f.table)
+	f.switches.failed(used)
+	if !used.direct() || !f.lostAt.IsZero() {
 		return
 	}
 	f.lostAt = time.Now()
-	f.Log.Warn().Str("event", "feed_failed").Str("table", f.Table).Err(err).Msg("")
-	f.Push(ctx, control.Update{Kind: f.Kind, Lost: true})
+	f.log.Warn().Str("event", "feed_failed").Str("table", f.table).Err(err).Msg("")
+	f.push(ctx, control.Update{Kind: f.kind, Lost: true})
 }
 
 func (f *Feed) skip(row platform.Row, err error) {
-	f.Log.Warn().Str("event", "row_skipped").Str("table", f.Table).Str("key", row.Key).Err(err).Msg("the row cannot be used")
+	f.log.Warn().Str("event", "row_skipped").Str("table", f.table).Str("key", row.Key).Err(err).Msg("the row cannot be used")
 }
 
 func (f *Feed) operator(rows []platform.Row) control.Update {
@@ -190,6 +230,7 @@
 			f.skip(row, err)
 			continue
 		}
+		m.RowVersion = row.Version
 		u.Members[row.Key] = m
 	}
 	return u
--- a/internal/edge/feeds/register.go
+++ b/internal/edge/feeds/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +21,7 @@
 	Store *platform.Store
 	Self  traffic.Member
 	Log   zerolog.Logger
+	mu    sync.Mutex
 	// version is that of the row as last written or seen.
 	version uint64
 }
@@ -27,6 +29,8 @@
 // Join writes the row of this instance; it tries until ctx ends. A write whose
 // answer was lost is settled by the conflict of the next try.
 func (r *Registration) Join(ctx context.Context) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	value, err := json.Marshal(r.Self)
 	if err != nil {
 		return errors.Trace(err)
@@ -52,10 +56,18 @@
 
 // Leave removes the row of this instance.
 func (r *Registration) Leave(ctx context.Context) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	row := platform.Row{Table: TableMembers, Key: r.Self.Name}
 	return errors.Trace(r.Store.Remove(ctx, row, r.version))
 }
 
+// Evict removes the row of an instance that has died, unless it has written it
+// again since.
+func (r *Registration) Evict(ctx context.Context, m traffic.Member) error {
+	return errors.Trace(r.Store.Remove(ctx, platform.Row{Table: TableMembers, Key: m.Name}, m.RowVersion))
+}
+
 func rowVersion(rows []platform.Row) uint64 {
 	if len(rows) == 0 {
 		return 0
--- /dev/null
+++ b/internal/edge/relay/relay.go
@@ -0,0 +1,234 @@
+// Package relay lets the entry instances of a region read the store's tables
+// from the one that reads the store. It moves rows and decides nothing.
+package relay
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/banyandeal/banyandeal/internal/edge/feeds"
+	"github.com/banyandeal/banyandeal/internal/edge/relay/relaypb"
+	"github.com/banyandeal/banyandeal/platform"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// replyMargin is how long after the wait that was asked for a reply may
+	// take; a reader that stays silent for longer has failed.
+	replyMargin = 600 * time.Millisecond
+	// maxWait bounds the wait of one Ask.
+	maxWait     = 10 * time.Second
+	askTimeout  = 2 * time.Second
+	bufferBytes = 4 << 10
+	// maxReplyBytes bounds one reply.
+	maxReplyBytes = 16 << 20
+)
+
+func sessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false
+	c.LogOutput = discard{}
+	c.ConnectionWriteTimeout = time.Second
+	c.StreamOpenTimeout = time.Second
+	c.StreamCloseTimeout = time.Second
+	return c
+}
+
+// discard drops yamux's own lines; failures are reported by the calls.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// Server answers the instances that follow this one.
+type Server struct {
+	replica *feeds.Replica
+	// heard is told the name of each instance that asks.
+	heard func(instance string)
+}
+
+// NewServer returns a server of the replica.
+func NewServer(r *feeds.Replica, heard func(instance string)) *Server {
+	return &Server{replica: r, heard: heard}
+}
+
+// Serve takes sessions until the listener closes.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return errors.Annotate(err, "accept a session of another instance")
+		}
+		session, err := yamux.Server(nc, sessionConfig())
+		if err != nil {
+			_ = nc.Close()
+			continue
+		}
+		go s.session(ctx, session)
+	}
+}
+
+func (s *Server) session(ctx context.Context, session *yamux.Session) {
+	defer session.Close()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		go s.answer(ctx, stream)
+	}
+}
+
+// answer serves one Ask. A stream that fails is the asker's to notice.
+func (s *Server) answer(ctx context.Context, stream *yamux.Stream) {
+	defer stream.Close()
+	_ = stream.SetDeadline(time.Now().Add(maxWait + askTimeout))
+	ask := &relaypb.Ask{}
+	if err := protodelim.UnmarshalFrom(bufio.NewReaderSize(stream, 256), ask); err != nil {
+		return
+	}
+	s.heard(ask.Instance)
+	reply := &relaypb.Reply{}
+	var rows []platform.Row
+	var err error
+	if ask.Full {
+		rows, reply.Version, err = s.replica.Rows(ctx, ask.Table)
+	} else {
+		wait := min(maxWait, time.Duration(ask.WaitMs)*time.Millisecond)
+		rows, reply.Version, err = s.replica.Changes(ctx, ask.Table, ask.After, wait)
+	}
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		reply.Status = relaypb.Status_COMPACTED
+	case err != nil:
+		reply.Status = relaypb.Status_UNAVAILABLE
+	}
+	for _, row := range rows {
+		reply.Rows = append(reply.Rows, &relaypb.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+	}
+	_, _ = protodelim.MarshalTo(stream, reply)
+}
+
+// Client reads tables from other instances, a session for each. It is safe for
+// concurrent use.
+type Client struct {
+	self     string
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+}
+
+// NewClient returns a client without sessions.
+func NewClient(self string) *Client {
+	return &Client{self: self, sessions: map[string]*yamux.Session{}}
+}
+
+// Source returns the tables as the instance at address reads them.
+func (c *Client) Source(address string) feeds.Source { return &remote{client: c, address: address} }
+
+// KeepOnly closes the sessions to all addresses but one.
+func (c *Client) KeepOnly(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, session := range c.sessions {
+		if a != address {
+			_ = session.Close()
+			delete(c.sessions, a)
+		}
+	}
+}
+
+func (c *Client) session(ctx context.Context, address string) (*yamux.Session, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if session := c.sessions[address]; session != nil && !session.IsClosed() {
+		return session, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	nc, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "reach the reader at %s", address)
+	}
+	session, err := yamux.Client(nc, sessionConfig())
+	if err != nil {
+		_ = nc.Close()
+		return nil, errors.Trace(err)
+	}
+	c.sessions[address] = session
+	return session, nil
+}
+
+// drop closes a session that has failed.
+func (c *Client) drop(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if session := c.sessions[address]; session != nil {
+		_ = session.Close()
+		delete(c.sessions, address)
+	}
+}
+
+type remote struct {
+	client  *Client
+	address string
+}
+
+// Rows implements feeds.Source.
+func (r *remote) Rows(ctx context.Context, table string) ([]platform.Row, uint64, error) {
+	return r.ask(ctx, &relaypb.Ask{Table: table, Full: true}, askTimeout)
+}
+
+// Changes implements feeds.Source. It may return before wait has passed.
+func (r *remote) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.Row, uint64, error) {
+	wait = min(wait, maxWait)
+	return r.ask(ctx, &relaypb.Ask{Table: table, After: after, WaitMs: uint32(wait.Milliseconds())}, wait+replyMargin)
+}
+
+func (r *remote) ask(ctx context.Context, ask *relaypb.Ask, timeout time.Duration) ([]platform.Row, uint64, error) {
+	ask.Instance = r.client.self
+	session, err := r.client.session(ctx, r.address)
+	if err != nil {
+		return nil, 0, err
+	}
+	reply, err := exchange(ctx, session, ask, timeout)
+	if err != nil {
+		if ctx.Err() == nil {
+			r.client.drop(r.address)
+		}
+		return nil, 0, errors.Annotatef(err, "ask the reader at %s", r.address)
+	}
+	switch reply.Status {
+	case relaypb.Status_COMPACTED:
+		return nil, 0, platform.ErrCompacted
+	case relaypb.Status_UNAVAILABLE:
+		return nil, 0, feeds.ErrNotReading
+	}
+	rows := make([]platform.Row, 0, len(reply.Rows))
+	for _, row := range reply.Rows {
+		rows = append(rows, platform.Row{Table: ask.Table, Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+	}
+	return rows, reply.Version, nil
+}
+
+func exchange(ctx context.Context, session *yamux.Session, ask *relaypb.Ask, timeout time.Duration) (*relaypb.Reply, error) {
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	defer stop()
+	_ = stream.SetDeadline(time.Now().Add(timeout))
+	if _, err := protodelim.MarshalTo(stream, ask); err != nil {
+		return nil, errors.Trace(err)
+	}
+	reply := &relaypb.Reply{}
+	options := protodelim.UnmarshalOptions{MaxSize: maxReplyBytes}
+	err = options.UnmarshalFrom(bufio.NewReaderSize(stream, bufferBytes), reply)
+	return reply, errors.Trace(err)
+}
--- a/internal/edge/traffic/traffic.go
+++ b/internal/edge/traffic/traffic.go
@@ -168,4 +168,6 @@
 	Peer    string `json:"peer"`
 	// Incarnation is the Unix nanosecond of the start, which tells a restart.
 	Incarnation int64 `json:"incarnation"`
+	// RowVersion is the version of the member's row in the store.
+	RowVersion uint64 `json:"-"`
 }
