relay: a link ends its asks before its session; feeds notice a mute store

A store that takes calls and answers none was noticed after 7.5 s, since the reader's replica still counted as current. Links now end their asks first. Ruled out: lost packets, a full log, locks of the request path.

--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -20,13 +20,16 @@
 const TableMembers = "members"
 
 const (
-	// storeWait and calmWait bound one wait for changes at the store.
-	storeWait = 6 * time.Second
+	// storeBeat bounds one wait of the operator's feed at the store. A store
+	// that takes calls and answers none is noticed by it, for all feeds.
+	storeBeat = time.Second
+	// storeWait and calmWait bound one wait of the other feeds at the store.
+	storeWait = 3 * time.Second
 	calmWait  = 15 * time.Second
-	// beatWait bounds one wait at a reader, so that a silent one is noticed;
-	// one feed is enough for that, the others wait for restWait.
-	beatWait = 700 * time.Millisecond
-	restWait = 8 * time.Second
+	// readerBeat bounds one wait of the operator's feed at a reader, so that a
+	// silent one is noticed; the others wait for readerWait.
+	readerBeat = 700 * time.Millisecond
+	readerWait = 8 * time.Second
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
@@ -55,11 +58,11 @@
 // Feeds returns the feeds of the operator's table, the backend servers' and the
 // entry instances'.
 func Feeds(s *Switch, r *Replica, push func(context.Context, control.Update), log zerolog.Logger) []*Feed {
-	operator := &Feed{table: platform.TableOperator, kind: control.KindOperator, wait: storeWait, readerWait: beatWait, pause: operatorPause}
+	operator := &Feed{table: platform.TableOperator, kind: control.KindOperator, wait: storeBeat, readerWait: readerBeat, pause: operatorPause}
 	operator.decode = operator.operator
-	backends := &Feed{table: platform.TableBackends, kind: control.KindBackends, wait: storeWait, readerWait: restWait, pause: backendPause}
+	backends := &Feed{table: platform.TableBackends, kind: control.KindBackends, wait: storeWait, readerWait: readerWait, pause: backendPause}
 	backends.decode = backends.backends
-	members := &Feed{table: TableMembers, kind: control.KindMembers, wait: calmWait, readerWait: restWait, pause: memberPause}
+	members := &Feed{table: TableMembers, kind: control.KindMembers, wait: calmWait, readerWait: readerWait, pause: memberPause}
 	members.decode = members.members
 	all := []*Feed{operator, backends, members}
 	for _, f := range all {
@@ -167,6 +170,11 @@
 // lost takes in that a source failed. While another one may be left, nothing is
 // lost yet.
 func (f *Feed) lost(ctx context.Context, used selection, err error) {
+	if used.direct() && f.kind == control.KindOperator {
+		// The other feeds may wait for an answer that does not come.
+		f.replica.LostAll()
+		f.switches.renew(used)
+	}
 	f.replica.Lost(f.table)
 	f.switches.failed(used)
 	if !used.direct() || !f.lostAt.IsZero() {
--- a/internal/edge/feeds/replica.go
+++ b/internal/edge/feeds/replica.go
@@ -85,7 +85,19 @@
 func (r *Replica) Lost(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.table(name)
+	r.table(name).lose()
+}
+
+// LostAll tells that no table is read from the store any longer.
+func (r *Replica) LostAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.tables {
+		t.lose()
+	}
+}
+
+func (t *table) lose() {
 	if t.direct {
 		t.direct = false
 		t.wake()
--- a/internal/edge/feeds/switch.go
+++ b/internal/edge/feeds/switch.go
@@ -110,6 +110,15 @@
 	s.current = selection{name: name, source: src, ctx: ctx, cancel: cancel}
 }
 
+// renew ends the calls that wait at a source and starts them anew.
+func (s *Switch) renew(used selection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current.ctx == used.ctx {
+		s.set(used.name)
+	}
+}
+
 // failed takes in that a source did not answer.
 func (s *Switch) failed(used selection) {
 	s.mu.Lock()
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -118,14 +118,33 @@
 // Client reads tables from other instances, a session for each. It is safe for
 // concurrent use.
 type Client struct {
-	self     string
-	mu       sync.Mutex
-	sessions map[string]*yamux.Session
+	self  string
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// link is a session with the asks that wait on it.
+type link struct {
+	session *yamux.Session
+	// ctx ends when the link is to be closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+	asks   sync.WaitGroup
+}
+
+// close ends the asks and then the session. yamux keeps a reader busy between
+// the two steps of its own Close, so none may be left by then.
+func (l *link) close() {
+	l.cancel()
+	go func() {
+		l.asks.Wait()
+		_ = l.session.Close()
+	}()
 }
 
 // NewClient returns a client without sessions.
 func NewClient(self string) *Client {
-	return &Client{self: self, sessions: map[string]*yamux.Session{}}
+	return &Client{self: self, links: map[string]*link{}}
 }
 
 // Source returns the tables as the instance at address reads them.
@@ -135,20 +154,32 @@
 func (c *Client) KeepOnly(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for a, session := range c.sessions {
+	for a, l := range c.links {
 		if a != address {
-			_ = session.Close()
-			delete(c.sessions, a)
+			l.close()
+			delete(c.links, a)
 		}
 	}
 }
 
-func (c *Client) session(ctx context.Context, address string) (*yamux.Session, error) {
+// acquire returns the link to an address for one ask, which ends with a call of
+// asks.Done.
+func (c *Client) acquire(ctx context.Context, address string) (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if session := c.sessions[address]; session != nil && !session.IsClosed() {
-		return session, nil
+	l := c.links[address]
+	if l == nil || l.session.IsClosed() {
+		var err error
+		if l, err = dial(ctx, address); err != nil {
+			return nil, err
+		}
+		c.links[address] = l
 	}
+	l.asks.Add(1)
+	return l, nil
+}
+
+func dial(ctx context.Context, address string) (*link, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -159,17 +190,18 @@
 		_ = nc.Close()
 		return nil, errors.Trace(err)
 	}
-	c.sessions[address] = session
-	return session, nil
+	l := &link{session: session}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l, nil
 }
 
-// drop closes a session that has failed.
-func (c *Client) drop(address string) {
+// drop closes a link that has failed.
+func (c *Client) drop(address string, failed *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if session := c.sessions[address]; session != nil {
-		_ = session.Close()
-		delete(c.sessions, address)
+	if c.links[address] == failed {
+		failed.close()
+		delete(c.links, address)
 	}
 }
 
@@ -191,14 +223,15 @@
 
 func (r *remote) ask(ctx context.Context, ask *relaypb.Ask, timeout time.Duration) ([]platform.Row, uint64, error) {
 	ask.Instance = r.client.self
-	session, err := r.client.session(ctx, r.address)
+	l, err := r.client.acquire(ctx, r.address)
 	if err != nil {
 		return nil, 0, err
 	}
-	reply, err := exchange(ctx, session, ask, timeout)
+	reply, err := l.exchange(ctx, ask, timeout)
+	l.asks.Done()
 	if err != nil {
 		if ctx.Err() == nil {
-			r.client.drop(r.address)
+			r.client.drop(r.address, l)
 		}
 		return nil, 0, errors.Annotatef(err, "ask the reader at %s", r.address)
 	}
@@ -215,15 +248,16 @@
 	return rows, reply.Version, nil
 }
 
-func exchange(ctx context.Context, session *yamux.Session, ask *relaypb.Ask, timeout time.Duration) (*relaypb.Reply, error) {
-	stream, err := session.OpenStream()
+func (l *link) exchange(ctx context.Context, ask *relaypb.Ask, timeout time.Duration) (*relaypb.Reply, error) {
+	stream, err := l.session.OpenStream()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
-	defer stop()
 	_ = stream.SetDeadline(time.Now().Add(timeout))
+	expire := func() { _ = stream.SetDeadline(time.Now()) }
+	defer context.AfterFunc(ctx, expire)()
+	defer context.AfterFunc(l.ctx, expire)()
 	if _, err := protodelim.MarshalTo(stream, ask); err != nil {
 		return nil, errors.Trace(err)
 	}
