--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,10 @@
 	go test -race -timeout 8m $$(go list ./... | grep -v /internal/scenario$$)
 	go test -race -timeout 8m ./internal/scenario
 
-# Each fuzz target runs for a short time over its seeds and beyond.
-FUZZTIME ?= 2s
+# Each fuzz target runs over its seeds and so many executions beyond them.
+FUZZCOUNT ?= 20000x
 fuzz:
-	@scripts/fuzz $(FUZZTIME)
+	@scripts/fuzz $(FUZZCOUNT)
 
 # Generated code is committed; this target is only for a changed .proto
 # and needs protoc.
--- a/internal/edge/filter/dispatch/desk.go
+++ b/internal/edge/filter/dispatch/desk.go
@@ -25,6 +25,9 @@
 	// may be spent waiting; the rest covers what the estimate misses.
 	patienceShare = 0.7
 	minPatience   = 20 * time.Millisecond
+	// probeInterval is the time between requests of a route that are sent
+	// although they are not expected to end in time.
+	probeInterval = 500 * time.Millisecond
 )
 
 // Desk holds the state of all decisions on requests behind one lock.
@@ -35,6 +38,8 @@
 	profiles map[string]*affinity.Profile
 	budgets  map[string]*retry.Budget
 	draws    map[string]*splitter
+	// probes holds when a route last sent a request against expectation.
+	probes map[string]time.Time
 	// view and weights belong to each other.
 	view    *control.View
 	weights map[string]map[string]float64
@@ -47,6 +52,7 @@
 	return &Desk{
 		settings: s, balancer: affinity.New(affinity.Config{Region: s.Region, RegionOf: s.RegionOf}),
 		profiles: map[string]*affinity.Profile{}, budgets: map[string]*retry.Budget{}, draws: map[string]*splitter{},
+		probes: map[string]time.Time{},
 	}
 }
 
@@ -189,7 +195,7 @@
 	if !ok {
 		return choice, "none_usable"
 	}
-	if choice.Expected > t.ex.Deadline.Sub(now) {
+	if choice.Expected > t.ex.Deadline.Sub(now) && !d.mayProbe(t, now) {
 		return choice, "no_time"
 	}
 	if choice.Wait > t.patience() {
@@ -199,6 +205,17 @@
 	return choice, ""
 }
 
+// mayProbe lets a request go now and then although it is not expected to end in
+// time, since what is expected is only learnt from runs.
+func (d *Desk) mayProbe(t *try, now time.Time) bool {
+	key := t.ex.Route.Prefix
+	if now.Sub(d.probes[key]) < probeInterval {
+		return false
+	}
+	d.probes[key] = now
+	return true
+}
+
 // patience is the longest wait for a slot that a warm run still leaves within
 // the objective. Requests that wait longer would be late, and make those behind
 // them late.
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -57,7 +57,9 @@
 	// idleAfterStop is how long a connection may stay unused once the
 	// instance is stopping.
 	idleAfterStop = 50 * time.Millisecond
-	bufferBytes   = 4 << 10
+	// firstAfterStop is the same for a connection without a request so far.
+	firstAfterStop = time.Second
+	bufferBytes    = 4 << 10
 	// headerSlack allows for the bytes of the request line and the line ends.
 	headerSlack = 4 << 10
 )
@@ -161,6 +163,9 @@
 	queue  chan *exchange
 	mu     sync.Mutex
 	owed   int
+	// used is set when the connection has carried a request; only the reader
+	// touches it.
+	used bool
 }
 
 func (c *conn) serve() {
@@ -198,6 +203,7 @@
 			c.enqueue(&exchange{answer: answered(c.server.refuse(status)), final: true})
 			return c.drain(ctx)
 		}
+		c.used = true
 		ex := &exchange{answer: make(chan *Answer, 1), final: last, head: r.Method == http.MethodHead}
 		c.enqueue(ex)
 		go func() { ex.answer <- c.server.handler.Serve(ctx, r) }()
@@ -250,12 +256,13 @@
 	}
 	since := time.Now()
 	for {
-		if ctx.Err() != nil || c.server.isStopping() && c.pending() == 0 {
+		stopping := c.server.isStopping()
+		if ctx.Err() != nil || stopping && c.pending() == 0 && time.Since(since) >= c.graceAfterStop() {
 			return false, false
 		}
 		wait := idle
-		if c.server.isStopping() {
-			wait = idleAfterStop
+		if stopping {
+			wait = c.graceAfterStop()
 		}
 		_ = c.net.SetReadDeadline(time.Now().Add(wait))
 		_, err := br.Peek(1)
@@ -272,6 +279,16 @@
 	}
 }
 
+// graceAfterStop returns how long the connection may stay without a request
+// once the instance is stopping. One that has carried none yet was opened for
+// one that is on its way.
+func (c *conn) graceAfterStop() time.Duration {
+	if c.used {
+		return idleAfterStop
+	}
+	return firstAfterStop
+}
+
 func isTimeout(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
@@ -281,11 +298,12 @@
 // one that cannot be taken. last is set when the caller asked for the end of
 // the connection.
 func readRequest(br *bufio.Reader, limited *io.LimitedReader, nc net.Conn, limits traffic.Limits) (r *Request, last bool, status int) {
+	began := time.Now()
 	req, err := http.ReadRequest(br)
 	switch {
 	case err != nil && limited.N <= 0:
 		return nil, true, http.StatusRequestHeaderFieldsTooLarge
-	case isTimeout(err):
+	case err != nil && time.Since(began) >= limits.HeaderTimeout:
 		return nil, true, http.StatusRequestTimeout
 	case err != nil:
 		return nil, true, http.StatusBadRequest
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -129,19 +129,92 @@
 	// ctx ends when the link is to be closed.
 	ctx    context.Context
 	cancel context.CancelFunc
-	asks   sync.WaitGroup
+
+	mu      sync.Mutex
+	asks    int
+	closing bool
+	// idle is closed when the link is closing and has no asks left.
+	idle chan struct{}
+}
+
+func newLink() *link {
+	l := &link{idle: make(chan struct{})}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
+}
+
+// enter counts an ask; it fails when the link is closing.
+func (l *link) enter() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closing {
+		return false
+	}
+	l.asks++
+	return true
+}
+
+// leave counts the end of an ask.
+func (l *link) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asks--
+	l.checkIdle()
+}
+
+func (l *link) checkIdle() {
+	if l.closing && l.asks == 0 {
+		close(l.idle)
+	}
+}
+
+// quiet ends the asks and waits until they have left. yamux keeps a reader busy
+// between the two steps of its own Close, so none may be left by then.
+func (l *link) quiet() {
+	l.cancel()
+	l.mu.Lock()
+	if !l.closing {
+		l.closing = true
+		l.checkIdle()
+	}
+	l.mu.Unlock()
+	<-l.idle
 }
 
-// close ends the asks and then the session. yamux keeps a reader busy between
-// the two steps of its own Close, so none may be left by then.
+// close ends the asks and then the session.
 func (l *link) close() {
 	l.cancel()
 	go func() {
-		l.asks.Wait()
+		l.quiet()
 		_ = l.session.Close()
 	}()
 }
 
+// quietConn lets the asks of a link end before yamux sees that its connection
+// has failed.
+type quietConn struct {
+	net.Conn
+	link *link
+}
+
+// Read implements net.Conn.
+func (c quietConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.link.quiet()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c quietConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.link.quiet()
+	}
+	return n, err
+}
+
 // NewClient returns a client without sessions.
 func NewClient(self string) *Client {
 	return &Client{self: self, links: map[string]*link{}}
@@ -163,19 +236,19 @@
 }
 
 // acquire returns the link to an address for one ask, which ends with a call of
-// asks.Done.
+// leave.
 func (c *Client) acquire(ctx context.Context, address string) (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.links[address]
-	if l == nil || l.session.IsClosed() {
-		var err error
-		if l, err = dial(ctx, address); err != nil {
-			return nil, err
-		}
-		c.links[address] = l
+	if l := c.links[address]; l != nil && l.enter() {
+		return l, nil
 	}
-	l.asks.Add(1)
+	l, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.links[address] = l
+	l.enter()
 	return l, nil
 }
 
@@ -185,13 +258,12 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "reach the reader at %s", address)
 	}
-	session, err := yamux.Client(nc, sessionConfig())
+	l := newLink()
+	l.session, err = yamux.Client(quietConn{Conn: nc, link: l}, sessionConfig())
 	if err != nil {
 		_ = nc.Close()
 		return nil, errors.Trace(err)
 	}
-	l := &link{session: session}
-	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l, nil
 }
 
@@ -228,7 +300,7 @@
 		return nil, 0, err
 	}
 	reply, err := l.exchange(ctx, ask, timeout)
-	l.asks.Done()
+	l.leave()
 	if err != nil {
 		if ctx.Err() == nil {
 			r.client.drop(r.address, l)
