--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -103,6 +103,8 @@
 		a.lookupCommand(),
 		a.traceCommand(),
 		a.versionCommand(),
+		a.checkCommand(),
+		a.explainCommand(),
 	}
 	for _, c := range all {
 		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -154,7 +154,7 @@
 	return ctx.Err()
 }
 
-var commandNames = []string{"validate", "diff", "apply", "drain", "fill", "status", "lookup", "trace", "version", "completion"}
+var commandNames = []string{"validate", "diff", "apply", "drain", "fill", "status", "lookup", "trace", "version", "check", "explain", "completion"}
 
 // Help and the completion scripts name every command.
 func TestHelpNamesCommands(t *testing.T) {
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,166 @@
+package cli
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/banyandeal/banyandeal/platform"
+)
+
+// maxLogLine is the longest log line that is read, in bytes.
+const maxLogLine = 1 << 20
+
+// beliefEvents are the events that change what an instance believes about the
+// backend servers, the configuration and the store.
+var beliefEvents = []string{
+	"config", "evacuation", "backend", "backend_draining", "backend_removed", "source", "store_lost", "store_regained",
+	"feed_failed", "start", "stopping", "reload", "instance_dead",
+}
+
+func (a *app) explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "show the life of one request from the logs of instances",
+		ArgsUsage: "ID FILE...",
+		Description: `Reads logs of entry instances and prints, in the order of time, the lines of the
+request and what its instance came to believe before it: its configuration, the
+backend server it chose, and the store.
+
+Examples:
+  banyanctl explain 9c41d07be2a35f68 front-a-1.log front-b-1.log`,
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() < 2 {
+				return errors.New("name the id of a request and one log file or more")
+			}
+			return a.explain(c.Args().First(), c.Args().Tail())
+		},
+	}
+}
+
+// logLine is a line of an instance's log.
+type logLine struct {
+	Time     int64  `json:"time"`
+	Instance string `json:"instance"`
+	Event    string `json:"event"`
+	ID       string `json:"id"`
+	Backend  string `json:"backend"`
+	text     string
+}
+
+func (a *app) explain(id string, files []string) error {
+	var lines []logLine
+	for _, file := range files {
+		more, err := readLog(file)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	slices.SortStableFunc(lines, func(x, y logLine) int { return cmp.Compare(x.Time, y.Time) })
+	end := slices.IndexFunc(lines, func(l logLine) bool { return l.ID == id })
+	if end < 0 {
+		return errors.Errorf("no line has the id %s; the volume of the log is bounded, look at the counters of its minute", id)
+	}
+	for _, l := range lines[:end] {
+		if l.concerns(lines[end]) {
+			a.printf("%s\n", l.text)
+		}
+	}
+	for _, l := range lines[end:] {
+		if l.ID == id {
+			a.printf("%s\n", l.text)
+		}
+	}
+	return nil
+}
+
+// concerns reports whether a line tells what the instance of a request believed.
+func (l logLine) concerns(request logLine) bool {
+	if l.Instance != request.Instance || !slices.Contains(beliefEvents, l.Event) {
+		return false
+	}
+	return !strings.HasPrefix(l.Event, "backend") || l.Backend == request.Backend
+}
+
+func readLog(file string) ([]logLine, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errors.Annotate(err, "read a log")
+	}
+	defer f.Close()
+	var lines []logLine
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		// A collector may have put its own columns before the object.
+		_, object, ok := strings.Cut(scanner.Text(), "{")
+		if !ok {
+			continue
+		}
+		l := logLine{text: "{" + object}
+		if json.Unmarshal([]byte(l.text), &l) == nil {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Annotatef(scanner.Err(), "read %s", file)
+}
+
+func (a *app) checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file and a configuration of the users' platform",
+		Description: `Reads a settings file, a configuration, or both, and prints each fault with its
+field and remedy. Nothing leaves the machine.
+
+Examples:
+  banyanctl check --settings node.yaml --config config.json`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings file of an entry instance (YAML)"},
+			&cli.StringFlag{Name: "config", Usage: "configuration as the operator writes it (JSON)"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return a.check(c.String("settings"), c.String("config"))
+		},
+	}
+}
+
+func (a *app) check(settings, config string) error {
+	if settings == "" && config == "" {
+		return errors.New("name a file with --settings or --config")
+	}
+	if settings != "" {
+		s, err := platform.LoadSettings(settings)
+		if err != nil {
+			return err
+		}
+		a.printf("settings are valid: instance %s in zone %s of %s\n", s.Instance, s.Zone, s.Region)
+	}
+	if config == "" {
+		return nil
+	}
+	raw, err := os.ReadFile(config)
+	if err != nil {
+		return errors.Annotate(err, "read the configuration")
+	}
+	parsed, err := platform.DecodeConfig(raw)
+	if err != nil {
+		return err
+	}
+	faults := parsed.Faults()
+	for _, fault := range faults {
+		a.printf("%s\n", fault)
+	}
+	if len(faults) > 0 {
+		return errors.Errorf("the configuration has %d faults", len(faults))
+	}
+	a.printf("configuration is valid: version %d, %d hosts, %d services\n", parsed.Version, len(parsed.Hosts), len(parsed.Services))
+	return nil
+}
--- a/internal/decide/affinity/affinity.go
+++ b/internal/decide/affinity/affinity.go
@@ -66,7 +66,9 @@
 // Query asks for a backend server.
 type Query struct {
 	// Object names the object with its route; empty if there is none.
-	Object  string
+	Object string
+	// Spread orders the candidates of a request without an object.
+	Spread  string
 	Profile Profile
 	// Backends are the candidates, Weights their shares of the objects.
 	Backends []*traffic.Backend
@@ -192,6 +194,7 @@
 // object, which is the same at every instance of the region.
 func (b *Balancer) rank(q Query, now time.Time) []candidate {
 	list := make([]candidate, 0, len(q.Backends))
+	key := cmp.Or(q.Object, q.Spread)
 	for _, backend := range q.Backends {
 		if q.Tried[backend.ID] {
 			continue
@@ -200,7 +203,7 @@
 		if now.Before(s.avoidUntil) || !s.mayStartCold(backend, q.ColdRate, now) {
 			continue
 		}
-		score := hrw.Score(q.Object, backend.ID, max(q.Weights[backend.ID], minWeight))
+		score := hrw.Score(key, backend.ID, max(q.Weights[backend.ID], minWeight))
 		list = append(list, candidate{backend: backend, server: s, score: score})
 	}
 	slices.SortFunc(list, func(x, y candidate) int {
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -26,9 +26,9 @@
 	"github.com/banyandeal/banyandeal/internal/edge/filter/match"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
+	"github.com/banyandeal/banyandeal/internal/edge/metrics"
 	"github.com/banyandeal/banyandeal/internal/edge/relay"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
-	"github.com/banyandeal/banyandeal/internal/telemetry"
 	"github.com/banyandeal/banyandeal/platform"
 )
 
@@ -53,7 +53,7 @@
 type Daemon struct {
 	settings  *traffic.Settings
 	log       zerolog.Logger
-	metrics   *telemetry.Metrics
+	metrics   *metrics.Metrics
 	control   *control.Control
 	directory *directory.Directory
 	ingress   *ingress.Server
@@ -67,10 +67,11 @@
 func peerAddress(s *traffic.Settings) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
 
 // New builds an instance from its settings.
-func New(s *traffic.Settings, log zerolog.Logger, m *telemetry.Metrics) *Daemon {
+func New(s *traffic.Settings, log zerolog.Logger, m *metrics.Metrics) *Daemon {
 	d := &Daemon{settings: s, log: log, metrics: m, control: control.New(log), store: platform.NewStore(s.Store.Address)}
 	d.directory = directory.New(d.control, s)
 	pool := egress.NewPool(platform.HeaderRequestID)
+	d.publish(pool)
 	handler := gateway.New(d.control,
 		accesslog.New(log, m), identify.Filter{}, match.Filter{}, expire.Filter{},
 		dispatch.New(pool, dispatch.NewDesk(s)))
@@ -84,6 +85,20 @@
 	return d
 }
 
+// publish adds the figures that others keep.
+func (d *Daemon) publish(pool *egress.Pool) {
+	d.metrics.Gauge("backend_connections_opened", func() float64 { return float64(pool.Stats().Dialed) })
+	d.metrics.Gauge("backend_connections_reused", func() float64 { return float64(pool.Stats().Reused) })
+	d.metrics.Gauge("answers_to_other_requests", func() float64 { return float64(pool.Stats().Foreign) })
+	d.metrics.Gauge("config_version", func() float64 {
+		if c := d.control.View().Config; c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+	d.metrics.Gauge("instances", func() float64 { return float64(len(d.control.View().Members)) })
+}
+
 func (d *Daemon) limits() traffic.Limits {
 	if c := d.control.View().Config; c != nil {
 		return c.Limits
@@ -93,7 +108,7 @@
 
 // refuse answers a request that could not be read.
 func (d *Daemon) refuse(status int) *ingress.Answer {
-	d.metrics.Count("request.unreadable")
+	d.metrics.Request("", "", "", "unreadable", status, 0)
 	return gateway.Final(status, "the request cannot be read: "+http.StatusText(status))
 }
 
@@ -158,6 +173,9 @@
 	lookups.HandleFunc("GET "+platform.PathResolve, d.directory.Resolve)
 	handlers[d.settings.Listen.Ready] = ready
 	handlers[d.settings.Listen.Directory] = lookups
+	if d.settings.Listen.Metrics != "" {
+		handlers[d.settings.Listen.Metrics] = d.metrics
+	}
 	for address, h := range handlers {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -198,11 +216,11 @@
 	if err != nil {
 		return err
 	}
-	metrics := telemetry.NewMetrics()
-	log, flush := eventlog.New(w, s.Instance, func(n int) { metrics.Add("log.dropped", int64(n)) })
+	m := metrics.New()
+	log, flush := eventlog.New(w, s.Instance, func(n int) { m.Add("log_dropped", n) })
 	defer flush()
 	go watchReload(path, reload, log)
-	return New(s, log, metrics).Run(ctx)
+	return New(s, log, m).Run(ctx)
 }
 
 // watchReload checks the settings file when the operator says that it has
--- a/internal/edge/edgetest/estate.go
+++ b/internal/edge/edgetest/estate.go
@@ -19,9 +19,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/banyandeal/banyandeal/internal/edge/daemon"
+	"github.com/banyandeal/banyandeal/internal/edge/metrics"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 	"github.com/banyandeal/banyandeal/internal/standin/store"
-	"github.com/banyandeal/banyandeal/internal/telemetry"
 )
 
 // Host is the host of all routes.
@@ -130,7 +130,7 @@
 	log := zerolog.New(zerolog.TestWriter{T: quiet{}})
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{Settings: s, Stop: cancel, Done: make(chan struct{})}
-	d := daemon.New(s, log, telemetry.NewMetrics())
+	d := daemon.New(s, log, metrics.New())
 	go func() {
 		defer close(i.Done)
 		_ = d.Run(ctx)
--- a/internal/edge/filter/accesslog/accesslog.go
+++ b/internal/edge/filter/accesslog/accesslog.go
@@ -11,7 +11,7 @@
 
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
-	"github.com/banyandeal/banyandeal/internal/telemetry"
+	"github.com/banyandeal/banyandeal/internal/edge/metrics"
 )
 
 const (
@@ -23,39 +23,44 @@
 // Filter implements gateway.Filter.
 type Filter struct {
 	log     zerolog.Logger
-	metrics *telemetry.Metrics
+	metrics *metrics.Metrics
 
 	mu        sync.Mutex
 	window    time.Time
 	failures  int
 	successes int
-	dropped   int64
+	dropped   int
 }
 
 // New returns the filter.
-func New(log zerolog.Logger, m *telemetry.Metrics) *Filter { return &Filter{log: log, metrics: m} }
+func New(log zerolog.Logger, m *metrics.Metrics) *Filter { return &Filter{log: log, metrics: m} }
 
 // Serve implements gateway.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *gateway.Exchange, next gateway.Next) *ingress.Answer {
 	a := next(ctx, ex)
 	took := time.Since(ex.Received)
-	f.metrics.Count("request." + ex.Outcome.Reason)
-	if ex.Route != nil {
-		f.metrics.Latency("latency." + ex.Route.Name).Record(took)
-	}
+	f.count(ex, a, took)
 	if f.mayLog(a.Status < http.StatusMultipleChoices) {
 		f.write(ctx, ex, a, took)
 	}
 	return a
 }
 
+func (f *Filter) count(ex *gateway.Exchange, a *ingress.Answer, took time.Duration) {
+	route := ""
+	if ex.Route != nil {
+		route = ex.Route.Name
+	}
+	f.metrics.Request(route, ex.Outcome.Service, ex.Outcome.Zone, ex.Outcome.Reason, a.Status, took)
+}
+
 // mayLog takes a line of the budget; failures have one of their own.
 func (f *Filter) mayLog(success bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if now := time.Now(); now.Sub(f.window) >= time.Second {
 		if f.dropped > 0 {
-			f.metrics.Add("log.dropped", f.dropped)
+			f.metrics.Add("log_dropped", f.dropped)
 		}
 		f.window, f.failures, f.successes, f.dropped = now, failureLines, successLines, 0
 	}
--- a/internal/edge/filter/dispatch/desk.go
+++ b/internal/edge/filter/dispatch/desk.go
@@ -91,13 +91,9 @@
 		object = ex.Route.Prefix + ex.Object
 	}
 	t.query = affinity.Query{
-		Object: object, Profile: *d.profile(ex.Route, name), Backends: d.candidates(ex, name), Weights: d.weights[name],
+		Object: object, Spread: ex.ID, Profile: *d.profile(ex.Route, name), Backends: d.candidates(ex, name), Weights: d.weights[name],
 		Tried: map[string]bool{}, Peers: d.peers, ColdRate: service.ColdRate / float64(max(1, len(ex.View.Members))),
 	}
-	if object == "" {
-		// Without an object any backend server is as good as another.
-		t.query.Object = ex.ID
-	}
 	return t
 }
 
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -79,7 +79,7 @@
 	b := choice.Backend
 	t.query.Tried[b.ID] = true
 	o := &t.ex.Outcome
-	o.Backend, o.Attempts, o.Rank, o.Warm = b.ID, t.sends, choice.Rank, choice.Warm
+	o.Backend, o.Zone, o.Attempts, o.Rank, o.Warm = b.ID, b.Zone, t.sends, choice.Rank, choice.Warm
 	o.Expected, o.Wait, o.LoadAge = choice.Expected, choice.Wait, choice.LoadAge
 	started := time.Now()
 	resp, err := f.pool.Do(ctx, b, f.request(t, b))
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -30,9 +30,9 @@
 type Outcome struct {
 	// Reason names how the request ended.
 	Reason string
-	// Service and Backend are those of the last attempt.
-	Service, Backend string
-	Attempts         int
+	// Service, Backend and Zone are those of the last attempt.
+	Service, Backend, Zone string
+	Attempts               int
 	// Expected and Wait are what the last choice expected, LoadAge the age of
 	// the report behind it.
 	Expected, Wait, LoadAge time.Duration
--- /dev/null
+++ b/internal/edge/metrics/metrics.go
@@ -0,0 +1,44 @@
+// Package metrics holds the counters and latency histograms of an entry
+// instance and serves them as text.
+package metrics
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Metrics holds the figures of one instance. It is safe for concurrent use.
+type Metrics struct{ set *metrics.Set }
+
+// New returns empty metrics.
+func New() *Metrics { return &Metrics{set: metrics.NewSet()} }
+
+// Request counts a request that has ended and records how long it took. Service
+// and zone may be empty.
+func (m *Metrics) Request(route, service, zone, reason string, status int, took time.Duration) {
+	labels := fmt.Sprintf("route=%q,service=%q,zone=%q,reason=%q,status=\"%d\"", route, service, zone, reason, status)
+	m.set.GetOrCreateCounter("banyandeal_requests_total{" + labels + "}").Inc()
+	if route != "" {
+		name := fmt.Sprintf("banyandeal_request_seconds{route=%q,success=\"%t\"}", route, status < http.StatusMultipleChoices)
+		m.set.GetOrCreateHistogram(name).Update(took.Seconds())
+	}
+}
+
+// Add adds to a counter without labels.
+func (m *Metrics) Add(name string, delta int) {
+	m.set.GetOrCreateCounter("banyandeal_" + name + "_total").Add(delta)
+}
+
+// Gauge has f asked for the value of a gauge.
+func (m *Metrics) Gauge(name string, f func() float64) {
+	m.set.GetOrCreateGauge("banyandeal_"+name, f)
+}
+
+// ServeHTTP writes all figures as text.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	m.set.WritePrometheus(w)
+}
--- a/internal/edge/traffic/traffic.go
+++ b/internal/edge/traffic/traffic.go
@@ -34,6 +34,8 @@
 	Callers   string
 	Ready     string
 	Directory string
+	// Metrics serves the counters as text; empty serves none.
+	Metrics string
 }
 
 // Store tells how to reach the platform's store and what it bears.
