dispatch: callers that come back wait longer; Retry-After tells when a slot is free

A caller with less time than its route's callers begin with has been refused before and waits up to three times as long; it is told to come back when the wait is expected to have fallen, spread over twice that time.

--- a/internal/edge/filter/dispatch/desk.go
+++ b/internal/edge/filter/dispatch/desk.go
@@ -25,6 +25,10 @@
 	// may be spent waiting; the rest covers what the estimate misses.
 	patienceShare = 0.7
 	minPatience   = 20 * time.Millisecond
+	// returnPatience is how many times longer a caller waits that comes back;
+	// returnedShare is the part of the full time below which it has come back.
+	returnPatience = 3
+	returnedShare  = 0.97
 	// probeInterval is the time between requests of a route that are sent
 	// although they are not expected to end in time.
 	probeInterval = 500 * time.Millisecond
@@ -40,6 +44,8 @@
 	draws    map[string]*splitter
 	// probes holds when a route last sent a request against expectation.
 	probes map[string]time.Time
+	// fullDeadline is the longest time that a caller of a route has given.
+	fullDeadline map[string]time.Duration
 	// view and weights belong to each other.
 	view    *control.View
 	weights map[string]map[string]float64
@@ -52,7 +58,7 @@
 	return &Desk{
 		settings: s, balancer: affinity.New(affinity.Config{Region: s.Region, RegionOf: s.RegionOf}),
 		profiles: map[string]*affinity.Profile{}, budgets: map[string]*retry.Budget{}, draws: map[string]*splitter{},
-		probes: map[string]time.Time{},
+		probes: map[string]time.Time{}, fullDeadline: map[string]time.Duration{},
 	}
 }
 
@@ -194,7 +200,8 @@
 	if choice.Expected > t.ex.Deadline.Sub(now) && !d.mayProbe(t, now) {
 		return choice, "no_time"
 	}
-	if choice.Wait > t.patience() {
+	if patience := d.patience(t); choice.Wait > patience {
+		t.freeIn = choice.Wait - patience
 		return choice, "queue_full"
 	}
 	d.balancer.Sent(choice, t.query, now)
@@ -214,9 +221,23 @@
 
 // patience is the longest wait for a slot that a warm run still leaves within
 // the objective. Requests that wait longer would be late, and make those behind
-// them late.
-func (t *try) patience() time.Duration {
-	return max(minPatience, time.Duration(patienceShare*float64(t.ex.Route.Objective-t.query.Profile.Warm)))
+// them late. A caller that has been turned away before waits for longer, so that
+// it is not turned away again.
+func (d *Desk) patience(t *try) time.Duration {
+	p := max(minPatience, time.Duration(patienceShare*float64(t.ex.Route.Objective-t.query.Profile.Warm)))
+	if d.hasReturned(t) {
+		p *= returnPatience
+	}
+	return p
+}
+
+// hasReturned reports whether the caller has less time left than others of the
+// route begin with: it has spent some on an earlier try.
+func (d *Desk) hasReturned(t *try) bool {
+	given := t.ex.CallerDeadline.Sub(t.ex.Received)
+	full := max(d.fullDeadline[t.ex.Route.Prefix], given)
+	d.fullDeadline[t.ex.Route.Prefix] = full
+	return float64(given) < returnedShare*float64(full)
 }
 
 func (d *Desk) ended(t *try, c affinity.Choice, r affinity.Result) {
@@ -252,16 +273,19 @@
 	return d.budget(t.service.Name).Take(time.Now())
 }
 
-// Waits of callers that are turned away, as shares of what is left to them.
+// Waits of callers that are turned away: the least, the most as a share of the
+// time left to them, and by how much they are spread.
 const (
-	minReturn = 0.06
-	maxReturn = 0.25
+	minReturn      = 60 * time.Millisecond
+	maxReturnShare = 0.25
+	returnSpread   = 1.0
 )
 
-// retryAfter returns when a caller that was turned away may come back: spread,
-// so that callers do not return together, and soon enough for another try.
-func (d *Desk) retryAfter(ex *gateway.Exchange) time.Duration {
-	left := time.Until(ex.CallerDeadline)
-	share := minReturn + (maxReturn-minReturn)*rand.Float64()
-	return max(0, time.Duration(share*float64(left)))
+// retryAfter returns when a caller that was turned away may come back: when a
+// slot is expected to be free for it, spread so that callers do not return
+// together, and soon enough for another try.
+func (d *Desk) retryAfter(t *try) time.Duration {
+	left := time.Until(t.ex.CallerDeadline)
+	wait := float64(max(minReturn, t.freeIn)) * (1 + returnSpread*rand.Float64())
+	return max(0, min(time.Duration(wait), time.Duration(maxReturnShare*float64(left))))
 }
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -40,6 +40,8 @@
 	// runs counts the backend servers that may have run the request.
 	runs  int
 	sends int
+	// freeIn is when a slot is expected to be free, if the last choice knew.
+	freeIn time.Duration
 }
 
 // Serve implements gateway.Filter.
@@ -47,7 +49,7 @@
 	t := f.desk.begin(ex)
 	if t.service == nil {
 		ex.Outcome.Reason = "no_service"
-		return gateway.NotRun(f.desk.retryAfter(ex), "the service of the route is not declared")
+		return gateway.NotRun(f.desk.retryAfter(t), "the service of the route is not declared")
 	}
 	for {
 		choice, refusal := f.desk.choose(t)
@@ -186,7 +188,7 @@
 func (f *Filter) expired(t *try) *ingress.Answer {
 	t.ex.Outcome.Reason = "expired"
 	if t.runs == 0 {
-		return gateway.NotRun(f.desk.retryAfter(t.ex), "no backend server was free in time; come back later")
+		return gateway.NotRun(f.desk.retryAfter(t), "no backend server was free in time; come back later")
 	}
 	return gateway.Final(http.StatusGatewayTimeout, "no answer came in time; the request may have run")
 }
@@ -195,7 +197,7 @@
 func (f *Filter) giveUp(t *try, reason string) *ingress.Answer {
 	t.ex.Outcome.Reason = reason
 	if t.runs == 0 {
-		return gateway.NotRun(f.desk.retryAfter(t.ex), "no backend server can take the request now; come back later")
+		return gateway.NotRun(f.desk.retryAfter(t), "no backend server can take the request now; come back later")
 	}
 	return gateway.Final(http.StatusBadGateway, "the backend servers failed; the request may have run")
 }
