feeds: a shorter wait at the store, for feeds that hear nothing

Around a dropped history the store's watches stay silent for a second; the reader's feed then waited its 3 s out before it asked again. Ruled out: the way from reader to follower (other backends' changes came in time). TestDeafFeed plays such a store; it fails with a wait of 4.5 s (2.50 s after the report) and passes with 1.5 s; with 3 s it depends on when the wait began.

--- a/internal/edge/edgetest/rules_test.go
+++ b/internal/edge/edgetest/rules_test.go
@@ -582,3 +582,29 @@
 	e.Configure(Route{Prefix: "/read/", Kind: "safe", Service: "shop"})
 	require.Eventually(t, i.Ready, 3*time.Second, 10*time.Millisecond)
 }
+
+// TestDeafFeed: a backend server that leaves while the feeds hear nothing, just
+// before the store drops its history, gets nothing new after 2.5 s.
+func TestDeafFeed(t *testing.T) {
+	t.Parallel()
+	e, i, backends := shop(t)
+	until := time.Now().Add(time.Second)
+	e.Store.SetTrouble(func(*http.Request) store.Trouble {
+		if time.Now().Before(until) {
+			return store.Deaf
+		}
+		return store.None
+	})
+	time.Sleep(900 * time.Millisecond)
+	backends[0].Report("draining", 0)
+	left := time.Now()
+	time.Sleep(time.Until(until))
+	e.Store.Compact()
+	for n := 0; time.Since(left) < 3500*time.Millisecond; n++ {
+		e.Do(i, Call{Path: "/read/x", Object: fmt.Sprint(n % 50)})
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, a := range backends[0].Arrivals() {
+		require.Less(t, a.At.Sub(left), 2500*time.Millisecond)
+	}
+}
--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -23,8 +23,10 @@
 	// storeBeat bounds one wait of the operator's feed at the store. A store
 	// that takes calls and answers none is noticed by it, for all feeds.
 	storeBeat = time.Second
-	// storeWait and calmWait bound one wait of the other feeds at the store.
-	storeWait = 3 * time.Second
+	// storeWait and calmWait bound one wait of the other feeds at the store. A
+	// store that is about to drop its history may stay silent about changes
+	// until the wait is over.
+	storeWait = 1500 * time.Millisecond
 	calmWait  = 15 * time.Second
 	// readerBeat bounds one wait of the operator's feed at a reader, so that a
 	// silent one is noticed; the others wait for readerWait.
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -27,6 +27,8 @@
 	Mute
 	// LoseAnswer does what is asked and closes the connection.
 	LoseAnswer
+	// Deaf lets a feed wait its time and tells of no change.
+	Deaf
 )
 
 type row struct {
@@ -177,12 +179,29 @@
 		case LoseAnswer:
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
+		case Deaf:
+			s.sayNothing(w, r, next)
 		default:
 			next.ServeHTTP(w, r)
 		}
 	})
 }
 
+// sayNothing answers a feed after its wait without rows; other calls are served.
+func (s *Store) sayNothing(w http.ResponseWriter, r *http.Request, next http.Handler) {
+	wait, err := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	after, afterErr := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil || afterErr != nil {
+		next.ServeHTTP(w, r)
+		return
+	}
+	select {
+	case <-time.After(time.Duration(wait) * time.Millisecond):
+	case <-r.Context().Done():
+	}
+	s.answer(w, http.StatusOK, reply{Rows: []row{}, Version: after})
+}
+
 func (s *Store) answer(w http.ResponseWriter, status int, rep reply) {
 	rep.Now = time.Since(s.started).Seconds()
 	w.Header().Set("Content-Type", "application/json")
