affinity: a busy backend server is tried again; cold paces do not run together

Both shown by new unit tests before they were mended: - TestBusyFirstChoiceSpills: one report of a long queue set the average that the estimate falls back to, which only new reports change; none came, since the backend server was avoided. Objects left their warm place for good after a crowd. The average now fades within 3 s. - TestColdPaceOverInstances: instances that learn of a cold start together sent their first requests together, 10 in a second where 9.05 are allowed. Each begins with its own part of a request, and a new cold start begins anew. Also: unused connections are closed when their time is over; before, those of backend servers that had gone stayed open.

--- a/internal/decide/affinity/affinity.go
+++ b/internal/decide/affinity/affinity.go
@@ -26,6 +26,9 @@
 	// loadMemory is the age at which a reported load has lost most of its
 	// weight against the average of what was reported.
 	loadMemory = 600 * time.Millisecond
+	// averageMemory is the age at which that average has lost most of its
+	// weight too, so that a backend server that was busy is tried again.
+	averageMemory = 3 * time.Second
 	// failureMemory is the half-life of the failure rate of a backend server.
 	failureMemory = 3 * time.Second
 	// failureStep is the weight of the newest end in the failure rate.
@@ -42,6 +45,8 @@
 
 // Config holds the settings of a Balancer.
 type Config struct {
+	// Instance is the name of this instance.
+	Instance string
 	Region   string
 	RegionOf map[string]string
 }
@@ -131,6 +136,8 @@
 	backoff    time.Duration
 	avoidUntil time.Time
 	objects    map[string]time.Time
+	// coldUntil is the end of the cold start that the tokens belong to.
+	coldUntil  time.Time
 	coldTokens float64
 	coldFilled time.Time
 }
@@ -159,10 +166,10 @@
 	}
 }
 
-func (b *Balancer) server(id string, now time.Time) *server {
+func (b *Balancer) server(id string) *server {
 	s := b.servers[id]
 	if s == nil {
-		s = &server{slowness: 1, objects: map[string]time.Time{}, coldFilled: now}
+		s = &server{slowness: 1, objects: map[string]time.Time{}}
 		b.servers[id] = s
 	}
 	return s
@@ -199,8 +206,8 @@
 		if q.Tried[backend.ID] {
 			continue
 		}
-		s := b.server(backend.ID, now)
-		if now.Before(s.avoidUntil) || !s.mayStartCold(backend, q.ColdRate, now) {
+		s := b.server(backend.ID)
+		if now.Before(s.avoidUntil) || !b.mayStartCold(s, backend, q.ColdRate, now) {
 			continue
 		}
 		score := hrw.Score(key, backend.ID, max(q.Weights[backend.ID], minWeight))
@@ -279,8 +286,10 @@
 	if s.reported.IsZero() {
 		return float64(s.inflight)
 	}
-	fresh := math.Exp(-now.Sub(s.reported).Seconds() / loadMemory.Seconds())
-	return float64(s.inflight) + s.others*fresh + s.average*(1-fresh)
+	age := now.Sub(s.reported).Seconds()
+	fresh := math.Exp(-age / loadMemory.Seconds())
+	lasting := math.Exp(-age / averageMemory.Seconds())
+	return float64(s.inflight) + s.others*fresh + s.average*(1-fresh)*lasting
 }
 
 func (s *server) wait(slots int, p Profile, now time.Time) time.Duration {
@@ -310,23 +319,25 @@
 
 // mayStartCold reports whether the pace of a cold backend server allows one
 // more request.
-func (s *server) mayStartCold(backend *traffic.Backend, rate float64, now time.Time) bool {
+func (b *Balancer) mayStartCold(s *server, backend *traffic.Backend, rate float64, now time.Time) bool {
 	if !now.Before(backend.ColdUntil) || rate <= 0 {
 		return true
 	}
-	s.fillCold(rate, now)
-	return s.coldTokens >= 1
-}
-
-func (s *server) fillCold(rate float64, now time.Time) {
+	if !now.Before(s.coldUntil) {
+		// A new cold start. Instances begin at different parts of a request, so
+		// that they do not send their first ones together.
+		s.coldTokens, s.coldFilled = hrw.Fraction(b.cfg.Instance, backend.ID), now
+	}
+	s.coldUntil = backend.ColdUntil
 	passed := now.Sub(s.coldFilled).Seconds()
 	s.coldTokens = math.Min(1, s.coldTokens+passed*rate)
 	s.coldFilled = now
+	return s.coldTokens >= 1
 }
 
 // Sent counts a request that goes to the chosen backend server.
 func (b *Balancer) Sent(c Choice, q Query, now time.Time) {
-	s := b.server(c.Backend.ID, now)
+	s := b.server(c.Backend.ID)
 	s.inflight++
 	if now.Before(c.Backend.ColdUntil) {
 		s.coldTokens = math.Max(0, s.coldTokens-1)
@@ -374,7 +385,7 @@
 
 // Ended takes in the end of a request that Sent has counted.
 func (b *Balancer) Ended(c Choice, q Query, r Result, now time.Time) {
-	s := b.server(c.Backend.ID, now)
+	s := b.server(c.Backend.ID)
 	if r.RTT > 0 {
 		b.measureRTT(c.Backend.Zone, r.RTT)
 	}
--- /dev/null
+++ b/internal/decide/affinity/affinity_test.go
@@ -0,0 +1,177 @@
+package affinity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+)
+
+var regionOf = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+
+var start = time.Unix(1000, 0)
+
+// servers returns n backend servers of three slots in each of the zones.
+func servers(n int, zones ...string) []*traffic.Backend {
+	var list []*traffic.Backend
+	for _, zone := range zones {
+		for i := range n {
+			list = append(list, &traffic.Backend{ID: fmt.Sprintf("%s-%d", zone, i), Zone: zone, Slots: 3})
+		}
+	}
+	return list
+}
+
+func query(object string, list []*traffic.Backend) Query {
+	return Query{
+		Object: object, Backends: list, Weights: Shares("a", regionOf, list), Tried: map[string]bool{}, Peers: 1,
+		Profile: Profile{Warm: 200 * time.Millisecond, Cold: 640 * time.Millisecond, Objective: 500 * time.Millisecond},
+	}
+}
+
+func newBalancer() *Balancer { return New(Config{Region: "a", RegionOf: regionOf}) }
+
+// TestSameChoiceWithoutMessage: instances that have seen different requests
+// send an object to the same backend server.
+func TestSameChoiceWithoutMessage(t *testing.T) {
+	list := servers(4, "a1", "a2")
+	x, y := newBalancer(), newBalancer()
+	for n := range 200 {
+		q := query(fmt.Sprint(n%20), list)
+		c, ok := x.Choose(q, start)
+		require.True(t, ok)
+		x.Sent(c, q, start)
+		x.Ended(c, q, Result{Took: 200 * time.Millisecond}, start)
+	}
+	for n := range 20 {
+		q := query(fmt.Sprint(n), list)
+		cx, _ := x.Choose(q, start.Add(time.Second))
+		cy, _ := y.Choose(q, start.Add(time.Second))
+		require.Equal(t, cx.Backend.ID, cy.Backend.ID)
+	}
+}
+
+// TestCrowdKeepsToFewPlaces: a crowd on one object does not spread it over all
+// backend servers, but a hot one gets more places than a quiet one.
+func TestCrowdKeepsToFewPlaces(t *testing.T) {
+	list := servers(6, "a1", "a2")
+	places := func(requests int) int {
+		b, used := newBalancer(), map[string]bool{}
+		for n := range requests {
+			q := query("hot", list)
+			now := start.Add(time.Duration(n) * 4 * time.Second / time.Duration(requests))
+			c, ok := b.Choose(q, now)
+			require.True(t, ok)
+			used[c.Backend.ID] = true
+			b.Sent(c, q, now)
+		}
+		return len(used)
+	}
+	require.LessOrEqual(t, places(8), 2)
+	hot := places(120)
+	require.Greater(t, hot, 2)
+	require.Less(t, hot, len(list))
+}
+
+// TestBusyFirstChoiceSpills: when the first choice is full for longer than a
+// cold run costs, the second takes the object, and it returns afterwards.
+func TestBusyFirstChoiceSpills(t *testing.T) {
+	list := servers(4, "a1", "a2")
+	b, q := newBalancer(), query("x", list)
+	first, _ := b.Choose(q, start)
+	b.Sent(first, q, start)
+	b.Ended(first, q, Result{Took: 200 * time.Millisecond, Load: &Load{Running: 3, Waiting: 9, Slots: 3}}, start)
+	second, _ := b.Choose(q, start)
+	require.NotEqual(t, first.Backend.ID, second.Backend.ID)
+	b.Sent(first, q, start)
+	b.Ended(first, q, Result{Took: 200 * time.Millisecond, Load: &Load{Running: 1, Slots: 3}}, start)
+	again, _ := b.Choose(q, start.Add(3*time.Second))
+	require.Equal(t, first.Backend.ID, again.Backend.ID)
+}
+
+// TestPoorRegionSendsAFixedRest: a region with a tenth of the slots and a third
+// of the callers keeps a third of its objects, the others keep theirs.
+func TestPoorRegionSendsAFixedRest(t *testing.T) {
+	list := append(servers(9, "a1"), servers(9, "b1")...)
+	list = append(list, servers(2, "c1")...)
+	at := func(region string) float64 {
+		weights, home := Shares(region, regionOf, list), 0.0
+		for _, backend := range list {
+			if regionOf[backend.Zone] == region {
+				home += weights[backend.ID]
+			}
+		}
+		return home
+	}
+	require.InDelta(t, 1, at("a"), 0.001)
+	require.InDelta(t, 0.3, at("c"), 0.001)
+}
+
+// TestUnreachableIsLeftAlone: an address that refuses connections is left alone
+// for a while, longer each time.
+func TestUnreachableIsLeftAlone(t *testing.T) {
+	list := servers(1, "a1", "a2")
+	b, q := newBalancer(), query("x", list)
+	first, _ := b.Choose(q, start)
+	b.Sent(first, q, start)
+	b.Ended(first, q, Result{End: Unreachable}, start)
+	other, ok := b.Choose(q, start.Add(minBackoff-1))
+	require.True(t, ok)
+	require.NotEqual(t, first.Backend.ID, other.Backend.ID)
+	require.Equal(t, start.Add(minBackoff), b.server(first.Backend.ID).avoidUntil)
+	b.Sent(first, q, start)
+	b.Ended(first, q, Result{End: Unreachable}, start)
+	require.Equal(t, start.Add(2*minBackoff), b.server(first.Backend.ID).avoidUntil)
+}
+
+// TestGreyServerIsPassedOver: a backend server that fails a part of its requests
+// loses its objects to the next choice until it does better.
+func TestGreyServerIsPassedOver(t *testing.T) {
+	list := servers(4, "a1", "a2")
+	b, q := newBalancer(), query("x", list)
+	first, _ := b.Choose(q, start)
+	for range 4 {
+		b.Sent(first, q, start)
+		b.Ended(first, q, Result{End: Failed}, start)
+	}
+	other, _ := b.Choose(q, start)
+	require.NotEqual(t, first.Backend.ID, other.Backend.ID)
+	later, _ := b.Choose(q, start.Add(10*failureMemory))
+	require.Equal(t, first.Backend.ID, later.Backend.ID)
+}
+
+// TestColdPaceOverInstances: ten instances together keep the pace of a cold
+// backend server without a message.
+func TestColdPaceOverInstances(t *testing.T) {
+	const instances, rate = 10, 2.7
+	list := servers(1, "a1")
+	list[0].ColdUntil = start.Add(time.Minute)
+	var balancers []*Balancer
+	for n := range instances {
+		balancers = append(balancers, New(Config{Instance: fmt.Sprint(n), Region: "a", RegionOf: regionOf}))
+	}
+	sent := make([]int, 10)
+	for ms := 0; ms < 10000; ms += 20 {
+		for n, b := range balancers {
+			q := query(fmt.Sprint(n, ms), list)
+			q.ColdRate = rate / instances
+			now := start.Add(time.Duration(ms+n) * time.Millisecond)
+			if c, ok := b.Choose(q, now); ok {
+				b.Sent(c, q, now)
+				sent[ms/1000]++
+			}
+		}
+	}
+	total := 0
+	for _, n := range sent {
+		total += n
+	}
+	require.InDelta(t, rate*10, total, rate*10/2)
+	// The bound of the operator: pace x 1.5 + 5 in any second.
+	for second, n := range sent {
+		require.LessOrEqual(t, float64(n), rate*1.5+5, "second %d", second)
+	}
+}
--- a/internal/decide/hrw/hrw.go
+++ b/internal/decide/hrw/hrw.go
@@ -18,11 +18,14 @@
 // Score returns the rank value of node for key; the highest wins. weight must
 // be positive; a node of twice the weight wins twice as many keys.
 func Score(key, node string, weight float64) float64 {
-	h := hash(key, node)
-	// The fraction lies strictly between 0 and 1, so that its logarithm is
-	// finite and negative.
-	fraction := (float64(h>>(64-fractionBits)) + 0.5) / (1 << fractionBits)
-	return -weight / math.Log(fraction)
+	return -weight / math.Log(Fraction(key, node))
+}
+
+// Fraction returns a number that is fixed for a key and a node and evenly spread
+// over them. It lies strictly between 0 and 1, so that its logarithm is finite
+// and negative.
+func Fraction(key, node string) float64 {
+	return (float64(hash(key, node)>>(64-fractionBits)) + 0.5) / (1 << fractionBits)
 }
 
 // Rank returns the nodes ordered by falling score for key; equal scores are
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -38,6 +38,8 @@
 	leaveTime = 2200 * time.Millisecond
 	// exitMargin is what is left of the grace time at the exit.
 	exitMargin = 400 * time.Millisecond
+	// sweepInterval is the time between looks at unused connections.
+	sweepInterval = 2 * time.Second
 	// maxCallerConns bounds the connections of callers.
 	maxCallerConns = 2000
 	// httpHeaderTimeout bounds the heads of look-ups and readiness checks.
@@ -62,6 +64,7 @@
 	replica   *feeds.Replica
 	switches  *feeds.Switch
 	janitor   *janitor
+	pool      *egress.Pool
 }
 
 func peerAddress(s *traffic.Settings) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
@@ -71,6 +74,7 @@
 	d := &Daemon{settings: s, log: log, metrics: m, control: control.New(log), store: platform.NewStore(s.Store.Address)}
 	d.directory = directory.New(d.control, s)
 	pool := egress.NewPool(platform.HeaderRequestID)
+	d.pool = pool
 	d.publish(pool)
 	handler := gateway.New(d.control,
 		accesslog.New(log, m), identify.Filter{}, match.Filter{}, expire.Filter{},
@@ -145,6 +149,7 @@
 	for _, f := range feeds.Feeds(d.switches, d.replica, d.control.Push, d.log) {
 		go f.Run(ctx)
 	}
+	go d.sweep(ctx)
 	go func() {
 		if err := d.register.Join(ctx); err != nil {
 			d.log.Warn().Str("event", "join_ended").Err(err).Msg("")
@@ -154,6 +159,20 @@
 	}()
 }
 
+// sweep closes connections that have been unused for too long.
+func (d *Daemon) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.pool.Sweep(now)
+		}
+	}
+}
+
 // serveRelay answers the instances that read the store through this one.
 func (d *Daemon) serveRelay(ctx context.Context, failed chan<- error) error {
 	l, err := net.Listen("tcp", peerAddress(d.settings))
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -120,19 +121,22 @@
 	return p.stats
 }
 
-// Forget closes the unused connections of backend servers that keep does not
-// name.
-func (p *Pool) Forget(keep func(key string) bool) {
+// Sweep closes the unused connections whose time is over.
+func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, list := range p.idle {
-		if keep(key) {
-			continue
-		}
-		for _, c := range list {
+		kept := slices.DeleteFunc(list, func(c *conn) bool {
+			if now.Before(c.until) {
+				return false
+			}
 			c.close()
+			return true
+		})
+		p.idle[key] = kept
+		if len(kept) == 0 {
+			delete(p.idle, key)
 		}
-		delete(p.idle, key)
 	}
 }
 
--- a/internal/edge/filter/dispatch/desk.go
+++ b/internal/edge/filter/dispatch/desk.go
@@ -56,7 +56,7 @@
 // NewDesk returns a Desk that knows nothing.
 func NewDesk(s *traffic.Settings) *Desk {
 	return &Desk{
-		settings: s, balancer: affinity.New(affinity.Config{Region: s.Region, RegionOf: s.RegionOf}),
+		settings: s, balancer: affinity.New(affinity.Config{Instance: s.Instance, Region: s.Region, RegionOf: s.RegionOf}),
 		profiles: map[string]*affinity.Profile{}, budgets: map[string]*retry.Budget{}, draws: map[string]*splitter{},
 		probes: map[string]time.Time{}, fullDeadline: map[string]time.Duration{},
 	}
