--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 ESTATE ?= tiszahid
 GOFILES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test fmt lint unit fuzz demo experiment capacity generate
+.PHONY: build test fmt lint unit fuzz demo experiment capacity generate bench-day
 
 build:
 	go build -o bin/ ./cmd/...
@@ -50,3 +50,8 @@
 # one scenario. docs/MEASUREMENTS.md tells what the tables mean.
 experiment: build
 	./bin/experiment --estate examples/$(ESTATE) --scenario "$(SCENARIO)"
+
+# Plays a day of a site file on the users' bench; BENCH names the bench's program.
+bench-day:
+	@test -n "$(BENCH)" || { echo "set BENCH to the users' bench, SITE to a site file and DAY to a day"; exit 2; }
+	$(BENCH) run $(SITE) $(DAY) --why "$(WHY)"
