dispatch: an instance's part of the retry budget follows the number of instances

Cause, found by reading: the budget of a service was made at its first request with the number of instances known by then, which is none after a mass restart under traffic; each of 85 instances could then use the slack of all. A budget now follows the members' table, and until that was read 100 instances are assumed; the same for the pace of cold backend servers. Also renamed for newcomers: roster (was janitor), the stand-in's troubles Hang and NoChanges; TestHangingStore says only what it tests.

--- a/internal/decide/retry/budget.go
+++ b/internal/decide/retry/budget.go
@@ -32,6 +32,12 @@
 	return &Budget{cfg: cfg, tokens: cfg.Burst, filled: now}
 }
 
+// Reconfigure changes the settings; tokens above the new burst are lost.
+func (b *Budget) Reconfigure(cfg BudgetConfig) {
+	b.cfg = cfg
+	b.tokens = math.Min(b.tokens, cfg.Burst)
+}
+
 // Deposit counts a new request.
 func (b *Budget) Deposit(now time.Time) {
 	b.fill(now)
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -63,7 +63,7 @@
 	store     *platform.Store
 	replica   *feeds.Replica
 	switches  *feeds.Switch
-	janitor   *janitor
+	roster    *roster
 	pool      *egress.Pool
 }
 
@@ -82,7 +82,7 @@
 	d.ingress = ingress.New(handler, d.refuse, d.limits, maxCallerConns)
 	d.replica = feeds.NewReplica()
 	d.switches = feeds.NewSwitch(s.Instance, s.Region, d.store, relay.NewClient(s.Instance), log)
-	d.janitor = newJanitor(d)
+	d.roster = newRoster(d)
 	d.register = &feeds.Registration{Store: d.store, Log: log, Self: traffic.Member{
 		Name: s.Instance, Zone: s.Zone, Callers: s.Listen.Callers, Peer: peerAddress(s), Incarnation: time.Now().UnixNano(),
 	}}
@@ -155,7 +155,7 @@
 			d.log.Warn().Str("event", "join_ended").Err(err).Msg("")
 			return
 		}
-		d.janitor.run(ctx)
+		d.roster.run(ctx)
 	}()
 }
 
@@ -179,7 +179,7 @@
 	if err != nil {
 		return errors.Annotate(err, "listen for other instances; check ip and inner_ports")
 	}
-	server := relay.NewServer(d.replica, d.janitor.heard)
+	server := relay.NewServer(d.replica, d.roster.heard)
 	go func() { failed <- server.Serve(ctx, l) }()
 	return nil
 }
--- a/internal/edge/daemon/janitor.go
+++ b/internal/edge/daemon/roster.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	janitorInterval = 250 * time.Millisecond
+	rosterInterval = 250 * time.Millisecond
 	// proofTimeout is how long a suspect may take to accept a connection.
 	proofTimeout = 500 * time.Millisecond
 	// rejoinWait is how long the own row may be missing before it is written
@@ -19,9 +19,9 @@
 	rejoinWait = time.Second
 )
 
-// janitor keeps the list of instances true: it removes the rows of dead ones
-// and writes the own row again when it was removed by mistake.
-type janitor struct {
+// roster maintains the members' table: it removes the rows of dead instances and
+// writes the own row again when it was removed by mistake.
+type roster struct {
 	daemon  *Daemon
 	mu      sync.Mutex
 	tracker *presence.Tracker
@@ -29,18 +29,18 @@
 	missing time.Time
 }
 
-func newJanitor(d *Daemon) *janitor { return &janitor{daemon: d, tracker: presence.New()} }
+func newRoster(d *Daemon) *roster { return &roster{daemon: d, tracker: presence.New()} }
 
 // heard takes in that an instance has asked this one.
-func (j *janitor) heard(instance string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.tracker.Heard(instance, time.Now())
+func (r *roster) heard(instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Heard(instance, time.Now())
 }
 
 // run works until ctx ends.
-func (j *janitor) run(ctx context.Context) {
-	ticker := time.NewTicker(janitorInterval)
+func (r *roster) run(ctx context.Context) {
+	ticker := time.NewTicker(rosterInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -48,23 +48,23 @@
 			return
 		case <-ticker.C:
 		}
-		if j.daemon.directory.Stopping() {
+		if r.daemon.directory.Stopping() {
 			return
 		}
-		members := j.region()
-		j.daemon.switches.Members(members)
-		for _, m := range j.suspects(members) {
-			j.examine(ctx, m)
+		members := r.region()
+		r.daemon.switches.Members(members)
+		for _, m := range r.suspects(members) {
+			r.examine(ctx, m)
 		}
-		j.rejoin(ctx, members)
+		r.rejoin(ctx, members)
 	}
 }
 
 // region returns the instances of the own region.
-func (j *janitor) region() []traffic.Member {
-	s := j.daemon.settings
+func (r *roster) region() []traffic.Member {
+	s := r.daemon.settings
 	var members []traffic.Member
-	for _, m := range j.daemon.control.View().Members {
+	for _, m := range r.daemon.control.View().Members {
 		if s.RegionOf[m.Zone] == s.Region {
 			members = append(members, m)
 		}
@@ -72,33 +72,33 @@
 	return members
 }
 
-func (j *janitor) suspects(members []traffic.Member) []traffic.Member {
+func (r *roster) suspects(members []traffic.Member) []traffic.Member {
 	byName, names := map[string]traffic.Member{}, []string{}
 	for _, m := range members {
-		if m.Name != j.daemon.settings.Instance {
+		if m.Name != r.daemon.settings.Instance {
 			byName[m.Name] = m
 			names = append(names, m.Name)
 		}
 	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var suspects []traffic.Member
-	for _, name := range j.tracker.Suspects(names, j.daemon.switches.Reads(), time.Now()) {
+	for _, name := range r.tracker.Suspects(names, r.daemon.switches.Reads(), time.Now()) {
 		suspects = append(suspects, byName[name])
 	}
 	return suspects
 }
 
 // examine removes the row of a suspect that takes no connection.
-func (j *janitor) examine(ctx context.Context, m traffic.Member) {
+func (r *roster) examine(ctx context.Context, m traffic.Member) {
 	nc, err := net.DialTimeout("tcp", m.Callers, proofTimeout)
 	if err == nil {
 		_ = nc.Close()
-		j.heard(m.Name)
+		r.heard(m.Name)
 		return
 	}
-	log := j.daemon.log.Warn().Str("event", "instance_dead").Str("dead", m.Name).AnErr("probe", err)
-	if err := j.daemon.register.Evict(ctx, m); err != nil {
+	log := r.daemon.log.Warn().Str("event", "instance_dead").Str("dead", m.Name).AnErr("probe", err)
+	if err := r.daemon.register.Evict(ctx, m); err != nil {
 		log.AnErr("evict", err).Msg("its row stays for now")
 		return
 	}
@@ -106,21 +106,21 @@
 }
 
 // rejoin writes the own row again when it is missing.
-func (j *janitor) rejoin(ctx context.Context, members []traffic.Member) {
+func (r *roster) rejoin(ctx context.Context, members []traffic.Member) {
 	for _, m := range members {
-		if m.Name == j.daemon.settings.Instance {
-			j.missing = time.Time{}
+		if m.Name == r.daemon.settings.Instance {
+			r.missing = time.Time{}
 			return
 		}
 	}
-	if j.missing.IsZero() {
-		j.missing = time.Now()
+	if r.missing.IsZero() {
+		r.missing = time.Now()
 	}
-	if time.Since(j.missing) < rejoinWait {
+	if time.Since(r.missing) < rejoinWait {
 		return
 	}
-	j.missing = time.Time{}
-	if err := j.daemon.register.Join(ctx); err != nil {
-		j.daemon.log.Warn().Str("event", "rejoin_failed").Err(err).Msg("")
+	r.missing = time.Time{}
+	if err := r.daemon.register.Join(ctx); err != nil {
+		r.daemon.log.Warn().Str("event", "rejoin_failed").Err(err).Msg("")
 	}
 }
--- a/internal/edge/edgetest/rules_test.go
+++ b/internal/edge/edgetest/rules_test.go
@@ -477,40 +477,29 @@
 	require.Equal(t, before, backends[1].Runs())
 }
 
-// TestMuteStore: a reader whose store takes calls and answers none is left by
-// those that follow it in time for a new configuration.
-func TestMuteStore(t *testing.T) {
+// TestHangingStore: a store that takes calls and answers none for a moment does
+// not keep a new configuration back for longer than its bound.
+func TestHangingStore(t *testing.T) {
 	t.Parallel()
 	e, i, _ := shop(t)
-	second := e.Instance("two", "a1")
-	third := e.Instance("three", "a2")
+	instances := []*Instance{i, e.Instance("two", "a1"), e.Instance("three", "a2")}
+	// By now one instance reads for the others.
 	time.Sleep(1500 * time.Millisecond)
-	muted := i
-	for _, x := range []*Instance{i, second, third} {
-		if reads(e, x) {
-			muted = x
-		}
-	}
-	// The stand-in cannot tell instances apart, so all feeds go mute but those
-	// of new connections after a moment.
 	until := time.Now().Add(1200 * time.Millisecond)
 	e.Store.SetTrouble(func(*http.Request) store.Trouble {
 		if time.Now().Before(until) {
-			return store.Mute
+			return store.Hang
 		}
 		return store.None
 	})
 	e.Configure(Route{Prefix: "/new/", Kind: "safe", Service: "shop"})
 	began := time.Now()
-	for _, x := range []*Instance{i, second, third} {
+	for _, x := range instances {
 		require.Eventually(t, func() bool { return e.Do(x, Call{Path: "/new/x"}).Status == 200 }, 4*time.Second, 10*time.Millisecond)
 	}
-	require.Less(t, time.Since(began), 3500*time.Millisecond, muted.Settings.Instance)
+	require.Less(t, time.Since(began), 3500*time.Millisecond)
 }
 
-// reads reports whether an instance is the first of its region's order.
-func reads(_ *Estate, x *Instance) bool { return x.Settings.Instance == "two" }
-
 // TestOneReader: at rest one instance of a region calls the store for all.
 func TestOneReader(t *testing.T) {
 	t.Parallel()
@@ -583,15 +572,15 @@
 	require.Eventually(t, i.Ready, 3*time.Second, 10*time.Millisecond)
 }
 
-// TestDeafFeed: a backend server that leaves while the feeds hear nothing, just
+// TestFeedWithoutChanges: a backend server that leaves while the feeds hear nothing, just
 // before the store drops its history, gets nothing new after 2.5 s.
-func TestDeafFeed(t *testing.T) {
+func TestFeedWithoutChanges(t *testing.T) {
 	t.Parallel()
 	e, i, backends := shop(t)
 	until := time.Now().Add(time.Second)
 	e.Store.SetTrouble(func(*http.Request) store.Trouble {
 		if time.Now().Before(until) {
-			return store.Deaf
+			return store.NoChanges
 		}
 		return store.None
 	})
--- a/internal/edge/filter/dispatch/desk.go
+++ b/internal/edge/filter/dispatch/desk.go
@@ -16,6 +16,9 @@
 	// budgetShare is the part of the common retry budget that is used, the
 	// rest allows for instances that count differently.
 	budgetShare = 0.7
+	// unknownInstances is how many instances are taken to share budgets until
+	// the members' table was read.
+	unknownInstances = 100
 	// coldObjective and warmObjective are the run times expected of a route
 	// until some were seen, as shares of its objective.
 	coldObjective = 1.2
@@ -98,7 +101,7 @@
 	}
 	t.query = affinity.Query{
 		Object: object, Spread: ex.ID, Profile: *d.profile(ex.Route, name), Backends: d.candidates(ex, name), Weights: d.weights[name],
-		Tried: map[string]bool{}, Peers: d.peers, ColdRate: service.ColdRate / float64(max(1, len(ex.View.Members))),
+		Tried: map[string]bool{}, Peers: d.peers, ColdRate: service.ColdRate / float64(instances(ex.View)),
 	}
 	return t
 }
@@ -120,6 +123,9 @@
 		return
 	}
 	d.view = v
+	for _, b := range d.budgets {
+		b.Reconfigure(d.budgetShare())
+	}
 	d.weights = map[string]map[string]float64{}
 	d.peers = 0
 	for _, m := range v.Members {
@@ -171,19 +177,32 @@
 func (d *Desk) budget(service string) *retry.Budget {
 	b := d.budgets[service]
 	if b == nil {
-		bounds := d.settings.Bounds
-		members := float64(max(1, len(d.view.Members)))
-		slack := budgetShare * bounds.RetrySlack / members
-		b = retry.NewBudget(retry.BudgetConfig{
-			Share:   budgetShare * bounds.RetryRatio,
-			MinRate: slack / 2 / bounds.RetryWindow.Seconds(),
-			Burst:   max(1, slack/2),
-		}, time.Now())
+		b = retry.NewBudget(d.budgetShare(), time.Now())
 		d.budgets[service] = b
 	}
 	return b
 }
 
+// budgetShare returns this instance's part of a service's budget for further
+// attempts.
+func (d *Desk) budgetShare() retry.BudgetConfig {
+	bounds := d.settings.Bounds
+	slack := budgetShare * bounds.RetrySlack / float64(instances(d.view))
+	return retry.BudgetConfig{
+		Share:   budgetShare * bounds.RetryRatio,
+		MinRate: slack / 2 / bounds.RetryWindow.Seconds(),
+		Burst:   max(1, slack/2),
+	}
+}
+
+// instances returns the number of instances that share budgets and paces.
+func instances(v *control.View) int {
+	if len(v.Members) == 0 {
+		return unknownInstances
+	}
+	return len(v.Members)
+}
+
 // choose returns the backend server for the next attempt, or the reason why
 // there is none.
 func (d *Desk) choose(t *try) (affinity.Choice, string) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -23,12 +23,12 @@
 	None Trouble = iota
 	// Refuse answers 503.
 	Refuse
-	// Mute takes the call and never answers.
-	Mute
+	// Hang takes the call and never answers.
+	Hang
 	// LoseAnswer does what is asked and closes the connection.
 	LoseAnswer
-	// Deaf lets a feed wait its time and tells of no change.
-	Deaf
+	// NoChanges lets a feed wait its time and tells of no change.
+	NoChanges
 )
 
 type row struct {
@@ -174,12 +174,12 @@
 		switch trouble {
 		case Refuse:
 			w.WriteHeader(http.StatusServiceUnavailable)
-		case Mute:
+		case Hang:
 			<-r.Context().Done()
 		case LoseAnswer:
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
-		case Deaf:
+		case NoChanges:
 			s.sayNothing(w, r, next)
 		default:
 			next.ServeHTTP(w, r)
