relay: yamux does not close a session under waiting asks

The asks have deadlines of their own, so the timeout is not needed. TestSilentReaderKeepsItsSession fails with 1 s and passes without.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -36,7 +36,8 @@
 	c.EnableKeepAlive = false
 	c.LogOutput = discard{}
 	c.ConnectionWriteTimeout = time.Second
-	c.StreamOpenTimeout = time.Second
+	// yamux would close the session under the asks that wait on it.
+	c.StreamOpenTimeout = 0
 	c.StreamCloseTimeout = time.Second
 	return c
 }
--- /dev/null
+++ b/internal/edge/relay/relay_test.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/edge/feeds"
+	"github.com/banyandeal/banyandeal/platform"
+)
+
+// TestSilentReaderKeepsItsSession: a reader that takes a session and answers
+// nothing does not make yamux close the session under asks that wait, which
+// would keep their readers busy until their deadlines.
+func TestSilentReaderKeepsItsSession(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		nc, err := l.Accept()
+		if err == nil {
+			_, _ = io.Copy(io.Discard, nc)
+		}
+	}()
+	c := NewClient("one")
+	ended := make(chan error, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		_, _, err := c.Source(l.Addr().String()).Changes(ctx, "t", 0, 5*time.Second)
+		ended <- err
+	}()
+	time.Sleep(1300 * time.Millisecond)
+	c.mu.Lock()
+	session := c.links[l.Addr().String()].session
+	c.mu.Unlock()
+	require.False(t, session.IsClosed())
+	cancel()
+	select {
+	case err := <-ended:
+		require.Error(t, err)
+	case <-time.After(time.Second):
+		require.Fail(t, "an ask outlives its context")
+	}
+	c.KeepOnly("")
+	require.Eventually(t, session.IsClosed, time.Second, 5*time.Millisecond)
+}
+
+// TestFollow: rows, changes and a dropped history reach the asker, and an
+// instance that does not read the store says so.
+func TestFollow(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	replica := feeds.NewReplica()
+	heard := make(chan string, 10)
+	ctx := t.Context()
+	go func() { _ = NewServer(replica, func(name string) { heard <- name }).Serve(ctx, l) }()
+	source := NewClient("one").Source(l.Addr().String())
+
+	_, _, err = source.Rows(ctx, "t")
+	require.ErrorIs(t, err, feeds.ErrNotReading)
+	require.Equal(t, "one", <-heard)
+
+	replica.Reset("t", []platform.Row{{Table: "t", Key: "a", Value: []byte("x"), Version: 5}}, 7)
+	rows, version, err := source.Rows(ctx, "t")
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), version)
+	require.Equal(t, []platform.Row{{Table: "t", Key: "a", Value: []byte("x"), Version: 5}}, rows)
+
+	_, _, err = source.Changes(ctx, "t", 6, time.Second)
+	require.ErrorIs(t, err, platform.ErrCompacted)
+
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		replica.Apply("t", []platform.Row{{Table: "t", Key: "a", Version: 8, Deleted: true}}, 8)
+	}()
+	rows, version, err = source.Changes(ctx, "t", 7, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, uint64(8), version)
+	require.True(t, rows[0].Deleted)
+
+	replica.LostAll()
+	_, _, err = source.Changes(ctx, "t", 8, time.Second)
+	require.ErrorIs(t, err, feeds.ErrNotReading)
+}
