--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -38,9 +38,12 @@
   banyanctl explain 9c41d07be2a35f68 front-a-1.log front-b-1.log`,
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Len() < 2 {
-				return errors.New("name the id of a request and one log file or more")
+				return usagef("write banyanctl explain ID FILE...", "explain takes the id of a request and one log file or more")
 			}
-			return a.explain(c.Args().First(), c.Args().Tail())
+			if err := a.explain(c.Args().First(), c.Args().Tail()); err != nil {
+				return &actionError{cause: err}
+			}
+			return nil
 		},
 	}
 }
@@ -126,15 +129,15 @@
 			&cli.StringFlag{Name: "settings", Usage: "settings file of an entry instance (YAML)"},
 			&cli.StringFlag{Name: "config", Usage: "configuration as the operator writes it (JSON)"},
 		},
-		Action: func(_ context.Context, c *cli.Command) error {
+		Action: action(0, func(_ context.Context, c *cli.Command) error {
 			return a.check(c.String("settings"), c.String("config"))
-		},
+		}),
 	}
 }
 
 func (a *app) check(settings, config string) error {
 	if settings == "" && config == "" {
-		return errors.New("name a file with --settings or --config")
+		return usagef("name a file with --settings or --config", "there is nothing to check")
 	}
 	if settings != "" {
 		s, err := platform.LoadSettings(settings)
