admission: decisions on requests are a pure machine; a log line for each attempt

Cause: patience, budgets, splits and Retry-After stood behind a lock and the clock in the dispatch filter, so that no policy could be weighed without sockets, and a request had one line at its end whatever happened on its way. The second failure of a backend server was replaced by a 502 of our own.

Change: internal/decide/admission holds the decisions (time and events in, choices out); the filter keeps the lock, the clock and the sends. Each attempt and each refusal has a line with what decided it; the lines of a request are written together so that it has all or none. The last failure is passed on.

Ruled out: a line at the moment of each decision; the budget of lines could not prefer failures then.

TestFailuresArePassedOn failed before (502 instead of 500).

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -68,29 +68,50 @@
 		lines = append(lines, more...)
 	}
 	slices.SortStableFunc(lines, func(x, y logLine) int { return cmp.Compare(x.Time, y.Time) })
-	end := slices.IndexFunc(lines, func(l logLine) bool { return l.ID == id })
-	if end < 0 {
+	request := findRequest(lines, id)
+	if request == nil {
 		return errors.Errorf("no line has the id %s; the volume of the log is bounded, look at the counters of its minute", id)
 	}
-	for _, l := range lines[:end] {
-		if l.concerns(lines[end]) {
+	for _, l := range lines {
+		if l.ID == id || request.believed(l) {
 			a.printf("%s\n", l.text)
 		}
 	}
-	for _, l := range lines[end:] {
-		if l.ID == id {
-			a.printf("%s\n", l.text)
+	return nil
+}
+
+// requestLines is what the lines of one request say of it.
+type requestLines struct {
+	instance string
+	// last is the time of its last line.
+	last int64
+	// backends are those that it was sent to or that were passed over.
+	backends map[string]bool
+}
+
+// findRequest returns nil when no line has the id.
+func findRequest(lines []logLine, id string) *requestLines {
+	var r *requestLines
+	for _, l := range lines {
+		if l.ID != id {
+			continue
 		}
+		if r == nil {
+			r = &requestLines{instance: l.Instance, backends: map[string]bool{}}
+		}
+		r.last = l.Time
+		r.backends[l.Backend] = true
 	}
-	return nil
+	return r
 }
 
-// concerns reports whether a line tells what the instance of a request believed.
-func (l logLine) concerns(request logLine) bool {
-	if l.Instance != request.Instance || !slices.Contains(beliefEvents, l.Event) {
+// believed reports whether a line tells what the instance of the request believed
+// when it decided.
+func (r *requestLines) believed(l logLine) bool {
+	if l.Instance != r.instance || l.Time > r.last || !slices.Contains(beliefEvents, l.Event) {
 		return false
 	}
-	return !strings.HasPrefix(l.Event, "backend") || l.Backend == request.Backend
+	return !strings.HasPrefix(l.Event, "backend") || r.backends[l.Backend]
 }
 
 func readLog(file string) ([]logLine, error) {
--- /dev/null
+++ b/internal/decide/admission/admission.go
@@ -0,0 +1,283 @@
+// Package admission decides on callers' requests: which backend server gets
+// one, whether it is sent again, whether it is refused, and when its caller may
+// come back.
+//
+// Machine is a pure state machine: requests, ends of attempts and the time go
+// in, decisions come out. It is not safe for concurrent use.
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/decide/retry"
+	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+)
+
+const (
+	// maxSends bounds the backend servers that one request is offered to,
+	// refusals included.
+	maxSends = 4
+	// patienceShare is the part of what a warm run leaves of the objective that
+	// may be spent waiting; the rest covers what the estimate misses.
+	patienceShare = 0.7
+	minPatience   = 20 * time.Millisecond
+	// returnPatience is how many times longer a caller waits that comes back;
+	// returnedShare is the part of the full time below which it has come back.
+	returnPatience = 3
+	returnedShare  = 0.97
+	// probeInterval is the time between requests of a route that are sent
+	// although they are not expected to end in time.
+	probeInterval = 500 * time.Millisecond
+)
+
+// Reason says why a request is not sent to a backend server, in logs and
+// metrics; empty if it is sent.
+type Reason string
+
+// Reasons.
+const (
+	NoService   Reason = "no_service"
+	NoBackends  Reason = "no_backends"
+	NoneUsable  Reason = "none_usable"
+	NoTime      Reason = "no_time"
+	QueueFull   Reason = "queue_full"
+	RetryBudget Reason = "retry_budget"
+	Attempts    Reason = "attempts"
+	// MayHaveRun is the end of a request that must not run twice.
+	MayHaveRun Reason = "may_have_run"
+	// Expired is the end of a request whose time is over.
+	Expired Reason = "expired"
+)
+
+// Config holds the settings of a Machine.
+type Config struct {
+	Instance string
+	Region   string
+	RegionOf map[string]string
+	Bounds   traffic.Bounds
+	// Rand spreads the waits of callers that are turned away.
+	Rand *rand.Rand
+}
+
+// Estate is what is known of services and instances. It is immutable; a new one
+// takes its place when something has changed.
+type Estate struct {
+	Services map[string]*traffic.Service
+	// Backends maps a service to those that may get new requests.
+	Backends map[string][]*traffic.Backend
+	// Peers is the number of instances in the region and Instances that of all,
+	// this one included; Instances is 0 until it is known.
+	Peers, Instances int
+}
+
+// Request is a caller's request.
+type Request struct {
+	ID string
+	// Object names what the request concerns; empty if there is none.
+	Object   string
+	Route    *traffic.Route
+	Received time.Time
+	// Deadline is when the caller or the route gives the request up,
+	// CallerDeadline when the caller does.
+	Deadline, CallerDeadline time.Time
+}
+
+// Ticket is the state of one request over its attempts.
+type Ticket struct {
+	Request
+	// Service is the target of the route that was drawn, nil if it is not
+	// declared; ServiceName is its name.
+	Service     *traffic.Service
+	ServiceName string
+	// Sends counts the backend servers that the request was offered to.
+	Sends int
+	// Patience is the longest wait for a slot that the last choice allowed.
+	Patience time.Duration
+
+	query affinity.Query
+	// runs counts the backend servers that may have run the request.
+	runs int
+	// freeIn is when a slot is expected to be free, if the last choice knew.
+	freeIn time.Duration
+}
+
+// MayHaveRun reports whether a backend server may have run the request.
+func (t *Ticket) MayHaveRun() bool { return t.runs > 0 }
+
+// MayRepeat reports whether a request that has run can go to a further backend
+// server.
+func (t *Ticket) MayRepeat() bool {
+	return t.Route.Idempotent && t.runs < t.Route.MaxAttempts
+}
+
+// Machine holds the state of all decisions of one instance.
+type Machine struct {
+	cfg      Config
+	balancer *affinity.Balancer
+	profiles map[string]*affinity.Profile
+	budgets  map[string]*retry.Budget
+	splits   map[string]*splitter
+	// probes holds when a route last sent a request against expectation.
+	probes map[string]time.Time
+	// fullDeadline is the longest time that a caller of a route has given.
+	fullDeadline map[string]time.Duration
+	// estate and weights belong to each other.
+	estate  *Estate
+	weights map[string]map[string]float64
+}
+
+// New returns a Machine that knows nothing.
+func New(cfg Config) *Machine {
+	balancer := affinity.New(affinity.Config{Instance: cfg.Instance, Region: cfg.Region, RegionOf: cfg.RegionOf})
+	return &Machine{
+		cfg: cfg, balancer: balancer,
+		profiles: map[string]*affinity.Profile{}, budgets: map[string]*retry.Budget{}, splits: map[string]*splitter{},
+		probes: map[string]time.Time{}, fullDeadline: map[string]time.Duration{},
+	}
+}
+
+// Begin prepares the attempts of a request.
+func (m *Machine) Begin(e *Estate, r Request, now time.Time) *Ticket {
+	m.adopt(e)
+	t := &Ticket{Request: r, ServiceName: m.target(r.Route)}
+	t.Service = e.Services[t.ServiceName]
+	if t.Service == nil {
+		return t
+	}
+	m.budget(t.ServiceName, now).Deposit(now)
+	object := ""
+	if r.Object != "" && r.Route.Sticky {
+		object = r.Route.Prefix + r.Object
+	}
+	t.query = affinity.Query{
+		Object: object, Spread: r.ID, Profile: *m.profile(r.Route, t.ServiceName),
+		Backends: m.candidates(r.Route, t.ServiceName), Weights: m.weights[t.ServiceName],
+		Tried: map[string]bool{}, Peers: e.Peers, ColdRate: t.Service.ColdRate / float64(e.sharers()),
+	}
+	return t
+}
+
+// adopt takes a newer estate in.
+func (m *Machine) adopt(e *Estate) {
+	if m.estate == e {
+		return
+	}
+	m.estate = e
+	for _, b := range m.budgets {
+		b.Reconfigure(m.budgetShare())
+	}
+	m.weights = map[string]map[string]float64{}
+	known := map[string]bool{}
+	for service, list := range e.Backends {
+		m.weights[service] = affinity.Shares(m.cfg.Region, m.cfg.RegionOf, list)
+		for _, b := range list {
+			known[b.ID] = true
+		}
+	}
+	m.balancer.Retain(func(id string) bool { return known[id] })
+}
+
+// candidates returns the backend servers that the route's homes allow.
+func (m *Machine) candidates(r *traffic.Route, service string) []*traffic.Backend {
+	all := m.estate.Backends[service]
+	if len(r.HomeRegions) == 0 {
+		return all
+	}
+	var allowed []*traffic.Backend
+	for _, b := range all {
+		for _, home := range r.HomeRegions {
+			if m.cfg.RegionOf[b.Zone] == home {
+				allowed = append(allowed, b)
+			}
+		}
+	}
+	return allowed
+}
+
+// Next returns the backend server for the next attempt, which counts as sent,
+// or the reason why there is none and the best one that was passed over, if any.
+func (m *Machine) Next(t *Ticket, now time.Time) (affinity.Choice, Reason) {
+	if t.Service == nil {
+		return affinity.Choice{}, NoService
+	}
+	if len(t.query.Backends) == 0 {
+		return affinity.Choice{}, NoBackends
+	}
+	choice, ok := m.balancer.Choose(t.query, now)
+	if !ok {
+		return choice, NoneUsable
+	}
+	if choice.Expected > t.Deadline.Sub(now) && !m.mayProbe(t, now) {
+		return choice, NoTime
+	}
+	t.Patience = m.patience(t)
+	if choice.Wait > t.Patience {
+		t.freeIn = choice.Wait - t.Patience
+		return choice, QueueFull
+	}
+	m.balancer.Sent(choice, t.query, now)
+	t.Sends++
+	t.query.Tried[choice.Backend.ID] = true
+	return choice, ""
+}
+
+// mayProbe lets a request go now and then although it is not expected to end in
+// time, since what is expected is only learnt from runs.
+func (m *Machine) mayProbe(t *Ticket, now time.Time) bool {
+	key := t.Route.Prefix
+	if now.Sub(m.probes[key]) < probeInterval {
+		return false
+	}
+	m.probes[key] = now
+	return true
+}
+
+// patience is the longest wait for a slot that a warm run still leaves within
+// the objective. Requests that wait longer would be late, and make those behind
+// them late. A caller that has been turned away before waits for longer, so that
+// it is not turned away again.
+func (m *Machine) patience(t *Ticket) time.Duration {
+	p := max(minPatience, time.Duration(patienceShare*float64(t.Route.Objective-t.query.Profile.Warm)))
+	if m.hasReturned(t) {
+		p *= returnPatience
+	}
+	return p
+}
+
+// hasReturned reports whether the caller has less time left than others of the
+// route begin with: it has spent some on an earlier try.
+func (m *Machine) hasReturned(t *Ticket) bool {
+	given := t.CallerDeadline.Sub(t.Received)
+	full := max(m.fullDeadline[t.Route.Prefix], given)
+	m.fullDeadline[t.Route.Prefix] = full
+	return float64(given) < returnedShare*float64(full)
+}
+
+// Ended takes in the end of the attempt that Next has chosen. ran tells that
+// the backend server may have run the request.
+func (m *Machine) Ended(t *Ticket, c affinity.Choice, r affinity.Result, ran bool, now time.Time) {
+	if ran {
+		t.runs++
+	}
+	m.balancer.Ended(c, t.query, r, now)
+	if r.End == affinity.Answered {
+		m.learn(t, c, r)
+	}
+}
+
+// Again reports whether a request whose attempt has brought no answer may go to
+// a further backend server; the reason is empty if so. reached tells that the
+// attempt arrived at its backend server, which counts against the budget.
+func (m *Machine) Again(t *Ticket, ran, reached bool, now time.Time) Reason {
+	switch {
+	case ran && !t.Route.Idempotent:
+		return MayHaveRun
+	case t.Sends >= maxSends, t.runs > 0 && !t.MayRepeat():
+		return Attempts
+	case reached && !m.budget(t.ServiceName, now).Take(now):
+		return RetryBudget
+	}
+	return ""
+}
--- a/internal/edge/edgetest/rules_test.go
+++ b/internal/edge/edgetest/rules_test.go
@@ -125,6 +125,21 @@
 	require.Equal(t, 2, runsOf(backends, r.ID))
 }
 
+// TestFailuresArePassedOn: when no backend server may try any more, the caller
+// gets the last one's own failure, not one of the system's.
+func TestFailuresArePassedOn(t *testing.T) {
+	t.Parallel()
+	e, i, backends := shop(t)
+	for _, b := range backends {
+		b.SetAct(all(Fail))
+	}
+	for _, path := range []string{"/read/x", "/write/x"} {
+		r := e.Do(i, Call{Path: path})
+		require.Equal(t, http.StatusInternalServerError, r.Status)
+		require.NotEmpty(t, r.Header.Get("X-Banyandeal-Server-Stamp"))
+	}
+}
+
 // TestAnswersOfOthers: an answer to another request is passed over, before and
 // behind the right one.
 func TestAnswersOfOthers(t *testing.T) {
--- a/internal/edge/filter/accesslog/accesslog.go
+++ b/internal/edge/filter/accesslog/accesslog.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
@@ -51,7 +52,7 @@
 	if ex.Route != nil {
 		route = ex.Route.Name
 	}
-	f.metrics.Request(route, ex.Outcome.Service, ex.Outcome.Zone, ex.Outcome.Reason, a.Status, took)
+	f.metrics.Request(route, ex.Outcome.Service, ex.Outcome.Zone(), ex.Outcome.Reason, a.Status, took)
 }
 
 // mayLog takes a line of the budget; failures have one of their own.
@@ -76,26 +77,68 @@
 	return true
 }
 
+// write logs a line for each attempt, one for what decided a refusal, and one
+// for the answer. They are written together, so that a request has all of its
+// lines or none.
 func (f *Filter) write(ctx context.Context, ex *gateway.Exchange, a *ingress.Answer, took time.Duration) {
+	for n, attempt := range ex.Outcome.Attempts {
+		f.attempt(ex, n+1, attempt)
+	}
+	if ex.Outcome.Refused != nil {
+		f.refusal(ex, ex.Outcome.Refused)
+	}
+	f.answer(ctx, ex, a, took)
+}
+
+func (f *Filter) attempt(ex *gateway.Exchange, n int, a gateway.Attempt) {
+	e := f.line("attempt", ex).Int("attempt", n).Dur("sent_after", a.Sent.Sub(ex.Received))
+	choice(e, a.Choice)
+	e.Str("end", a.End).Bool("ran", a.Ran).Dur("took", a.Took)
+	if a.Status > 0 {
+		e.Int("status", a.Status)
+	}
+	if a.Detail != "" {
+		e.Str("detail", a.Detail)
+	}
+	e.Msg("")
+}
+
+func (f *Filter) refusal(ex *gateway.Exchange, r *gateway.Refusal) {
+	e := f.line("refusal", ex).Str("reason", ex.Outcome.Reason).
+		Int("candidates", len(ex.View.Backends[ex.Outcome.Service])).Dur("patience", r.Patience)
+	if r.Backend != nil {
+		choice(e, r.Choice)
+	}
+	e.Msg("")
+}
+
+func (f *Filter) answer(ctx context.Context, ex *gateway.Exchange, a *ingress.Answer, took time.Duration) {
 	o := ex.Outcome
-	e := f.log.Info().Str("event", "request").Str("id", ex.ID).Str("reason", o.Reason).Int("status", a.Status).
-		Dur("took", took).Int("sends", o.Attempts)
+	e := f.line("request", ex).Str("reason", o.Reason).Int("status", a.Status).
+		Dur("took", took).Int("sends", len(o.Attempts))
 	if ex.View.Config != nil {
-		e = e.Uint64("config", ex.View.Config.Version)
+		e.Uint64("config", ex.View.Config.Version)
 	}
 	if ex.Route != nil {
-		e = e.Str("route", ex.Route.Name).Str("service", o.Service).Str("object", ex.Object).
-			Dur("left", time.Until(ex.Deadline)).Int("candidates", len(ex.View.Backends[o.Service]))
-	}
-	if o.Attempts > 0 {
-		e = e.Str("backend", o.Backend).Int("rank", o.Rank).Bool("warm", o.Warm).
-			Dur("expected", o.Expected).Dur("wait", o.Wait).Dur("load_age", o.LoadAge)
-	}
-	if o.Detail != "" {
-		e = e.Str("detail", o.Detail)
+		e.Str("route", ex.Route.Name).Str("service", o.Service).Str("object", ex.Object).
+			Dur("left", time.Until(ex.Deadline))
 	}
 	if retryAfter := a.Header.Get("Retry-After"); retryAfter != "" {
-		e = e.Str("retry_after", retryAfter)
+		e.Str("retry_after", retryAfter)
 	}
 	e.Bool("caller_gone", ctx.Err() != nil).Msg("")
 }
+
+func (f *Filter) line(event string, ex *gateway.Exchange) *zerolog.Event {
+	return f.log.Info().Str("event", event).Str("id", ex.ID)
+}
+
+// choice adds what decided for a backend server, with the age of the load report
+// behind it.
+func choice(e *zerolog.Event, c affinity.Choice) {
+	e.Str("backend", c.Backend.ID).Str("backend_zone", c.Backend.Zone).Int("rank", c.Rank).Bool("warm", c.Warm).
+		Dur("expected", c.Expected).Dur("wait", c.Wait)
+	if c.LoadAge >= 0 {
+		e.Dur("load_age", c.LoadAge)
+	}
+}
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/banyandeal/banyandeal/internal/attempt"
+	"github.com/banyandeal/banyandeal/internal/decide/admission"
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/edge/egress"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
@@ -18,10 +19,6 @@
 	"github.com/banyandeal/banyandeal/platform"
 )
 
-// maxSends bounds the backend servers that one request is offered to,
-// refusals included.
-const maxSends = 4
-
 // Filter implements gateway.Filter and is the last of the pipeline.
 type Filter struct {
 	pool *egress.Pool
@@ -31,44 +28,35 @@
 // New returns the filter.
 func New(pool *egress.Pool, desk *Desk) *Filter { return &Filter{pool: pool, desk: desk} }
 
-// try is the state of one request over its attempts.
-type try struct {
-	ex    *gateway.Exchange
-	query affinity.Query
-	// service is the target of the route that was drawn for the request.
-	service *traffic.Service
-	// runs counts the backend servers that may have run the request.
-	runs  int
-	sends int
-	// freeIn is when a slot is expected to be free, if the last choice knew.
-	freeIn time.Duration
-}
-
 // Serve implements gateway.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *gateway.Exchange, _ gateway.Next) *ingress.Answer {
 	t := f.desk.begin(ex)
-	if t.service == nil {
-		ex.Outcome.Reason = "no_service"
-		return gateway.NotRun(f.desk.retryAfter(t), "the service of the route is not declared")
-	}
+	ex.Outcome.Service = t.ServiceName
 	for {
-		choice, refusal := f.desk.choose(t)
+		choice, refusal := f.desk.next(t)
 		if refusal != "" {
-			return f.giveUp(t, refusal)
+			ex.Outcome.Refused = &gateway.Refusal{Choice: choice, Patience: t.Patience}
+			return f.giveUp(ex, t, string(refusal))
 		}
-		end := f.send(ctx, t, choice)
-		if end.answer != nil {
+		end := f.send(ctx, ex, t, choice)
+		if end.answer != nil && !end.failed {
+			ex.Outcome.Reason = end.reason
 			return end.answer
 		}
-		if done := f.final(ctx, t, end); done != nil {
-			return done
+		if stop := f.mayNotGoOn(ctx, t, end); stop != "" {
+			return f.stop(ex, t, end, stop)
 		}
 	}
 }
 
+// unreachable is the end of an attempt that did not arrive.
+const unreachable = "unreachable"
+
 // ending is how one attempt ended: with an answer for the caller, or without.
 type ending struct {
 	answer *ingress.Answer
+	// failed is set for an answer that is worth another attempt.
+	failed bool
 	// ran is set when the backend server may have run the request.
 	ran    bool
 	reason string
@@ -76,39 +64,37 @@
 }
 
 // send makes one attempt.
-func (f *Filter) send(ctx context.Context, t *try, choice affinity.Choice) ending {
-	t.sends++
-	b := choice.Backend
-	t.query.Tried[b.ID] = true
-	o := &t.ex.Outcome
-	o.Backend, o.Zone, o.Attempts, o.Rank, o.Warm = b.ID, b.Zone, t.sends, choice.Rank, choice.Warm
-	o.Expected, o.Wait, o.LoadAge = choice.Expected, choice.Wait, choice.LoadAge
+func (f *Filter) send(ctx context.Context, ex *gateway.Exchange, t *admission.Ticket, choice affinity.Choice) ending {
 	started := time.Now()
-	resp, err := f.pool.Do(ctx, b, f.request(t, b))
-	end, result := f.judge(ctx, t, resp, err)
+	resp, err := f.pool.Do(ctx, choice.Backend, f.request(ex, choice.Backend))
+	end, result := f.judge(ctx, resp, err)
 	result.Took = time.Since(started)
-	f.desk.ended(t, choice, result)
-	if end.ran {
-		t.runs++
+	f.desk.ended(t, choice, result, end.ran)
+	a := gateway.Attempt{Choice: choice, Sent: started, Took: result.Took, End: end.reason, Ran: end.ran}
+	if resp != nil {
+		a.Status = resp.Status
+	}
+	if err != nil {
+		a.Detail = err.Error()
 	}
-	o.Reason = end.reason
+	ex.Outcome.Attempts = append(ex.Outcome.Attempts, a)
 	return end
 }
 
-func (f *Filter) request(t *try, b *traffic.Backend) *egress.Request {
-	h := t.ex.Header.Clone()
+func (f *Filter) request(ex *gateway.Exchange, b *traffic.Backend) *egress.Request {
+	h := ex.Header.Clone()
 	attempt.StripHopHeaders(h)
 	h.Del("Expect")
 	h.Del("Content-Length")
-	platform.SetForward(h, time.Until(t.ex.Deadline), b.ID)
+	platform.SetForward(h, time.Until(ex.Deadline), b.ID)
 	return &egress.Request{
-		ID: t.ex.ID, Method: t.ex.Method, Target: t.ex.Target, Host: t.ex.Host, Header: h, Body: t.ex.Body,
+		ID: ex.ID, Method: ex.Method, Target: ex.Target, Host: ex.Host, Header: h, Body: ex.Body,
 	}
 }
 
 // judge says what an attempt's end means for the request and for what is known
 // of the backend server.
-func (f *Filter) judge(ctx context.Context, t *try, resp *egress.Response, err error) (ending, affinity.Result) {
+func (f *Filter) judge(ctx context.Context, resp *egress.Response, err error) (ending, affinity.Result) {
 	if err != nil {
 		return f.judgeError(ctx, err)
 	}
@@ -132,11 +118,7 @@
 		return ending{ran: true, answer: deliver(resp), reason: "answered"}, result
 	case resp.Status >= http.StatusInternalServerError:
 		result.End = affinity.Failed
-		end := ending{ran: true, reason: "server_error"}
-		if !f.desk.mayRepeat(t) {
-			end.answer = deliver(resp)
-		}
-		return end, result
+		return ending{ran: true, answer: deliver(resp), failed: true, reason: "server_error"}, result
 	}
 	result.End = affinity.Failed
 	return ending{ran: true, reason: "spoilt_answer"}, result
@@ -153,7 +135,7 @@
 		end.reason = "abandoned"
 		return end, affinity.Result{End: affinity.Abandoned}
 	case !failed.Sent:
-		end.reason = "unreachable"
+		end.reason = unreachable
 		return end, affinity.Result{End: affinity.Unreachable}
 	case failed.Reused && !failed.Broken:
 		// An idle connection that closes says little of its backend server.
@@ -162,41 +144,44 @@
 	return end, affinity.Result{End: affinity.Failed}
 }
 
-// final returns the answer to a request that is not sent again, nil for one
-// that is.
-func (f *Filter) final(ctx context.Context, t *try, end ending) *ingress.Answer {
-	o := &t.ex.Outcome
-	if end.err != nil {
-		o.Detail = end.err.Error()
-	}
+// mayNotGoOn returns why a request is not sent again, empty if it is.
+func (f *Filter) mayNotGoOn(ctx context.Context, t *admission.Ticket, end ending) admission.Reason {
 	if ctx.Err() != nil {
-		return f.expired(t)
+		return admission.Expired
 	}
-	if end.ran && !t.ex.Route.Idempotent {
+	return f.desk.again(t, end.ran, end.reason != unreachable)
+}
+
+// stop answers a request that is not sent again. The failure of a backend server
+// is passed on as it is.
+func (f *Filter) stop(ex *gateway.Exchange, t *admission.Ticket, end ending, why admission.Reason) *ingress.Answer {
+	ex.Outcome.Reason = end.reason
+	switch {
+	case end.answer != nil:
+		return end.answer
+	case why == admission.Expired:
+		return f.expired(ex, t)
+	case why == admission.MayHaveRun:
 		return gateway.Final(http.StatusBadGateway, "the request may have run; look at its effect before sending it again")
+	case why == admission.Attempts:
+		return f.giveUp(ex, t, end.reason)
 	}
-	if t.sends >= maxSends || (t.runs > 0 && !f.desk.mayRepeat(t)) {
-		return f.giveUp(t, end.reason)
-	}
-	if end.reason != "unreachable" && !f.desk.takeRetry(t) {
-		return f.giveUp(t, "retry_budget")
-	}
-	return nil
+	return f.giveUp(ex, t, string(why))
 }
 
 // expired answers a request whose time is over.
-func (f *Filter) expired(t *try) *ingress.Answer {
-	t.ex.Outcome.Reason = "expired"
-	if t.runs == 0 {
+func (f *Filter) expired(ex *gateway.Exchange, t *admission.Ticket) *ingress.Answer {
+	ex.Outcome.Reason = string(admission.Expired)
+	if !t.MayHaveRun() {
 		return gateway.NotRun(f.desk.retryAfter(t), "no backend server was free in time; come back later")
 	}
 	return gateway.Final(http.StatusGatewayTimeout, "no answer came in time; the request may have run")
 }
 
 // giveUp answers a request that goes to no further backend server.
-func (f *Filter) giveUp(t *try, reason string) *ingress.Answer {
-	t.ex.Outcome.Reason = reason
-	if t.runs == 0 {
+func (f *Filter) giveUp(ex *gateway.Exchange, t *admission.Ticket, reason string) *ingress.Answer {
+	ex.Outcome.Reason = reason
+	if !t.MayHaveRun() {
 		return gateway.NotRun(f.desk.retryAfter(t), "no backend server can take the request now; come back later")
 	}
 	return gateway.Final(http.StatusBadGateway, "the backend servers failed; the request may have run")
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/edge/control"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
@@ -30,15 +31,44 @@
 type Outcome struct {
 	// Reason names how the request ended.
 	Reason string
-	// Service, Backend and Zone are those of the last attempt.
-	Service, Backend, Zone string
-	Attempts               int
-	// Expected and Wait are what the last choice expected, LoadAge the age of
-	// the report behind it.
-	Expected, Wait, LoadAge time.Duration
-	Rank                    int
-	Warm                    bool
-	Detail                  string
+	// Service is the target that was drawn.
+	Service string
+	// Attempts holds the attempts in their order.
+	Attempts []Attempt
+	// Refused tells why the request was sent nowhere, or not again.
+	Refused *Refusal
+}
+
+// Attempt is one offer of the request to a backend server.
+type Attempt struct {
+	// Choice holds what decided.
+	affinity.Choice
+	Sent time.Time
+	Took time.Duration
+	// End names how the attempt ended, Status is that of the answer, 0 without
+	// one, and Detail tells more of a failure.
+	End    string
+	Status int
+	Detail string
+	// Ran tells that the backend server may have run the request.
+	Ran bool
+}
+
+// Refusal is what decided that a request goes to no further backend server.
+type Refusal struct {
+	// Choice is the best candidate that was passed over; its Backend may be nil.
+	affinity.Choice
+	// Patience is the longest wait for a slot that was allowed.
+	Patience time.Duration
+}
+
+// Zone returns the availability zone of the last attempt, empty if there is
+// none.
+func (o *Outcome) Zone() string {
+	if len(o.Attempts) == 0 {
+		return ""
+	}
+	return o.Attempts[len(o.Attempts)-1].Backend.Zone
 }
 
 // Next is the rest of the pipeline.
