admission: long work gives way in a crowd; what is remembered of routes is bounded

Five maps by route grew with every route that a configuration ever had.

Change: patience shrinks with the root of the work's length against the shortest of its service. One memory a route, bounded.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -7,6 +7,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -87,6 +88,8 @@
 // Ticket is the state of one request over its attempts.
 type Ticket struct {
 	Request
+	// Estate is what was known when the request came.
+	Estate *Estate
 	// Service is the target of the route that was drawn, nil if it is not
 	// declared; ServiceName is its name.
 	Service     *traffic.Service
@@ -96,6 +99,7 @@
 	// Patience is the longest wait for a slot that the last choice allowed.
 	Patience time.Duration
 
+	route *routeState
 	query affinity.Query
 	// runs counts the backend servers that may have run the request.
 	runs int
@@ -116,13 +120,10 @@
 type Machine struct {
 	cfg      Config
 	balancer *affinity.Balancer
-	profiles map[string]*affinity.Profile
 	budgets  map[string]*retry.Budget
-	splits   map[string]*splitter
-	// probes holds when a route last sent a request against expectation.
-	probes map[string]time.Time
-	// fullDeadline is the longest time that a caller of a route has given.
-	fullDeadline map[string]time.Duration
+	routes   map[routeKey]*routeState
+	// shortest is by service.
+	shortest map[string]shortest
 	// estate and weights belong to each other.
 	estate  *Estate
 	weights map[string]map[string]float64
@@ -133,15 +134,15 @@
 	balancer := affinity.New(affinity.Config{Instance: cfg.Instance, Region: cfg.Region, RegionOf: cfg.RegionOf})
 	return &Machine{
 		cfg: cfg, balancer: balancer,
-		profiles: map[string]*affinity.Profile{}, budgets: map[string]*retry.Budget{}, splits: map[string]*splitter{},
-		probes: map[string]time.Time{}, fullDeadline: map[string]time.Duration{},
+		budgets: map[string]*retry.Budget{}, routes: map[routeKey]*routeState{}, shortest: map[string]shortest{},
 	}
 }
 
 // Begin prepares the attempts of a request.
 func (m *Machine) Begin(e *Estate, r Request, now time.Time) *Ticket {
 	m.adopt(e)
-	t := &Ticket{Request: r, ServiceName: m.target(r.Route)}
+	state := m.route(r.Route, now)
+	t := &Ticket{Request: r, Estate: e, ServiceName: state.target(r.Route), route: state}
 	t.Service = e.Services[t.ServiceName]
 	if t.Service == nil {
 		return t
@@ -152,7 +153,7 @@
 		object = r.Route.Prefix + r.Object
 	}
 	t.query = affinity.Query{
-		Object: object, Spread: r.ID, Profile: *m.profile(r.Route, t.ServiceName),
+		Object: object, Spread: r.ID, Profile: *state.profile(t.ServiceName, r.Route.Objective),
 		Backends: m.candidates(r.Route, t.ServiceName), Weights: m.weights[t.ServiceName],
 		Tried: map[string]bool{}, Peers: e.Peers, ColdRate: t.Service.ColdRate / float64(e.sharers()),
 	}
@@ -209,10 +210,10 @@
 	if !ok {
 		return choice, NoneUsable
 	}
-	if choice.Expected > t.Deadline.Sub(now) && !m.mayProbe(t, now) {
+	if choice.Expected > t.Deadline.Sub(now) && !t.mayProbe(now) {
 		return choice, NoTime
 	}
-	t.Patience = m.patience(t)
+	t.Patience = m.patience(t, now)
 	if choice.Wait > t.Patience {
 		t.freeIn = choice.Wait - t.Patience
 		return choice, QueueFull
@@ -225,22 +226,25 @@
 
 // mayProbe lets a request go now and then although it is not expected to end in
 // time, since what is expected is only learnt from runs.
-func (m *Machine) mayProbe(t *Ticket, now time.Time) bool {
-	key := t.Route.Prefix
-	if now.Sub(m.probes[key]) < probeInterval {
+func (t *Ticket) mayProbe(now time.Time) bool {
+	if now.Sub(t.route.probed) < probeInterval {
 		return false
 	}
-	m.probes[key] = now
+	t.route.probed = now
 	return true
 }
 
 // patience is the longest wait for a slot that a warm run still leaves within
 // the objective. Requests that wait longer would be late, and make those behind
-// them late. A caller that has been turned away before waits for longer, so that
-// it is not turned away again.
-func (m *Machine) patience(t *Ticket) time.Duration {
-	p := max(minPatience, time.Duration(patienceShare*float64(t.Route.Objective-t.query.Profile.Warm)))
-	if m.hasReturned(t) {
+// them late. Long work waits less, so that a crowd is not kept out by the few
+// requests that hold slots for longest. A caller that has been turned away before
+// waits for longer, so that it is not turned away again.
+func (m *Machine) patience(t *Ticket, now time.Time) time.Duration {
+	warm := t.query.Profile.Warm
+	slack := patienceShare * float64(t.Route.Objective-warm)
+	length := math.Sqrt(float64(m.shortestWork(t.ServiceName, warm, now)) / float64(warm))
+	p := max(minPatience, time.Duration(slack*length))
+	if t.hasReturned() {
 		p *= returnPatience
 	}
 	return p
@@ -248,11 +252,10 @@
 
 // hasReturned reports whether the caller has less time left than others of the
 // route begin with: it has spent some on an earlier try.
-func (m *Machine) hasReturned(t *Ticket) bool {
+func (t *Ticket) hasReturned() bool {
 	given := t.CallerDeadline.Sub(t.Received)
-	full := max(m.fullDeadline[t.Route.Prefix], given)
-	m.fullDeadline[t.Route.Prefix] = full
-	return float64(given) < returnedShare*float64(full)
+	t.route.fullDeadline = max(t.route.fullDeadline, given)
+	return float64(given) < returnedShare*float64(t.route.fullDeadline)
 }
 
 // Ended takes in the end of the attempt that Next has chosen. ran tells that
--- a/internal/decide/admission/admission_test.go
+++ b/internal/decide/admission/admission_test.go
@@ -59,9 +59,24 @@
 func TestReturningCallerWaitsLonger(t *testing.T) {
 	m := newMachine()
 	fresh := m.Begin(estate(1), request(3*time.Second), start)
-	first := m.patience(fresh)
+	first := m.patience(fresh, start)
 	back := m.Begin(estate(1), request(2500*time.Millisecond), start)
-	require.Equal(t, returnPatience*first, m.patience(back))
+	require.Equal(t, returnPatience*first, m.patience(back, start))
+}
+
+// TestLongWorkGivesWayInACrowd: of two kinds of request at one service, the one
+// that holds a slot for longer waits for a smaller part of its slack.
+func TestLongWorkGivesWayInACrowd(t *testing.T) {
+	m := newMachine()
+	long := *route
+	long.Prefix, long.Objective = "/long/", 2*time.Second
+	r := request(3 * time.Second)
+	r.Route = &long
+	alone := m.patience(m.Begin(estate(1), r, start), start)
+	later := start.Add(shortestInterval)
+	m.Begin(estate(1), request(3*time.Second), later)
+	crowded := m.patience(m.Begin(estate(1), r, later), later)
+	require.InDelta(t, float64(alone)/2, float64(crowded), float64(time.Millisecond))
 }
 
 // TestRetryAfterFollowsTheLoad: callers come back when a slot is expected to be
--- a/internal/decide/admission/split.go
+++ b/internal/decide/admission/split.go
@@ -20,13 +20,9 @@
 }
 
 // target draws the service of a request.
-func (m *Machine) target(r *traffic.Route) string {
+func (s *routeState) target(r *traffic.Route) string {
 	if len(r.Targets) == 1 {
 		return r.Targets[0].Service
 	}
-	key := r.Host + r.Prefix
-	if m.splits[key] == nil {
-		m.splits[key] = &splitter{credit: map[string]float64{}}
-	}
-	return m.splits[key].draw(r.Targets)
+	return s.split.draw(r.Targets)
 }
