places: objects are assigned evenly by one instance of a region and kept by the store

Cause: hashing leaves some backend servers with twice the objects of others, since each has about eight.

Change: internal/decide/assign spreads objects kind by kind, and moves one now and then when backend servers come and go. The first instance of a region's order assigns; the others ask it for what they do not know (1 ms, 50 ms at most) and copy what is new.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/banyandeal/banyandeal/internal/emulator"
 	"github.com/banyandeal/banyandeal/internal/experiment"
 )
 
@@ -45,7 +46,38 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
 			&cli.StringFlag{Name: "keep", Usage: "keep logs and run logs in `DIR`, which must be empty"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{emulateCommand()},
+	}
+}
+
+// emulateCommand weighs policies on modelled deployments.
+func emulateCommand() *cli.Command {
+	var about strings.Builder
+	about.WriteString("Deployments and days:\n")
+	for _, d := range emulator.Deployments {
+		fmt.Fprintf(&about, "%s\n", d.Name)
+	}
+	for _, d := range emulator.Days {
+		fmt.Fprintf(&about, "%s (%s)\n", d.Name, d.Length)
+	}
+	return &cli.Command{
+		Name: "emulate", Usage: "weigh policies for requests on the platform in an emulator, without sockets",
+		Description: about.String(),
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "deployment", Usage: "only the deployment of this `NAME`"},
+			&cli.StringSliceFlag{Name: "day", Usage: "only the day of this `NAME`"},
+			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "number of seeds of each day"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			rows, err := emulator.Compare(emulator.Selection{
+				Deployments: c.StringSlice("deployment"), Days: c.StringSlice("day"), Seeds: c.Int("seeds"),
+			})
+			if err != nil {
+				return errors.Trace(err)
+			}
+			return errors.Trace(emulator.Print(os.Stdout, rows))
+		},
 	}
 }
 
--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -9,9 +9,11 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/decide/assign"
 	"github.com/banyandeal/banyandeal/internal/decide/retry"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
@@ -101,6 +103,8 @@
 
 	route *routeState
 	query affinity.Query
+	// key names the object in the table of places; its zero value is none.
+	key assign.Key
 	// runs counts the backend servers that may have run the request.
 	runs int
 	// freeIn is when a slot is expected to be free, if the last choice knew.
@@ -120,8 +124,11 @@
 type Machine struct {
 	cfg      Config
 	balancer *affinity.Balancer
-	budgets  map[string]*retry.Budget
-	routes   map[routeKey]*routeState
+	places   *assign.Table
+	// asked is when the place of an object was last asked for.
+	asked   map[assign.Key]time.Time
+	budgets map[string]*retry.Budget
+	routes  map[routeKey]*routeState
 	// shortest is by service.
 	shortest map[string]shortest
 	// estate and weights belong to each other.
@@ -133,7 +140,7 @@
 func New(cfg Config) *Machine {
 	balancer := affinity.New(affinity.Config{Instance: cfg.Instance, Region: cfg.Region, RegionOf: cfg.RegionOf})
 	return &Machine{
-		cfg: cfg, balancer: balancer,
+		cfg: cfg, balancer: balancer, places: assign.New(), asked: map[assign.Key]time.Time{},
 		budgets: map[string]*retry.Budget{}, routes: map[routeKey]*routeState{}, shortest: map[string]shortest{},
 	}
 }
@@ -151,12 +158,14 @@
 	object := ""
 	if r.Object != "" && r.Route.Sticky {
 		object = r.Route.Prefix + r.Object
+		t.key = assign.Key{Service: t.ServiceName, Prefix: r.Route.Prefix, Object: r.Object}
 	}
 	t.query = affinity.Query{
 		Object: object, Spread: r.ID, Profile: *state.profile(t.ServiceName, r.Route.Objective),
-		Backends: m.candidates(r.Route, t.ServiceName), Weights: m.weights[t.ServiceName],
+		Backends: m.candidates(t.ServiceName, r.Route.HomeRegions), Weights: m.weights[t.ServiceName],
 		Tried: map[string]bool{}, Peers: e.Peers, ColdRate: t.Service.ColdRate / float64(e.sharers()),
 	}
+	m.find(t, now)
 	return t
 }
 
@@ -180,18 +189,17 @@
 	m.balancer.Retain(func(id string) bool { return known[id] })
 }
 
-// candidates returns the backend servers that the route's homes allow.
-func (m *Machine) candidates(r *traffic.Route, service string) []*traffic.Backend {
+// candidates returns the backend servers of a service in the home regions, in all
+// regions if there are none.
+func (m *Machine) candidates(service string, homes []string) []*traffic.Backend {
 	all := m.estate.Backends[service]
-	if len(r.HomeRegions) == 0 {
+	if len(homes) == 0 {
 		return all
 	}
 	var allowed []*traffic.Backend
 	for _, b := range all {
-		for _, home := range r.HomeRegions {
-			if m.cfg.RegionOf[b.Zone] == home {
-				allowed = append(allowed, b)
-			}
+		if slices.Contains(homes, m.cfg.RegionOf[b.Zone]) {
+			allowed = append(allowed, b)
 		}
 	}
 	return allowed
--- a/internal/decide/affinity/affinity.go
+++ b/internal/decide/affinity/affinity.go
@@ -72,6 +72,9 @@
 type Query struct {
 	// Object names the object with its route; empty if there is none.
 	Object string
+	// Place is the backend server that the object was assigned to; empty if
+	// there is none. It comes before the order of the object.
+	Place string
 	// Spread orders the candidates of a request without an object.
 	Spread  string
 	Profile Profile
@@ -214,20 +217,44 @@
 		list = append(list, candidate{backend: backend, server: s, score: score})
 	}
 	slices.SortFunc(list, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.backend.ID, y.backend.ID))
+		return cmp.Or(placedFirst(q.Place, x, y), cmp.Compare(y.score, x.score), cmp.Compare(x.backend.ID, y.backend.ID))
 	})
 	return list
 }
 
+func placedFirst(place string, x, y candidate) int {
+	switch place {
+	case "":
+		return 0
+	case x.backend.ID:
+		return -1
+	case y.backend.ID:
+		return 1
+	}
+	return 0
+}
+
 // places returns how many backend servers an object may use: as many as its
-// load fills, and one more that takes what the others cannot.
+// load fills, and one more while the first is unwell. Work that does not fit
+// there is refused: a run elsewhere would be late, and would take the slot time
+// of several that know their objects.
 func (b *Balancer) places(q Query, ranked []candidate, now time.Time) int {
 	if len(ranked) == 0 {
 		return 0
 	}
 	rate := b.rates[q.Object].at(now) * float64(max(1, q.Peers))
 	slots := float64(ranked[0].backend.Slots)
-	return 2 + int(rate*q.Profile.Warm.Seconds()/(slots*fillTarget))
+	n := 1 + int(rate*q.Profile.Warm.Seconds()/(slots*fillTarget))
+	if ranked[0].server.unwell(now) {
+		n++
+	}
+	return n
+}
+
+// unwell reports whether a backend server fails requests or takes much longer
+// than others.
+func (s *server) unwell(now time.Time) bool {
+	return s.failureRate(now) > unwellFailures || s.slowness > unwellSlowness
 }
 
 // expect returns what is expected of a candidate. The first of an object's
@@ -263,6 +290,13 @@
 // before it gets a further place.
 const fillTarget = 0.5
 
+// unwellFailures and unwellSlowness are the failure rate and the ratio of run
+// times to what is expected above which a backend server is unwell.
+const (
+	unwellFailures = 0.1
+	unwellSlowness = 1.5
+)
+
 // rankShare is the cost of one rank as a share of the warm run time.
 const rankShare = 0.05
 
--- a/internal/decide/affinity/shares.go
+++ b/internal/decide/affinity/shares.go
@@ -1,6 +1,11 @@
 package affinity
 
-import "github.com/banyandeal/banyandeal/internal/edge/traffic"
+import (
+	"maps"
+	"slices"
+
+	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+)
 
 // Shares returns the weight of each backend server in the order of objects, so
 // that a region keeps as many of its callers' requests as its slots bear and
@@ -20,9 +25,9 @@
 		kept = min(1, slots[region]/demand[region])
 	}
 	spare, allSpare := map[string]float64{}, 0.0
-	for r, s := range slots {
-		if r != region && s > demand[r] {
-			spare[r] = s - demand[r]
+	for _, r := range slices.Sorted(maps.Keys(slots)) {
+		if r != region && slots[r] > demand[r] {
+			spare[r] = slots[r] - demand[r]
 			allSpare += spare[r]
 		}
 	}
--- a/internal/decide/source/source.go
+++ b/internal/decide/source/source.go
@@ -65,6 +65,20 @@
 	return Store
 }
 
+// Leads reports whether the instance is the first of the order that has not
+// failed, and one of those that the others would try.
+func (s *Selector) Leads(now time.Time) bool {
+	for _, name := range s.ranked[:min(maxReaders, len(s.ranked))] {
+		if name == s.self {
+			return true
+		}
+		if !now.Before(s.avoid[name]) {
+			return false
+		}
+	}
+	return false
+}
+
 // Reads reports whether the instance is to read for the others.
 func (s *Selector) Reads(now time.Time) bool {
 	return slices.Contains(s.ranked, s.self) && s.Choose(now) == Store
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
+	"github.com/banyandeal/banyandeal/internal/edge/places"
 	"github.com/banyandeal/banyandeal/internal/edge/relay"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 	"github.com/banyandeal/banyandeal/platform"
@@ -64,6 +65,7 @@
 	replica   *feeds.Replica
 	switches  *feeds.Switch
 	roster    *roster
+	places    *places.Places
 	pool      *egress.Pool
 }
 
@@ -76,12 +78,15 @@
 	pool := egress.NewPool(platform.HeaderRequestID)
 	d.pool = pool
 	d.publish(pool)
+	client := relay.NewClient(s.Instance)
+	d.replica = feeds.NewReplica()
+	d.switches = feeds.NewSwitch(s.Instance, s.Region, d.store, client, log)
+	desk := dispatch.NewDesk(s, d.control)
+	d.places = places.New(s.Instance, s.Region, desk, client, d.store, log)
 	handler := gateway.New(d.control,
 		accesslog.New(log, m), identify.Filter{}, match.Filter{}, expire.Filter{},
-		dispatch.New(pool, dispatch.NewDesk(s)))
+		dispatch.New(pool, desk, d.places))
 	d.ingress = ingress.New(handler, d.refuse, d.limits, maxCallerConns)
-	d.replica = feeds.NewReplica()
-	d.switches = feeds.NewSwitch(s.Instance, s.Region, d.store, relay.NewClient(s.Instance), log)
 	d.roster = newRoster(d)
 	d.register = &feeds.Registration{Store: d.store, Log: log, Self: traffic.Member{
 		Name: s.Instance, Zone: s.Zone, Callers: s.Listen.Callers, Peer: peerAddress(s), Incarnation: time.Now().UnixNano(),
@@ -150,6 +155,7 @@
 		go f.Run(ctx)
 	}
 	go d.sweep(ctx)
+	go d.places.Run(ctx)
 	go func() {
 		if err := d.register.Join(ctx); err != nil {
 			d.log.Warn().Str("event", "join_ended").Err(err).Msg("")
@@ -179,7 +185,7 @@
 	if err != nil {
 		return errors.Annotate(err, "listen for other instances; check ip and inner_ports")
 	}
-	server := relay.NewServer(d.replica, d.roster.heard)
+	server := relay.NewServer(d.replica, d.places, d.roster.heard)
 	go func() { failed <- server.Serve(ctx, l) }()
 	return nil
 }
--- a/internal/edge/daemon/roster.go
+++ b/internal/edge/daemon/roster.go
@@ -53,6 +53,7 @@
 		}
 		members := r.region()
 		r.daemon.switches.Members(members)
+		r.daemon.places.Members(members)
 		for _, m := range r.suspects(members) {
 			r.examine(ctx, m)
 		}
--- a/internal/edge/filter/dispatch/desk.go
+++ b/internal/edge/filter/dispatch/desk.go
@@ -7,6 +7,7 @@
 
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/decide/assign"
 	"github.com/banyandeal/banyandeal/internal/edge/control"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
@@ -16,6 +17,7 @@
 // and the newest view.
 type Desk struct {
 	settings *traffic.Settings
+	control  *control.Control
 
 	mu      sync.Mutex
 	machine *admission.Machine
@@ -25,8 +27,8 @@
 }
 
 // NewDesk returns a Desk that knows nothing.
-func NewDesk(s *traffic.Settings) *Desk {
-	return &Desk{settings: s, machine: admission.New(admission.Config{
+func NewDesk(s *traffic.Settings, c *control.Control) *Desk {
+	return &Desk{settings: s, control: c, machine: admission.New(admission.Config{
 		Instance: s.Instance, Region: s.Region, RegionOf: s.RegionOf, Bounds: s.Bounds,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})}
@@ -79,3 +81,57 @@
 	defer d.mu.Unlock()
 	return d.machine.RetryAfter(t, time.Now())
 }
+
+func (d *Desk) unplaced(t *admission.Ticket) (admission.PlaceRequest, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Unplaced(t, time.Now())
+}
+
+// placed looks for the place of the ticket's object again.
+func (d *Desk) placed(t *admission.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.machine.Placed(t, nil, time.Now())
+}
+
+// Assign implements places.Desk. Without a configuration nothing is assigned.
+func (d *Desk) Assign(r admission.PlaceRequest, after uint64) []assign.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.control.View()
+	if v.Config == nil {
+		return nil
+	}
+	return d.machine.Assign(d.estateOf(v), r, after, time.Now())
+}
+
+// Merge implements places.Desk.
+func (d *Desk) Merge(entries []assign.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.machine.Placed(nil, entries, time.Now())
+}
+
+// Balance implements places.Desk.
+func (d *Desk) Balance() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if v := d.control.View(); v.Config != nil {
+		d.machine.Balance(d.estateOf(v), time.Now())
+	}
+}
+
+// TakeOver implements places.Desk.
+func (d *Desk) TakeOver() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.machine.TakeOver()
+}
+
+// PlacesVersion implements places.Desk.
+func (d *Desk) PlacesVersion() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.PlacesVersion()
+}
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -21,17 +21,29 @@
 
 // Filter implements gateway.Filter and is the last of the pipeline.
 type Filter struct {
-	pool *egress.Pool
-	desk *Desk
+	pool   *egress.Pool
+	desk   *Desk
+	places Places
+}
+
+// Places learns the places of objects for the desk.
+type Places interface {
+	Resolve(ctx context.Context, r admission.PlaceRequest)
 }
 
 // New returns the filter.
-func New(pool *egress.Pool, desk *Desk) *Filter { return &Filter{pool: pool, desk: desk} }
+func New(pool *egress.Pool, desk *Desk, places Places) *Filter {
+	return &Filter{pool: pool, desk: desk, places: places}
+}
 
 // Serve implements gateway.Filter.
 func (f *Filter) Serve(ctx context.Context, ex *gateway.Exchange, _ gateway.Next) *ingress.Answer {
 	t := f.desk.begin(ex)
 	ex.Outcome.Service = t.ServiceName
+	if ask, ok := f.desk.unplaced(t); ok {
+		f.places.Resolve(ctx, ask)
+		f.desk.placed(t)
+	}
 	for {
 		choice, refusal := f.desk.next(t)
 		if refusal != "" {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -49,14 +49,15 @@
 
 // Server answers the instances that follow this one.
 type Server struct {
-	replica *feeds.Replica
+	replica  *feeds.Replica
+	assigner Assigner
 	// heard is told the name of each instance that asks.
 	heard func(instance string)
 }
 
-// NewServer returns a server of the replica.
-func NewServer(r *feeds.Replica, heard func(instance string)) *Server {
-	return &Server{replica: r, heard: heard}
+// NewServer returns a server of the replica and of the places of objects.
+func NewServer(r *feeds.Replica, a Assigner, heard func(instance string)) *Server {
+	return &Server{replica: r, assigner: a, heard: heard}
 }
 
 // Serve takes sessions until the listener closes.
@@ -96,6 +97,16 @@
 	}
 	s.heard(ask.Instance)
 	reply := &relaypb.Reply{}
+	if ask.Place != nil {
+		s.places(ask.Place, reply)
+	} else {
+		s.rows(ctx, ask, reply)
+	}
+	_, _ = protodelim.MarshalTo(stream, reply)
+}
+
+// rows answers an ask for rows.
+func (s *Server) rows(ctx context.Context, ask *relaypb.Ask, reply *relaypb.Reply) {
 	var rows []platform.Row
 	var err error
 	if ask.Full {
@@ -113,7 +124,6 @@
 	for _, row := range rows {
 		reply.Rows = append(reply.Rows, &relaypb.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
 	}
-	_, _ = protodelim.MarshalTo(stream, reply)
 }
 
 // Client reads tables from other instances, a session for each. It is safe for
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -19,7 +19,8 @@
 
 // Kinds of trouble.
 const (
-	// Burst multiplies the callers' rate by Factor.
+	// Burst multiplies the callers' rate by Factor, everywhere or in the region of
+	// Zone.
 	Burst TroubleKind = iota
 	// Shift moves Share of the callers of Zone to the next zone.
 	Shift
@@ -39,6 +40,9 @@
 	Restart
 )
 
+// AnyZone stands for a zone that the day's seed picks.
+const AnyZone = "any"
+
 // Day is a length of time with troubles.
 type Day struct {
 	Name     string
@@ -54,6 +58,10 @@
 		{Kind: Shift, At: 16 * time.Second, For: 6 * time.Second, Share: 0.7},
 		{Kind: Burst, At: 28 * time.Second, For: 4 * time.Second, Factor: 1.6},
 	}},
+	{Name: "local crowd", Length: 40 * time.Second, Troubles: []Trouble{
+		{Kind: Burst, At: 10 * time.Second, For: 8 * time.Second, Factor: 2.2, Zone: AnyZone},
+		{Kind: Burst, At: 26 * time.Second, For: 5 * time.Second, Factor: 2.2, Zone: AnyZone},
+	}},
 	{Name: "planned", Length: 48 * time.Second, Troubles: []Trouble{
 		{Kind: Evacuate, At: 4 * time.Second, For: 8 * time.Second},
 		{Kind: Replace, At: 16 * time.Second, For: 8 * time.Second, Share: 0.4},
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -7,6 +7,7 @@
 
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/decide/assign"
 	"github.com/banyandeal/banyandeal/internal/decide/hrw"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
@@ -20,6 +21,16 @@
 	RetryAfter(t *admission.Ticket, now time.Time) time.Duration
 }
 
+// placer is a policy whose objects have places that one instance of a region
+// assigns.
+type placer interface {
+	Assign(e *admission.Estate, r admission.PlaceRequest, version uint64, now time.Time) []assign.Entry
+	Balance(e *admission.Estate, now time.Time)
+	Unplaced(t *admission.Ticket, now time.Time) (admission.PlaceRequest, bool)
+	Placed(t *admission.Ticket, entries []assign.Entry, now time.Time)
+	PlacesVersion() uint64
+}
+
 // NewPolicy returns the policy of an instance.
 type NewPolicy func(w *world, instance, zone string) Policy
 
--- a/internal/emulator/strike.go
+++ b/internal/emulator/strike.go
@@ -1,16 +1,18 @@
 package emulator
 
 import (
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/admission"
 )
 
 // strike lets a trouble begin and plans its end.
 func (w *world) strike(t Trouble, newPolicy NewPolicy) {
 	switch t.Kind {
 	case Burst:
-		w.burst = t.Factor
-		w.after(t.For, func() { w.burst = 1 })
+		w.crowd(t)
 	case Shift:
 		zone := w.zoneOf(t)
 		to := w.zones[(slices.Index(w.zones, zone)+1)%len(w.zones)]
@@ -27,16 +29,40 @@
 	case Replace:
 		w.replace(w.some(t), t.For)
 	case Restart:
-		for z, list := range w.instances {
-			for n, i := range list {
-				i.policy = newPolicy(w, i.zone+string(rune('a'+n)), z)
+		w.restart(newPolicy)
+	}
+}
+
+// restart replaces all policies by new ones, which know no more than the places
+// that the store has kept.
+func (w *world) restart(newPolicy NewPolicy) {
+	for _, z := range w.zones {
+		for n, i := range w.instances[z] {
+			old := i.policy
+			i.policy = newPolicy(w, fmt.Sprintf("%s-%d-restarted", z, n), z)
+			if before, ok := old.(placer); ok {
+				kept := before.Assign(i.estate, admission.PlaceRequest{}, 0, w.clock())
+				i.policy.(placer).Placed(nil, kept, w.clock())
 			}
 		}
 	}
 }
 
-func (w *world) zoneOf(t Trouble) string {
+func (w *world) crowd(t Trouble) {
+	region := ""
 	if t.Zone != "" {
+		region = w.regionOf[w.zoneOf(t)]
+	}
+	for _, z := range w.zones {
+		if region == "" || w.regionOf[z] == region {
+			w.burst[z] = t.Factor
+			w.after(t.For, func() { w.burst[z] = 1 })
+		}
+	}
+}
+
+func (w *world) zoneOf(t Trouble) string {
+	if t.Zone != "" && t.Zone != AnyZone {
 		return t.Zone
 	}
 	return w.zones[w.rng.IntN(len(w.zones))]
