platform: one client of the store, for the product's own interface too

Cause: internal/platform spoke a protocol of our own to a stand-in of its own, beside platform/ and its stand-in: two clients, two stand-ins, two sets of faults.

Change: platform/ has the only client. internal/platform stays the typed port of the product's own interface and stands on it: a row's own version, change id and deletion are in its value, the store's version is what a transaction expects, and a conflict tells it to a writer that does not know it (also one that has read stale). Objects are the store's, the list is a table. The stand-in of the platform is the store's stand-in with its faults, its admin address and the lag of the list. Both stand-ins give a transaction one version, as the store does.

Ruled out: to take the store's versions for those of rows; the number of a configuration is the version of its row, and a lost reply is settled by versions that rise by one.

TestWriterThatKnowsNothing is new.

--- a/internal/cli/fakes_test.go
+++ b/internal/cli/fakes_test.go
@@ -62,16 +62,17 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		req, err := http.NewRequestWithContext(r.Context(), r.Method, target+r.URL.EscapedPath(), r.Body)
+		req, err := http.NewRequestWithContext(r.Context(), r.Method, target+r.URL.RequestURI(), r.Body)
 		if err != nil {
 			panic(err)
 		}
+		req.Header = r.Header
 		res, err := http.DefaultTransport.RoundTrip(req)
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
 		defer func() { _ = res.Body.Close() }()
-		if r.Method == http.MethodPost {
+		if r.Method == http.MethodPost && res.StatusCode == http.StatusOK {
 			down.Store(true)
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -1,17 +1,11 @@
-// Package platform is the client of the platform that the system runs on: a
-// transactional table service, an object store and a lagging list of
-// instances, all spoken to over HTTP with JSON bodies.
+// Package platform keeps what the product's own interface puts on the platform:
+// rows that are changed by compare-and-set, objects by their digest, and the
+// lagging list of instances. It stands on the store's client and adds what the
+// store lacks: versions by row, change ids, retries and a breaker.
 //
-//	GET  /table/{row}      200 Row, 404
-//	POST /table/txn        Txn in; 200 TxnReply, 409 TxnReply with the conflicting row
-//	PUT  /objects/{digest} 204; the digest is the hex SHA-256 of the body
-//	GET  /objects/{digest} 200 body, 404
-//	GET  /instances        200 []Instance
-//
-// A 503 means that nothing was written. A row's version rises by one with
-// each write, deletions included, and never goes back: a row that is written
-// again after its deletion goes on from there. A read may be behind the newest
-// version; a transaction is not.
+// A row's version rises by one with each write, deletions included, and never
+// goes back: a row that is written again after its deletion goes on from there. A
+// read may be behind the newest version; a transaction is not.
 package platform
 
 import "encoding/json"
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,17 +1,15 @@
 package platform
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -19,13 +17,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/juju/errors"
 	"github.com/sony/gobreaker/v2"
-)
 
-// Bounds on what is read of one answer, in bytes.
-const (
-	maxReplyBytes  = 8 << 20
-	maxObjectBytes = 32 << 20
-	maxErrorBytes  = 512
+	store "github.com/banyandeal/banyandeal/platform"
 )
 
 // Defaults of Options.
@@ -93,30 +86,17 @@
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
-	opts      Options
-	endpoints []string
+	opts   Options
+	stores []*store.Store
 	// next is the index of the endpoint in use; a failed attempt moves on.
 	next    atomic.Uint32
-	http    *http.Client
-	breaker *gobreaker.CircuitBreaker[reply]
+	breaker *gobreaker.CircuitBreaker[struct{}]
+	rows    rowCache
 
 	reads, commits, conflicts, attempts, failures atomic.Uint64
 	lostReplies, settled, breakerOpens            atomic.Uint64
 }
 
-// reply is a whole answer of the platform.
-type reply struct {
-	status int
-	body   []byte
-}
-
-// call is one HTTP call of the API.
-type call struct {
-	op, method, path string
-	body             []byte
-	maxReply         int64
-}
-
 // New returns a client of the platform at the endpoints, base URLs such as
 // http://10.0.0.1:8500, of which one is used until it fails.
 func New(endpoints []string, opts Options) (*Client, error) {
@@ -124,19 +104,18 @@
 		return nil, errors.NotValidf("no platform endpoint; set at least one, its value")
 	}
 	c := &Client{opts: opts.withDefaults()}
+	transport := c.opts.Transport
+	if transport == nil {
+		transport = newTransport(c.opts)
+	}
 	for _, e := range endpoints {
 		u, err := url.Parse(e)
 		if err != nil || u.Scheme == "" || u.Host == "" {
 			return nil, errors.NotValidf("platform endpoint %q is no URL such as http://10.0.0.1:8500, its value", e)
 		}
-		c.endpoints = append(c.endpoints, strings.TrimSuffix(e, "/"))
-	}
-	transport := c.opts.Transport
-	if transport == nil {
-		transport = newTransport(c.opts)
+		c.stores = append(c.stores, store.NewStoreOver(strings.TrimSuffix(e, "/"), transport))
 	}
-	c.http = &http.Client{Transport: transport}
-	c.breaker = gobreaker.NewCircuitBreaker[reply](gobreaker.Settings{
+	c.breaker = gobreaker.NewCircuitBreaker[struct{}](gobreaker.Settings{
 		Name:        "platform",
 		Timeout:     c.opts.OpenTime,
 		ReadyToTrip: func(n gobreaker.Counts) bool { return n.ConsecutiveFailures >= c.opts.TripAfter },
@@ -176,43 +155,87 @@
 // commit tells whether it is the newest. Errors: NotFound, Unavailable,
 // BadReply.
 func (c *Client) ReadRow(ctx context.Context, name string) (Row, error) {
+	c.reads.Add(1)
 	var row Row
-	err := c.read(ctx, call{op: "read row " + name, path: "/table/" + url.PathEscape(name)}, &row)
-	if err != nil {
-		return Row{}, notFoundOr(err, "row", name)
-	}
-	return row, nil
+	err := c.retry(ctx, "read row "+name, func(ctx context.Context, s *store.Store) error {
+		stored, found, err := s.Row(ctx, tableRows, name)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if !found {
+			return &NotFound{What: "row", Name: name}
+		}
+		e, err := c.rows.observe(stored)
+		if err != nil {
+			return &BadReply{Op: "read row " + name, Detail: err.Error()}
+		}
+		if e.Deleted {
+			return &NotFound{What: "row", Name: name}
+		}
+		row = e.row(name)
+		return nil
+	})
+	return row, err
 }
 
 // Instances returns the platform's lagging list. Errors: Unavailable, BadReply.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	c.reads.Add(1)
 	var list []Instance
-	err := c.read(ctx, call{op: "list instances", path: "/instances"}, &list)
-	return list, errors.Trace(err)
+	err := c.retry(ctx, "list instances", func(ctx context.Context, s *store.Store) error {
+		rows, _, err := s.Rows(ctx, TableInstances)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		list, err = decodeInstances(rows)
+		return errors.Trace(err)
+	})
+	return list, err
+}
+
+func decodeInstances(rows []store.Row) ([]Instance, error) {
+	list := make([]Instance, 0, len(rows))
+	for _, row := range rows {
+		var in Instance
+		if err := json.Unmarshal(row.Value, &in); err != nil {
+			return nil, &BadReply{Op: "list instances", Detail: "entry " + row.Key + ": " + err.Error()}
+		}
+		list = append(list, in)
+	}
+	slices.SortFunc(list, func(a, b Instance) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID)) })
+	return list, nil
 }
 
 // GetObject returns the object of a digest and checks it. Errors: NotFound,
 // Unavailable, BadReply.
 func (c *Client) GetObject(ctx context.Context, digest string) ([]byte, error) {
 	c.reads.Add(1)
-	k := call{op: "get object " + digest, method: http.MethodGet, path: "/objects/" + url.PathEscape(digest), maxReply: maxObjectBytes}
-	r, err := c.retry(ctx, k)
-	if err != nil {
-		return nil, notFoundOr(errors.Trace(err), "object", digest)
-	}
-	if got := Digest(r.body); got != digest {
-		return nil, errors.Trace(&BadReply{Op: k.op, Status: r.status, Detail: "the body's digest is " + got})
-	}
-	return r.body, nil
+	op := "get object " + digest
+	var data []byte
+	err := c.retry(ctx, op, func(ctx context.Context, s *store.Store) error {
+		got, found, err := s.Object(ctx, digest)
+		switch {
+		case err != nil:
+			return errors.Trace(err)
+		case !found:
+			return &NotFound{What: "object", Name: digest}
+		case Digest(got) != digest:
+			return &BadReply{Op: op, Detail: "the body's digest is " + Digest(got)}
+		}
+		data = got
+		return nil
+	})
+	return data, err
 }
 
 // PutObject stores an object and returns its digest. Storing one twice is
 // harmless. Errors: Unavailable, BadReply.
 func (c *Client) PutObject(ctx context.Context, data []byte) (string, error) {
 	digest := Digest(data)
-	k := call{op: "put object " + digest, method: http.MethodPut, path: "/objects/" + digest, body: data, maxReply: maxErrorBytes}
-	_, err := c.retry(ctx, k)
-	return digest, errors.Trace(err)
+	err := c.retry(ctx, "put object "+digest, func(ctx context.Context, s *store.Store) error {
+		return errors.Trace(s.PutObject(ctx, digest, data))
+	})
+	return digest, err
 }
 
 // Digest returns the digest that an object is stored by: its hex SHA-256.
@@ -221,68 +244,16 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// errStatus is a status other than 2xx, before its meaning is known.
-type errStatus struct {
-	op    string
-	reply reply
-}
-
-func (e *errStatus) Error() string {
-	return fmt.Sprintf("%s: status %d: %s", e.op, e.reply.status, e.detail())
-}
-
-func (e *errStatus) detail() string {
-	return strings.TrimSpace(string(e.reply.body[:min(len(e.reply.body), maxErrorBytes)]))
-}
-
-func (e *errStatus) badReply() error {
-	return &BadReply{Op: e.op, Status: e.reply.status, Detail: e.detail()}
-}
-
-// notFoundOr gives a 404 its type and any other refusal that of a bad reply. An
-// Unavailable stays one, also when its cause is a 5xx.
-func notFoundOr(err error, what, name string) error {
-	var (
-		s *errStatus
-		u *Unavailable
-	)
-	if errors.As(err, &u) || !errors.As(err, &s) {
-		return err
-	}
-	if s.reply.status == http.StatusNotFound {
-		return errors.Trace(&NotFound{What: what, Name: name})
-	}
-	return errors.Trace(s.badReply())
-}
-
-func (c *Client) read(ctx context.Context, k call, out any) error {
-	c.reads.Add(1)
-	k.method, k.maxReply = http.MethodGet, maxReplyBytes
-	r, err := c.retry(ctx, k)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if err := json.Unmarshal(r.body, out); err != nil {
-		return errors.Trace(&BadReply{Op: k.op, Status: r.status, Detail: err.Error()})
-	}
-	return nil
-}
-
-// retry makes attempts of an idempotent call until one is answered. The error
-// is an errStatus for an answer, or Unavailable.
-func (c *Client) retry(ctx context.Context, k call) (reply, error) {
-	r, err := backoff.Retry(ctx, func() (reply, error) {
-		r, _, err := c.attempt(ctx, k)
-		return r, permanent(err)
+// retry makes attempts of an idempotent call until one is answered. Errors:
+// Unavailable, BadReply and NotFound.
+func (c *Client) retry(ctx context.Context, op string, call func(context.Context, *store.Store) error) error {
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		return struct{}{}, permanent(c.attempt(ctx, call))
 	}, c.policy()...)
-	if err == nil {
-		return r, nil
+	if err == nil || isAnswer(err) {
+		return errors.Trace(refusalOf(op, err))
 	}
-	var s *errStatus
-	if errors.As(err, &s) && s.reply.status < http.StatusInternalServerError {
-		return reply{}, err
-	}
-	return reply{}, &Unavailable{Op: k.op, Cause: err}
+	return errors.Trace(&Unavailable{Op: op, Cause: err})
 }
 
 func (c *Client) policy() []backoff.RetryOption {
@@ -297,61 +268,61 @@
 
 // permanent marks the errors that another attempt at once would not mend.
 func permanent(err error) error {
-	var s *errStatus
-	if errors.As(err, &s) && s.reply.status < http.StatusInternalServerError {
-		return backoff.Permanent(err)
+	if err == nil {
+		return nil
 	}
-	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
+	if isAnswer(err) || errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
 		return backoff.Permanent(err)
 	}
 	return err
 }
 
-// attempt makes one attempt under the breaker. reached tells that the platform
-// may have received the call.
-func (c *Client) attempt(ctx context.Context, k call) (r reply, reached bool, err error) {
-	r, err = c.breaker.Execute(func() (reply, error) {
-		c.attempts.Add(1)
-		r, sent, err := c.roundTrip(ctx, k)
-		reached = sent
-		if err == nil && r.status >= http.StatusInternalServerError {
-			err = &errStatus{op: k.op, reply: r}
-		}
-		if err != nil {
-			c.failures.Add(1)
-			c.next.Add(1)
-		}
-		return r, err
-	})
-	if err == nil && r.status >= http.StatusBadRequest {
-		err = &errStatus{op: k.op, reply: r}
+// isAnswer reports whether the platform answered, if only with a refusal that
+// stands.
+func isAnswer(err error) bool {
+	var (
+		missing  *NotFound
+		bad      *BadReply
+		conflict *store.Conflict
+		refused  *store.StoreError
+	)
+	return errors.As(err, &missing) || errors.As(err, &bad) || errors.As(err, &conflict) ||
+		errors.As(err, &refused) && !isBusy(refused)
+}
+
+// isBusy reports whether the store did nothing and may do so later, or whether it
+// failed.
+func isBusy(e *store.StoreError) bool {
+	return e.Status >= http.StatusInternalServerError || e.Status == http.StatusTooManyRequests
+}
+
+// refusalOf gives a refusal of the store its type here.
+func refusalOf(op string, err error) error {
+	var refused *store.StoreError
+	if errors.As(err, &refused) {
+		return &BadReply{Op: op, Status: refused.Status, Detail: refused.Error()}
 	}
-	return r, reached, err
+	return err
 }
 
-func (c *Client) roundTrip(ctx context.Context, k call) (r reply, sent bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
-	defer cancel()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+// attempt makes one attempt under the breaker.
+func (c *Client) attempt(ctx context.Context, call func(context.Context, *store.Store) error) error {
+	var answer error
+	_, err := c.breaker.Execute(func() (struct{}, error) {
+		c.attempts.Add(1)
+		ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+		defer cancel()
+		err := call(ctx, c.stores[int(c.next.Load())%len(c.stores)])
+		if err == nil || isAnswer(err) {
+			answer = err
+			return struct{}{}, nil
+		}
+		c.failures.Add(1)
+		c.next.Add(1)
+		return struct{}{}, err
 	})
-	base := c.endpoints[int(c.next.Load())%len(c.endpoints)]
-	req, err := http.NewRequestWithContext(ctx, k.method, base+k.path, bytes.NewReader(k.body))
-	if err != nil {
-		return reply{}, false, errors.Trace(err)
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return reply{}, connected.Load(), errors.Trace(err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, k.maxReply+1))
 	if err != nil {
-		return reply{}, true, errors.Trace(err)
-	}
-	if int64(len(body)) > k.maxReply {
-		return reply{}, true, errors.Errorf("the answer is longer than %d bytes", k.maxReply)
+		return err
 	}
-	return reply{status: res.StatusCode, body: body}, true, nil
+	return answer
 }
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -8,11 +8,14 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A read that the platform answers with a 5xx is unavailable; one that it
-// refuses is not.
+// A read that the platform answers with a 5xx or 429 is unavailable, one that it
+// refuses is not. A row that is not there is no refusal.
 func TestReadErrors(t *testing.T) {
-	status := http.StatusOK
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	status, body := http.StatusOK, ""
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
 	defer s.Close()
 	c, err := New([]string{s.URL}, Options{MaxTries: 1, TripAfter: 100})
 	require.NoError(t, err)
@@ -22,18 +25,22 @@
 		bad         *BadReply
 	)
 	for _, tc := range []struct {
-		status int
-		target any
+		status      int
+		body        string
+		row, object any
 	}{
-		{http.StatusServiceUnavailable, &unavailable},
-		{http.StatusInternalServerError, &unavailable},
-		{http.StatusNotFound, &notFound},
-		{http.StatusForbidden, &bad},
+		{http.StatusServiceUnavailable, "", &unavailable, &unavailable},
+		{http.StatusInternalServerError, "", &unavailable, &unavailable},
+		{http.StatusTooManyRequests, "", &unavailable, &unavailable},
+		{http.StatusNotFound, "", &bad, &notFound},
+		{http.StatusForbidden, "", &bad, &bad},
+		{http.StatusOK, `{"rows":[],"ver":7}`, &notFound, &bad},
+		{http.StatusOK, `{"rows":[{"table":"rows","key":"r","value":"eA==","ver":7}],"ver":7}`, &bad, &bad},
 	} {
-		status = tc.status
+		status, body = tc.status, tc.body
 		_, err := c.ReadRow(t.Context(), "r")
-		require.ErrorAs(t, err, tc.target, "row, status %d", status)
+		require.ErrorAs(t, err, tc.row, "row, status %d", status)
 		_, err = c.GetObject(t.Context(), "d")
-		require.ErrorAs(t, err, tc.target, "object, status %d", status)
+		require.ErrorAs(t, err, tc.object, "object, status %d", status)
 	}
 }
--- a/internal/standin/platform/list.go
+++ b/internal/standin/platform/list.go
@@ -6,6 +6,7 @@
 	"time"
 
 	api "github.com/banyandeal/banyandeal/internal/platform"
+	"github.com/banyandeal/banyandeal/internal/standin/store"
 )
 
 // instanceList is the list of instances as it was lag ago.
@@ -14,10 +15,10 @@
 	now func() time.Time
 
 	mu sync.Mutex
-	// visible is what readers see; pending holds later changes by time.
-	visible map[string]api.Instance
+	// rows is what readers see; pending holds later changes by time.
+	rows    *store.Store
 	pending []listChange
-	// frozen keeps visible as it is.
+	// frozen keeps the rows as they are.
 	frozen bool
 }
 
@@ -27,8 +28,8 @@
 	removed  bool
 }
 
-func newInstanceList(lag time.Duration, now func() time.Time) *instanceList {
-	return &instanceList{lag: lag, now: now, visible: map[string]api.Instance{}}
+func newInstanceList(rows *store.Store, lag time.Duration, now func() time.Time) *instanceList {
+	return &instanceList{rows: rows, lag: lag, now: now}
 }
 
 func (l *instanceList) put(in api.Instance) { l.change(listChange{instance: in}) }
@@ -51,19 +52,13 @@
 	l.frozen = on
 }
 
-func (l *instanceList) list() []api.Instance {
+// refresh makes the changes visible whose time has come.
+func (l *instanceList) refresh() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle()
-	out := make([]api.Instance, 0, len(l.visible))
-	for _, in := range l.visible {
-		out = append(out, in)
-	}
-	sortInstances(out)
-	return out
 }
 
-// settle makes the changes visible whose time has come.
 func (l *instanceList) settle() {
 	if l.frozen {
 		return
@@ -76,10 +71,10 @@
 		}
 		due++
 		if c.removed {
-			delete(l.visible, c.instance.ID)
+			l.rows.Remove(api.TableInstances, c.instance.ID)
 			continue
 		}
-		l.visible[c.instance.ID] = c.instance
+		l.rows.Put(api.TableInstances, c.instance.ID, c.instance)
 	}
 	l.pending = slices.Delete(l.pending, 0, due)
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -1,6 +1,5 @@
-// Package platform is a stand-in for the platform in tests and in the demo: a
-// transactional table, an object store and a lagging instance list in memory,
-// by the HTTP API of the client package internal/platform, with faults.
+// Package platform is a stand-in for the platform in tests and in the demo: the
+// store of package store, a lagging list of instances kept in it, and faults.
 //
 // Besides the API it serves, on both of its addresses:
 //
@@ -12,12 +11,10 @@
 package platform
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"io"
+	"maps"
 	"net/http"
-	"sync"
+	"net/http/httptest"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +22,7 @@
 
 	api "github.com/banyandeal/banyandeal/internal/platform"
 	"github.com/banyandeal/banyandeal/internal/standin/faultnet"
+	"github.com/banyandeal/banyandeal/internal/standin/store"
 )
 
 const (
@@ -50,7 +48,6 @@
 	Txns        uint64 `json:"txns"`
 	Commits     uint64 `json:"commits"`
 	Conflicts   uint64 `json:"conflicts"`
-	RowWrites   uint64 `json:"row_writes"`
 	ObjectReads uint64 `json:"object_reads"`
 	ObjectPuts  uint64 `json:"object_puts"`
 	ListReads   uint64 `json:"list_reads"`
@@ -59,21 +56,18 @@
 }
 
 type counters struct {
-	rowReads, txns, commits, conflicts, rowWrites atomic.Uint64
-	objectReads, objectPuts, listReads            atomic.Uint64
-	refused, lostReplies                          atomic.Uint64
+	rowReads, txns, commits, conflicts atomic.Uint64
+	objectReads, objectPuts, listReads atomic.Uint64
+	refused, lostReplies               atomic.Uint64
 }
 
 // Server is one stand-in platform.
 type Server struct {
-	table  *table
+	store  *store.Store
 	list   *instanceList
 	faults *faultState
 	count  counters
 
-	objectsMu sync.Mutex
-	objects   map[string][]byte
-
 	api, admin *faultnet.Server
 }
 
@@ -82,12 +76,8 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	s := &Server{
-		table:   newTable(),
-		list:    newInstanceList(cfg.ListLag, cfg.Now),
-		faults:  newFaultState(cfg.Seed),
-		objects: map[string][]byte{},
-	}
+	rows := store.Unserved()
+	s := &Server{store: rows, list: newInstanceList(rows, cfg.ListLag, cfg.Now), faults: newFaultState(cfg.Seed)}
 	admin := s.adminHandler()
 	s.api = faultnet.New(cfg.Addr, s.apiHandler(admin))
 	s.admin = faultnet.New(cfg.Admin, admin)
@@ -136,25 +126,33 @@
 	c := &s.count
 	return Stats{
 		RowReads: c.rowReads.Load(), Txns: c.txns.Load(), Commits: c.commits.Load(),
-		Conflicts: c.conflicts.Load(), RowWrites: c.rowWrites.Load(),
+		Conflicts:   c.conflicts.Load(),
 		ObjectReads: c.objectReads.Load(), ObjectPuts: c.objectPuts.Load(),
 		ListReads: c.listReads.Load(), Refused: c.refused.Load(), LostReplies: c.lostReplies.Load(),
 	}
 }
 
 func (s *Server) apiHandler(admin http.Handler) http.Handler {
+	next := s.store.Handler()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /table/{row...}", s.readRow)
-	mux.HandleFunc("POST /table/txn", s.commit)
-	mux.HandleFunc("PUT /objects/{digest}", s.putObject)
-	mux.HandleFunc("GET /objects/{digest}", s.getObject)
-	mux.HandleFunc("GET /instances", s.readList)
+	mux.HandleFunc("GET /rows-get", s.read(next))
+	mux.HandleFunc("POST /rows-tx", s.commit(next))
+	mux.HandleFunc("PUT /blob-put/{name}", counted(&s.count.objectPuts, next))
+	mux.HandleFunc("GET /blob-get/{name}", counted(&s.count.objectReads, next))
+	mux.Handle("/", next)
 	outer := http.NewServeMux()
 	outer.Handle("/admin/", admin)
 	outer.Handle("/", s.faulty(mux))
 	return outer
 }
 
+func counted(n *atomic.Uint64, next http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		next.ServeHTTP(w, r)
+	}
+}
+
 // faulty applies the faults that hit every call of the API.
 func (s *Server) faulty(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -183,78 +181,45 @@
 	}
 }
 
-func (s *Server) readRow(w http.ResponseWriter, r *http.Request) {
-	s.count.rowReads.Add(1)
-	row, ok := s.table.read(r.PathValue("row"), s.faults.staleBy())
-	if !ok {
-		http.Error(w, "no such row", http.StatusNotFound)
-		return
-	}
-	writeJSON(w, http.StatusOK, row)
-}
-
-func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
-	var txn api.Txn
-	if !readJSON(w, r, &txn) {
-		return
-	}
-	if txn.ID == "" || len(txn.Writes) == 0 {
-		http.Error(w, "a transaction needs an id and writes", http.StatusBadRequest)
-		return
-	}
-	s.count.txns.Add(1)
-	if s.faults.loseRequest() {
-		panic(http.ErrAbortHandler)
-	}
-	reply := s.table.commit(txn)
-	if !reply.Committed {
-		s.count.conflicts.Add(1)
-		writeJSON(w, http.StatusConflict, reply)
-		return
-	}
-	s.count.commits.Add(1)
-	s.count.rowWrites.Add(uint64(len(txn.Writes)))
-	if s.faults.loseReply() {
-		s.count.lostReplies.Add(1)
-		panic(http.ErrAbortHandler)
-	}
-	writeJSON(w, http.StatusOK, reply)
-}
-
-func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	}
-	sum := sha256.Sum256(body)
-	digest := hex.EncodeToString(sum[:])
-	if digest != r.PathValue("digest") {
-		http.Error(w, "the digest is not the body's", http.StatusBadRequest)
-		return
+// read serves rows, stale ones while that fault is in force, and the list as far
+// as it has come.
+func (s *Server) read(next http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("table") == api.TableInstances {
+			s.count.listReads.Add(1)
+			s.list.refresh()
+			next.ServeHTTP(w, r)
+			return
+		}
+		s.count.rowReads.Add(1)
+		next.ServeHTTP(w, store.Stale(r, s.faults.staleBy()))
 	}
-	s.count.objectPuts.Add(1)
-	s.objectsMu.Lock()
-	s.objects[digest] = body
-	s.objectsMu.Unlock()
-	w.WriteHeader(http.StatusNoContent)
 }
 
-func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
-	s.count.objectReads.Add(1)
-	s.objectsMu.Lock()
-	body, ok := s.objects[r.PathValue("digest")]
-	s.objectsMu.Unlock()
-	if !ok {
-		http.Error(w, "no such object", http.StatusNotFound)
-		return
+// commit serves a transaction, of which the call or the reply may get lost.
+func (s *Server) commit(next http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.count.txns.Add(1)
+		if s.faults.loseRequest() {
+			panic(http.ErrAbortHandler)
+		}
+		reply := httptest.NewRecorder()
+		next.ServeHTTP(reply, r)
+		switch reply.Code {
+		case http.StatusOK:
+			s.count.commits.Add(1)
+			if s.faults.loseReply() {
+				s.count.lostReplies.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+		case http.StatusPreconditionFailed:
+			s.count.conflicts.Add(1)
+		}
+		maps.Copy(w.Header(), reply.Header())
+		w.WriteHeader(reply.Code)
+		// The caller may have gone.
+		_, _ = w.Write(reply.Body.Bytes())
 	}
-	_, _ = w.Write(body)
-}
-
-func (s *Server) readList(w http.ResponseWriter, _ *http.Request) {
-	s.count.listReads.Add(1)
-	writeJSON(w, http.StatusOK, s.list.list())
 }
 
 func (s *Server) adminHandler() http.Handler {
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -96,3 +96,26 @@
 	require.NoError(t, s.SetFaults(platform.Faults{}))
 	require.Empty(t, list())
 }
+
+// TestWriterThatKnowsNothing: a client that has not read a row writes it at the
+// version that it was told of, and no other.
+func TestWriterThatKnowsNothing(t *testing.T) {
+	s, c, _ := start(t, api.Options{})
+	ctx := t.Context()
+	_, err := c.Commit(ctx, api.Txn{ID: "a", Writes: []api.Write{put("r", 0, "1")}})
+	require.NoError(t, err)
+	other, err := api.New([]string{s.URL()}, api.Options{})
+	require.NoError(t, err)
+	rows, err := other.Commit(ctx, api.Txn{ID: "b", Writes: []api.Write{put("r", 1, "2")}})
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), rows[0].Version)
+
+	var conflict *api.Conflict
+	_, err = c.Commit(ctx, api.Txn{ID: "c", Writes: []api.Write{put("r", 1, "3")}})
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, api.Row{Name: "r", Version: 2, ChangeID: "b", Value: []byte("2")}, conflict.Row)
+	_, err = other.Commit(ctx, api.Txn{ID: "d", Writes: []api.Write{put("absent", 5, "1")}})
+	require.ErrorAs(t, err, &conflict)
+	require.Zero(t, conflict.Row.Version)
+	require.Equal(t, uint64(2), s.Stats().Commits)
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +15,9 @@
 	"time"
 )
 
+// maxObjectBytes bounds an object.
+const maxObjectBytes = 32 << 20
+
 // Trouble is how the store treats a call.
 type Trouble uint8
 
@@ -31,7 +35,8 @@
 	NoChanges
 )
 
-type row struct {
+// Row is one row of a table.
+type Row struct {
 	Table   string `json:"table"`
 	Part    string `json:"part"`
 	Key     string `json:"key"`
@@ -41,19 +46,26 @@
 }
 
 type reply struct {
-	Rows    []row   `json:"rows"`
+	Rows    []Row   `json:"rows"`
 	More    bool    `json:"has_more"`
 	Version uint64  `json:"ver"`
 	Now     float64 `json:"now_s"`
 }
 
+// historyLength is how many versions of a row are kept for stale reads.
+const historyLength = 8
+
 // Store is the stand-in. It is safe for concurrent use.
 type Store struct {
+	// server is nil for a store that only gives its Handler.
 	server  *httptest.Server
 	started time.Time
 
-	mu      sync.Mutex
-	rows    map[string]row
+	mu   sync.Mutex
+	rows map[string]Row
+	// history holds the newest versions of each row, the newest last.
+	history map[string][]Row
+	objects map[string][]byte
 	version uint64
 	// floor is the version below which the history is gone.
 	floor   uint64
@@ -64,13 +76,28 @@
 
 // New starts a store on loopback.
 func New() *Store {
-	s := &Store{rows: map[string]row{}, changed: make(chan struct{}), started: time.Now(), trouble: func(*http.Request) Trouble { return None }}
+	s := Unserved()
+	s.server = httptest.NewServer(s.troubled(s.Handler()))
+	return s
+}
+
+// Unserved returns a store whose Handler is served by another.
+func Unserved() *Store {
+	return &Store{
+		rows: map[string]Row{}, history: map[string][]Row{}, objects: map[string][]byte{},
+		changed: make(chan struct{}), started: time.Now(), trouble: func(*http.Request) Trouble { return None },
+	}
+}
+
+// Handler returns the store's calls, without troubles.
+func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", s.tx)
-	s.server = httptest.NewServer(s.troubled(mux))
-	return s
+	mux.HandleFunc("PUT /blob-put/{name}", s.putObject)
+	mux.HandleFunc("GET /blob-get/{name}", s.getObject)
+	return mux
 }
 
 // Address returns host:port.
@@ -111,14 +138,14 @@
 func (s *Store) PutRaw(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(row{Table: table, Key: key, Value: value})
+	s.write(Row{Table: table, Key: key, Value: value})
 }
 
 // Remove deletes a row.
 func (s *Store) Remove(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(row{Table: table, Key: key, Deleted: true})
+	s.write(Row{Table: table, Key: key, Deleted: true})
 }
 
 // Keys returns the keys of a table.
@@ -142,26 +169,38 @@
 
 func id(table, part, key string) string { return table + "\x00" + part + "\x00" + key }
 
-func (s *Store) write(r row) {
+// write puts rows at the next version, which they share.
+func (s *Store) write(rows ...Row) {
 	s.version++
-	r.Version = s.version
-	s.rows[id(r.Table, r.Part, r.Key)] = r
+	for _, r := range rows {
+		s.place(r)
+	}
 	s.wake()
 }
 
+func (s *Store) place(r Row) {
+	r.Version = s.version
+	key := id(r.Table, r.Part, r.Key)
+	s.rows[key] = r
+	s.history[key] = append(s.history[key], r)
+	if kept := s.history[key]; len(kept) > historyLength {
+		s.history[key] = slices.Delete(kept, 0, len(kept)-historyLength)
+	}
+}
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *Store) table(name string) []row {
-	var rows []row
+func (s *Store) table(name string) []Row {
+	var rows []Row
 	for _, r := range s.rows {
 		if r.Table == name && !r.Deleted {
 			rows = append(rows, r)
 		}
 	}
-	slices.SortFunc(rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows
 }
 
@@ -199,7 +238,7 @@
 	case <-time.After(time.Duration(wait) * time.Millisecond):
 	case <-r.Context().Done():
 	}
-	s.answer(w, http.StatusOK, reply{Rows: []row{}, Version: after})
+	s.answer(w, http.StatusOK, reply{Rows: []Row{}, Version: after})
 }
 
 func (s *Store) answer(w http.ResponseWriter, status int, rep reply) {
@@ -210,14 +249,28 @@
 	_ = json.NewEncoder(w).Encode(rep)
 }
 
+// Stale makes a request to read rows see them as they were so many versions ago.
+func Stale(r *http.Request, versions int) *http.Request {
+	return r.WithContext(context.WithValue(r.Context(), staleKey{}, versions))
+}
+
+type staleKey struct{}
+
+// past returns a row as it was so many versions ago, or its oldest kept one.
+func (s *Store) past(r Row, versions int) Row {
+	kept := s.history[id(r.Table, r.Part, r.Key)]
+	return kept[max(0, len(kept)-1-versions)]
+}
+
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
+	versions, _ := r.Context().Value(staleKey{}).(int)
 	limit, err := strconv.Atoi(q.Get("limit"))
 	if err != nil {
 		limit = 500
 	}
 	s.mu.Lock()
-	rep := reply{Rows: []row{}, Version: s.version}
+	rep := reply{Rows: []Row{}, Version: s.version}
 	for _, x := range s.table(q.Get("table")) {
 		if x.Key < q.Get("from") || q.Has("target") && x.Key >= q.Get("target") {
 			continue
@@ -226,12 +279,43 @@
 			rep.More = true
 			break
 		}
-		rep.Rows = append(rep.Rows, x)
+		if x = s.past(x, versions); !x.Deleted {
+			rep.Rows = append(rep.Rows, x)
+		}
 	}
 	s.mu.Unlock()
 	s.answer(w, http.StatusOK, rep)
 }
 
+func (s *Store) putObject(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := r.PathValue("name")
+	if _, there := s.objects[name]; there {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	s.objects[name] = body
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Store) getObject(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	body, there := s.objects[r.PathValue("name")]
+	s.mu.Unlock()
+	if !there {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	// The caller may have gone.
+	_, _ = w.Write(body)
+}
+
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
@@ -265,28 +349,28 @@
 	if after < s.floor {
 		return reply{}, true, nil
 	}
-	rep = reply{Rows: []row{}, Version: s.version}
+	rep = reply{Rows: []Row{}, Version: s.version}
 	for _, x := range s.rows {
 		if x.Table == table && x.Version > after {
 			rep.Rows = append(rep.Rows, x)
 		}
 	}
-	slices.SortFunc(rep.Rows, func(a, b row) int { return int(a.Version) - int(b.Version) })
+	slices.SortFunc(rep.Rows, func(a, b Row) int { return int(a.Version) - int(b.Version) })
 	return rep, false, s.changed
 }
 
 func (s *Store) tx(w http.ResponseWriter, r *http.Request) {
 	var tx struct {
-		Expected []row `json:"expected_rev"`
-		Puts     []row `json:"puts"`
-		Removes  []row `json:"remove"`
+		Expected []Row `json:"expected_rev"`
+		Puts     []Row `json:"puts"`
+		Removes  []Row `json:"remove"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
-	rep := reply{Rows: []row{}}
+	rep := reply{Rows: []Row{}}
 	status := http.StatusOK
 	for _, e := range tx.Expected {
 		current := s.rows[id(e.Table, e.Part, e.Key)]
@@ -303,13 +387,10 @@
 	}
 	if status == http.StatusOK {
 		rep.Rows = nil
-		for _, p := range tx.Puts {
-			s.write(p)
-		}
-		for _, p := range tx.Removes {
-			p.Deleted = true
-			s.write(p)
+		for i := range tx.Removes {
+			tx.Removes[i].Deleted = true
 		}
+		s.write(append(tx.Puts, tx.Removes...)...)
 	}
 	rep.Version = s.version
 	s.mu.Unlock()
