demo: a crowd drives a region past its slots, so that the caps of links are tried

Cause: no request of the demo crossed a link, so its check of caps could not fail (0 in each row of the table on both estates).

Change: after the calm part the callers of the region with the fewest slots send 1.5 times what these bear for 4 s; the demo fails when no request crossed a link.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -37,9 +37,13 @@
 	killTime    = 4 * time.Second
 	outageTime  = 5 * time.Second
 	recoverTime = 2 * time.Second
+	crowdTime   = 4 * time.Second
 	loadLimit   = 50 * time.Second
 )
 
+// crowdFactor is the load of a crowd as a multiple of what its region bears.
+const crowdFactor = 1.5
+
 // Bounds of the load.
 const (
 	maxRequests = 200_000
@@ -68,6 +72,8 @@
 
 	// stopped waits for the planned stop under load.
 	stopped sync.WaitGroup
+	// crowdRecords holds the requests of the crowd.
+	crowdRecords []bench.Record
 
 	// mu guards the lists of report while stopped is awaited.
 	mu     sync.Mutex
@@ -183,7 +189,7 @@
 	if err := testbed.Pause(ctx, calmTime); err != nil {
 		return errors.Trace(err)
 	}
-	for _, step := range []func(context.Context) error{d.drain, d.fill, d.stopEntry, d.killEntry, d.killBackend, d.outage} {
+	for _, step := range []func(context.Context) error{d.crowd, d.drain, d.fill, d.stopEntry, d.killEntry, d.killBackend, d.outage} {
 		if err := step(ctx); err != nil {
 			return errors.Trace(err)
 		}
@@ -191,6 +197,24 @@
 	return nil
 }
 
+// crowd drives the region with the fewest slots past them, beside the other load,
+// so that its requests use the links.
+func (d *demo) crowd(ctx context.Context) error {
+	region := d.targets.crowdRegion
+	rate := crowdFactor * testbed.RegionCapacity(d.Estate, region)
+	d.Say("crowd of %.0f requests a second in region %s", rate, region)
+	load, err := bench.NewLoad(bench.Config{
+		Entries: d.AddressesIn(region), Callers: d.CallersIn(region), Workloads: testbed.Workloads(d.Estate, rate),
+		Duration: crowdTime, MaxRequests: maxRequests, MaxInFlight: maxInFlight, MaxAttempts: 1,
+		Patience: patience, Seed: d.opts.Seed + 1, Prefix: tokenPrefix() + "crowd",
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	d.crowdRecords = load.Run(ctx).Records
+	return nil
+}
+
 // drain empties a zone.
 func (d *demo) drain(ctx context.Context) error {
 	zone := d.targets.drainZone
@@ -313,13 +337,17 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	d.report.Violations = bench.Check(d.report.Load.Records, runs)
+	records := append(slices.Clone(d.report.Load.Records), d.crowdRecords...)
+	d.report.Violations = bench.Check(records, runs)
 	for _, h := range d.report.Headrooms {
 		if h.Least < 0 {
 			d.breaks("%s: %d more than the capacity of %d", h.Name, -h.Least, h.Capacity)
 		}
 	}
-	d.report.Links = d.LinkUses(d.report.Load.Records, runs)
+	d.report.Links = d.LinkUses(records, runs)
+	if !slices.ContainsFunc(d.report.Links, func(l testbed.LinkUse) bool { return l.Requests > 0 }) {
+		d.breaks("no request crossed a link, so that no cap was tried")
+	}
 	for _, l := range d.report.Links {
 		if l.MostInFlight > l.MaxInFlight {
 			d.breaks("link %s: %d in flight at once by the run logs, its cap is %d", l.Name, l.MostInFlight, l.MaxInFlight)
--- a/internal/demo/targets.go
+++ b/internal/demo/targets.go
@@ -14,6 +14,7 @@
 
 // targets are what the script drains, stops and kills.
 type targets struct {
+	crowdRegion string
 	drainZone   string
 	stopEntry   testbed.Entry
 	killEntry   string
@@ -35,7 +36,7 @@
 	}
 	zones := slices.Clone(e.Zones)
 	slices.SortStableFunc(zones, func(a, b estate.Zone) int { return cmp.Compare(slots[a.Name], slots[b.Name]) })
-	t := targets{drainZone: zones[0].Name}
+	t := targets{drainZone: zones[0].Name, crowdRegion: zones[0].Region}
 	for _, i := range entries {
 		switch {
 		case i.Zone == t.drainZone || !hasNeighbour(entries, i):
