--- a/internal/decide/affinity/affinity.go
+++ b/internal/decide/affinity/affinity.go
@@ -97,8 +97,9 @@
 	Rank int
 	// Expected is the time until the answer, Wait the part before the run.
 	Expected, Wait time.Duration
-	// Warm tells that the object was sent there before.
-	Warm bool
+	// Warm tells that the object was sent there before, Placed that it was
+	// assigned there.
+	Warm, Placed bool
 	// LoadAge is the age of the load report behind Wait, negative without one.
 	LoadAge time.Duration
 }
@@ -273,7 +274,7 @@
 		age = now.Sub(s.reported)
 	}
 	return Choice{
-		Backend: c.backend, Rank: rank, Wait: wait, Warm: known, LoadAge: age,
+		Backend: c.backend, Rank: rank, Wait: wait, Warm: known, Placed: c.backend.ID == q.Place, LoadAge: age,
 		Expected: b.RoundTrip(c.backend.Zone) + wait + run,
 	}
 }
--- a/internal/edge/control/control.go
+++ b/internal/edge/control/control.go
@@ -82,8 +82,14 @@
 		case b.Draining:
 			c.log.Info().Str("event", "backend_draining").Str("backend", id).Str("address", b.Address).Msg("")
 		case !u.Full:
-			c.log.Info().Str("event", "backend").Str("backend", id).Str("address", b.Address).
-				Str("zone", b.Zone).Int64("born", b.Born).Time("cold_until", b.ColdUntil).Msg("")
+			e := c.log.Info().Str("event", "backend").Str("backend", id).Str("address", b.Address).Str("zone", b.Zone)
+			if b.Born > 0 {
+				e.Int64("born", b.Born)
+			}
+			if !b.ColdUntil.IsZero() {
+				e.Time("cold_until", b.ColdUntil)
+			}
+			e.Msg("")
 		}
 	}
 }
--- a/internal/edge/filter/accesslog/accesslog.go
+++ b/internal/edge/filter/accesslog/accesslog.go
@@ -136,7 +136,7 @@
 // choice adds what decided for a backend server, with the age of the load report
 // behind it.
 func choice(e *zerolog.Event, c affinity.Choice) {
-	e.Str("backend", c.Backend.ID).Str("backend_zone", c.Backend.Zone).Int("rank", c.Rank).Bool("warm", c.Warm).
+	e.Str("backend", c.Backend.ID).Str("backend_zone", c.Backend.Zone).Int("rank", c.Rank).Bool("warm", c.Warm).Bool("placed", c.Placed).
 		Dur("expected", c.Expected).Dur("wait", c.Wait)
 	if c.LoadAge >= 0 {
 		e.Dur("load_age", c.LoadAge)
