--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 ESTATE ?= tiszahid
 GOFILES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test fmt lint unit fuzz demo experiment capacity generate bench-day
+.PHONY: build test fmt lint unit fuzz soak demo experiment capacity generate bench-day
 
 build:
 	go build -o bin/ ./cmd/...
 
-test: fmt lint build unit fuzz
+test: fmt lint build unit fuzz soak
 	@if [ -s KNOWN-RED.txt ]; then echo "known red, passed over:"; grep -v '^#' KNOWN-RED.txt; fi
 
 fmt:
@@ -28,6 +28,13 @@
 fuzz:
 	@scripts/fuzz $(FUZZCOUNT)
 
+# Runs the system as processes under random faults and checks its promises;
+# SEEDS and FIRST choose more.
+SEEDS ?= 3
+FIRST ?= 1
+soak:
+	./bin/soak --seed $(FIRST) --seeds $(SEEDS) --jobs 3 --length 12s
+
 # Generated code is committed; this target is only for a changed .proto.
 generate:
 	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -44,6 +44,9 @@
 // crowdFactor is the load of a crowd as a multiple of what its region bears.
 const crowdFactor = 1.5
 
+// rateSlack allows for requests that left in two seconds and arrived in one.
+const rateSlack = 0.1
+
 // Bounds of the load.
 const (
 	maxRequests = 200_000
@@ -352,6 +355,9 @@
 		if l.MostInFlight > l.MaxInFlight {
 			d.breaks("link %s: %d in flight at once by the run logs, its cap is %d", l.Name, l.MostInFlight, l.MaxInFlight)
 		}
+		if float64(l.MostStarted) > l.MaxRate*(1+rateSlack) {
+			d.breaks("link %s: %d started in a second by the run logs, its cap is %.0f", l.Name, l.MostStarted, l.MaxRate)
+		}
 	}
 	d.measureDrain(runs)
 	return nil
--- a/internal/edge/edgetest/estate.go
+++ b/internal/edge/edgetest/estate.go
@@ -21,6 +21,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/daemon"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+	"github.com/banyandeal/banyandeal/internal/standin/registered"
 	"github.com/banyandeal/banyandeal/internal/standin/store"
 )
 
@@ -93,7 +94,7 @@
 
 // Backend starts a backend server.
 func (e *Estate) Backend(start Start) *Backend {
-	b := StartBackend(e.Store, start)
+	b := registered.StartBackend(e.Store, start)
 	e.t.Cleanup(b.Stop)
 	return b
 }
@@ -202,6 +203,8 @@
 	Status int
 	Header http.Header
 	Body   string
+	// Closes tells that the connection ends behind the answer.
+	Closes bool
 	// Err is set when the connection ended without a whole answer.
 	Err error
 }
@@ -253,5 +256,5 @@
 		return Reply{Err: err}
 	}
 	body, err := io.ReadAll(resp.Body)
-	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err}
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Closes: resp.Close, Err: err}
 }
--- a/internal/edge/edgetest/rules_test.go
+++ b/internal/edge/edgetest/rules_test.go
@@ -468,6 +468,31 @@
 	}
 }
 
+// TestNothingBehindTheLastAnswer: a request behind an answer that closes its
+// connection counts as not read, so that it goes to no backend server.
+func TestNothingBehindTheLastAnswer(t *testing.T) {
+	t.Parallel()
+	e, i, backends := shop(t)
+	for _, b := range backends {
+		b.SetWork(200 * time.Millisecond)
+	}
+	nc, err := net.Dial("tcp", i.Settings.Listen.Callers)
+	require.NoError(t, err)
+	defer nc.Close()
+	first, second := e.NewID(), e.NewID()
+	_, err = io.WriteString(nc, Call{Path: "/read/x"}.Text(first))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	i.Stop()
+	r := ReadReply(bufio.NewReader(nc))
+	require.Equal(t, 200, r.Status)
+	require.True(t, r.Closes)
+	// The caller may not have seen that yet.
+	_, _ = io.WriteString(nc, Call{Method: http.MethodPost, Path: "/write/x", Body: "b"}.Text(second))
+	<-i.Done
+	require.Zero(t, runsOf(backends, second))
+}
+
 // TestStoreAway: while the store is away everything goes on from memory, and an
 // entry that lapsed meanwhile has two seconds to come back.
 func TestStoreAway(t *testing.T) {
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -163,6 +163,9 @@
 	queue  chan *exchange
 	mu     sync.Mutex
 	owed   int
+	// closing is set once the last answer was chosen; what comes behind it
+	// counts as not read.
+	closing bool
 	// used is set when the connection has carried a request; only the reader
 	// touches it.
 	used bool
@@ -205,7 +208,9 @@
 		}
 		c.used = true
 		ex := &exchange{answer: make(chan *Answer, 1), final: last, head: r.Method == http.MethodHead}
-		c.enqueue(ex)
+		if !c.enqueue(ex) {
+			return false
+		}
 		go func() { ex.answer <- c.server.handler.Serve(ctx, r) }()
 		if last {
 			return c.drain(ctx)
@@ -235,11 +240,27 @@
 	return ch
 }
 
-func (c *conn) enqueue(ex *exchange) {
+// enqueue promises an answer behind those that are owed. It returns false when
+// the last one was chosen before.
+func (c *conn) enqueue(ex *exchange) bool {
 	c.mu.Lock()
+	if c.closing {
+		c.mu.Unlock()
+		return false
+	}
 	c.owed++
 	c.mu.Unlock()
 	c.queue <- ex
+	return true
+}
+
+// settle takes an answer off what is owed and reports whether it is the last.
+func (c *conn) settle(final bool) (last bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owed--
+	c.closing = c.closing || final || c.server.isStopping() && c.owed == 0
+	return c.closing
 }
 
 func (c *conn) pending() int {
@@ -345,14 +366,10 @@
 	broken := false
 	for ex := range c.queue {
 		a := <-ex.answer
-		c.mu.Lock()
-		c.owed--
-		rest := c.owed
-		c.mu.Unlock()
+		last := c.settle(ex.final || a.Abort)
 		if broken {
 			continue
 		}
-		last := ex.final || (c.server.isStopping() && rest == 0)
 		if a.Abort || c.writeAnswer(a, ex.head, last) != nil || last {
 			broken = true
 			cancel()
--- /dev/null
+++ b/internal/standin/registered/backend.go
@@ -0,0 +1,262 @@
+// Package registered is a stand-in for backend servers that register themselves
+// in the platform's store and speak the headers of its pages.
+package registered
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/standin/store"
+)
+
+// Act is how a backend server treats one request.
+type Act uint8
+
+// Acts.
+const (
+	// Run runs the request and answers.
+	Run Act = iota
+	// Shed refuses it, not run.
+	Shed
+	// LoseAnswer runs it and closes the connection.
+	LoseAnswer
+	// CutAnswer runs it and breaks off in the body.
+	CutAnswer
+	// Fail runs it and answers 500.
+	Fail
+	// Unstamped runs it and answers without the stamp.
+	Unstamped
+	// ExtraFirst answers another request's id first.
+	ExtraFirst
+	// ExtraAfter sends a second answer behind the first.
+	ExtraAfter
+)
+
+// Arrival is one request that reached a backend server.
+type Arrival struct {
+	ID, Method, Target, Body, Deadline string
+	// Ran is set unless the request was refused.
+	Ran bool
+	At  time.Time
+	// Gone is closed when the connection ended while the request ran.
+	Gone chan struct{}
+}
+
+// Backend is a stand-in for a backend server.
+type Backend struct {
+	Name, Zone, Service string
+	advertise           string
+	store               *store.Store
+	listener            net.Listener
+	seq                 atomic.Int64
+	born                int64
+
+	mu       sync.Mutex
+	arrivals []*Arrival
+	act      func(a *Arrival) Act
+	work     time.Duration
+	running  int
+	conns    int
+}
+
+// Start is how a backend server begins.
+type Start struct {
+	Name, Zone, Service string
+	Slots               int
+	ColdLeft            float64
+	Work                time.Duration
+	// Address is taken if set; Advertise is written to the entry instead of it.
+	Address, Advertise string
+}
+
+// StartBackend starts a backend server and registers it.
+func StartBackend(s *store.Store, start Start) *Backend {
+	address := start.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		panic(err)
+	}
+	b := &Backend{
+		Name: start.Name, Zone: start.Zone, Service: start.Service, advertise: start.Advertise, store: s, listener: l, born: time.Now().UnixMilli(),
+		act: func(*Arrival) Act { return Run }, work: start.Work,
+	}
+	b.Report("ready", start.ColdLeft)
+	go b.serve()
+	return b
+}
+
+// Address returns host:port.
+func (b *Backend) Address() string { return b.listener.Addr().String() }
+
+// Report writes the entry of the backend server.
+func (b *Backend) Report(state string, coldLeft float64) {
+	b.store.Put("servers", b.Name, map[string]any{
+		"address": cmp.Or(b.advertise, b.Address()), "born": b.born,
+		"info":   map[string]any{"service": b.Service, "version": "v1", "zone": b.Zone, "slots": 3},
+		"status": map[string]any{"state": state, "seq": b.seq.Add(1), "cold_left_s": coldLeft},
+	})
+}
+
+// Leave removes the entry.
+func (b *Backend) Leave() { b.store.Remove("servers", b.Name) }
+
+// Stop closes the listener.
+func (b *Backend) Stop() { _ = b.listener.Close() }
+
+// SetAct sets how requests are treated.
+func (b *Backend) SetAct(f func(a *Arrival) Act) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.act = f
+}
+
+// SetWork sets how long a run takes.
+func (b *Backend) SetWork(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.work = d
+}
+
+// Arrivals returns what has arrived.
+func (b *Backend) Arrivals() []*Arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]*Arrival(nil), b.arrivals...)
+}
+
+// Runs returns how many requests ran.
+func (b *Backend) Runs() int {
+	n := 0
+	for _, a := range b.Arrivals() {
+		if a.Ran {
+			n++
+		}
+	}
+	return n
+}
+
+// Conns returns how many connections were opened.
+func (b *Backend) Conns() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.conns
+}
+
+func (b *Backend) serve() {
+	for {
+		nc, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.conns++
+		b.mu.Unlock()
+		go b.conn(nc)
+	}
+}
+
+func (b *Backend) conn(nc net.Conn) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !b.handle(nc, br, r, string(body)) {
+			return
+		}
+	}
+}
+
+// handle treats one request and reports whether the connection stays.
+func (b *Backend) handle(nc net.Conn, br *bufio.Reader, r *http.Request, body string) bool {
+	a := &Arrival{
+		ID: r.Header.Get("X-Banyandeal-Request-Id"), Method: r.Method, Target: r.RequestURI, Body: body,
+		Deadline: r.Header.Get("X-Banyandeal-Deadline-Ms"), At: time.Now(), Gone: make(chan struct{}),
+	}
+	if expected := r.Header.Get("X-Banyandeal-Expect-Instance"); expected != "" && expected != b.Name {
+		fmt.Fprintf(nc, "HTTP/1.1 421 Misdirected Request\r\nX-Banyandeal-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", b.Name)
+		return true
+	}
+	b.mu.Lock()
+	act, work := b.act(a), b.work
+	a.Ran = act != Shed
+	b.arrivals = append(b.arrivals, a)
+	b.running++
+	running := b.running
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		b.running--
+		b.mu.Unlock()
+	}()
+	if act == Shed {
+		fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", a.ID)
+		return true
+	}
+	if !b.finish(nc, br, work, a) {
+		return false
+	}
+	return b.reply(nc, a, act, running)
+}
+
+// finish waits for the run's end and reports whether the caller is still there.
+func (b *Backend) finish(nc net.Conn, br *bufio.Reader, work time.Duration, a *Arrival) bool {
+	if work == 0 {
+		return true
+	}
+	_ = nc.SetReadDeadline(time.Now().Add(work))
+	_, err := br.Peek(1)
+	_ = nc.SetReadDeadline(time.Time{})
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		return true
+	}
+	if err != nil {
+		close(a.Gone)
+		return false
+	}
+	return true
+}
+
+func (b *Backend) reply(nc net.Conn, a *Arrival, act Act, running int) bool {
+	text := "answer to " + a.ID
+	head := func(status int, id string) string {
+		return fmt.Sprintf("HTTP/1.1 %d OK\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Server-Load: %d,0,3\r\n", status, id, running)
+	}
+	stamp := "X-Banyandeal-Server-Stamp: " + b.Name + "." + a.ID + "\r\n"
+	whole := func(status int, id, stamp, text string) {
+		fmt.Fprintf(nc, "%s%sContent-Length: %d\r\n\r\n%s", head(status, id), stamp, len(text), text)
+	}
+	switch act {
+	case LoseAnswer:
+		return false
+	case CutAnswer:
+		fmt.Fprintf(nc, "%s%sContent-Length: %d\r\n\r\n%s", head(200, a.ID), stamp, len(text)+100, text)
+		return false
+	case Fail:
+		whole(500, a.ID, stamp, text)
+	case Unstamped:
+		whole(200, a.ID, "", text)
+	case ExtraFirst:
+		whole(200, "another", stamp, "answer to another")
+		whole(200, a.ID, stamp, text)
+	case ExtraAfter:
+		whole(200, a.ID, stamp, text)
+		whole(200, "another", stamp, "answer to another")
+	default:
+		whole(200, a.ID, stamp, text)
+	}
+	return true
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -214,6 +214,8 @@
 		case Refuse:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case Hang:
+			// The end of the connection shows only behind the body.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 		case LoseAnswer:
 			next.ServeHTTP(httptest.NewRecorder(), r)
