--- a/internal/edge/edgetest/rules_test.go
+++ b/internal/edge/edgetest/rules_test.go
@@ -573,11 +573,15 @@
 	e := New(t)
 	e.Configure(Route{Prefix: "/read/", Kind: "safe", Service: "shop"})
 	var mu sync.Mutex
-	lost := 0
+	lost, writes := 0, 0
 	e.Store.SetTrouble(func(r *http.Request) store.Trouble {
 		mu.Lock()
 		defer mu.Unlock()
-		if r.URL.Path == "/rows-tx" && lost < 2 {
+		if r.URL.Path != "/rows-tx" {
+			return store.None
+		}
+		writes++
+		if lost < 2 {
 			lost++
 			return store.LoseAnswer
 		}
@@ -586,6 +590,17 @@
 	i := e.Instance("one", "a1")
 	require.Eventually(t, func() bool { return len(i.Addresses("a1")) == 1 }, 3*time.Second, 10*time.Millisecond)
 	require.Equal(t, []string{"one"}, e.Store.Keys("members"))
+	// The instance knows that its row stands, and writes it no more.
+	settled := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return writes
+	}
+	require.Eventually(t, func() bool {
+		before := settled()
+		time.Sleep(700 * time.Millisecond)
+		return settled() == before
+	}, 4*time.Second, time.Millisecond)
 }
 
 // TestForgottenHistory: feeds whose history the store has dropped read their
