--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -103,7 +103,7 @@
 		a.lookupCommand(),
 		a.traceCommand(),
 		a.versionCommand(),
-		a.checkCommand(),
+		a.checkCommand(), a.reportCommand(),
 		a.explainCommand(),
 	}
 	for _, c := range all {
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,185 @@
+// Package report turns the scores of the users' bench into a page with plots.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // plots are written as SVG
+
+	"github.com/banyandeal/banyandeal/platform/journal"
+)
+
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	// maxCauses is how many causes of lost worth are shown.
+	maxCauses = 8
+)
+
+// Write writes a page about the scores. Errors: NotFound when there are none, and
+// those of the writer.
+func Write(w io.Writer, scores []journal.Score) error {
+	if len(scores) == 0 {
+		return errors.NotFoundf("a score in the journal; run the bench's score first, it")
+	}
+	sites := map[string][]journal.Score{}
+	for _, s := range scores {
+		sites[s.Site] = append(sites[s.Site], s)
+	}
+	var page bytes.Buffer
+	page.WriteString("<!DOCTYPE html>\n<meta charset=\"utf-8\">\n<title>Scores</title>\n<h1>Scores</h1>\n")
+	for _, site := range slices.Sorted(maps.Keys(sites)) {
+		if err := writeSite(&page, site, sites[site]); err != nil {
+			return errors.Annotatef(err, "plot %s", site)
+		}
+	}
+	_, err := page.WriteTo(w)
+	return errors.Trace(err)
+}
+
+func writeSite(page *bytes.Buffer, site string, scores []journal.Score) error {
+	fmt.Fprintf(page, "<h2>%s</h2>\n", html.EscapeString(site))
+	days, kinds := worthByDay(scores), servedByKind(scores)
+	if err := drawLines(page, "Worth by day", "worth", days); err != nil {
+		return err
+	}
+	if err := drawLines(page, "Credit earned by kind of request, mean of the days", "share of the credit", kinds); err != nil {
+		return err
+	}
+	if err := drawCauses(page, scores[len(scores)-1]); err != nil {
+		return err
+	}
+	page.WriteString("<table border=\"1\">\n<tr><th>play</th><th>at</th><th>commit</th><th>why</th><th>mean worth</th></tr>\n")
+	for n, s := range scores {
+		fmt.Fprintf(page, "<tr><td>%d</td><td>%s</td><td>%.8s</td><td>%s</td><td>%.3f</td></tr>\n",
+			n+1, s.At.Format("2006-01-02 15:04"), s.Commit, html.EscapeString(s.Why), meanWorth(s))
+	}
+	page.WriteString("</table>\n")
+	return nil
+}
+
+// meanWorth is over the standard days.
+func meanWorth(s journal.Score) float64 {
+	sum, n := 0.0, 0
+	for _, d := range s.Days {
+		if !d.Drawn {
+			sum += d.Worth
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
+
+// worthByDay returns a line for each standard day, a point for each play.
+func worthByDay(scores []journal.Score) map[string]plotter.XYs {
+	lines := map[string]plotter.XYs{}
+	for n, s := range scores {
+		for _, d := range s.Days {
+			if !d.Drawn {
+				lines[d.Name] = append(lines[d.Name], plotter.XY{X: float64(n + 1), Y: d.Worth})
+			}
+		}
+	}
+	return lines
+}
+
+func servedByKind(scores []journal.Score) map[string]plotter.XYs {
+	lines := map[string]plotter.XYs{}
+	for n, s := range scores {
+		sums, days := map[int]float64{}, 0
+		for _, d := range s.Days {
+			if d.Drawn {
+				continue
+			}
+			days++
+			for kind, share := range d.Kinds {
+				sums[kind] += share
+			}
+		}
+		for kind, sum := range sums {
+			name := fmt.Sprint("kind ", kind+1)
+			lines[name] = append(lines[name], plotter.XY{X: float64(n + 1), Y: sum / float64(days)})
+		}
+	}
+	return lines
+}
+
+func drawLines(page *bytes.Buffer, title, unit string, lines map[string]plotter.XYs) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "play", unit
+	p.Legend.Top, p.Legend.Left = true, true
+	var args []any
+	for _, name := range slices.Sorted(maps.Keys(lines)) {
+		args = append(args, name, lines[name])
+	}
+	if err := plotutil.AddLinePoints(p, args...); err != nil {
+		return errors.Trace(err)
+	}
+	return draw(page, p)
+}
+
+// drawCauses shows what took most off the worth in the last play.
+func drawCauses(page *bytes.Buffer, s journal.Score) error {
+	sums := map[string]float64{}
+	for _, d := range s.Days {
+		sums["credit not earned"] += (1 - d.Served) / float64(len(s.Days))
+		for cause, worth := range d.Prices {
+			sums[cause] += worth / float64(len(s.Days))
+		}
+	}
+	causes := slices.SortedFunc(maps.Keys(sums), func(a, b string) int {
+		if sums[a] == sums[b] {
+			return slices.Compare([]byte(a), []byte(b))
+		}
+		if sums[a] > sums[b] {
+			return -1
+		}
+		return 1
+	})
+	causes = causes[:min(maxCauses, len(causes))]
+	var values plotter.Values
+	for _, c := range causes {
+		values = append(values, sums[c])
+	}
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text = "What the last play lost, mean of the days", "worth"
+	bars, err := plotter.NewBarChart(values, vg.Centimeter)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	bars.Color = plotutil.Color(1)
+	p.Add(bars)
+	for i, c := range causes {
+		fmt.Fprintf(page, "<div>%d: %s, %.4f</div>\n", i+1, html.EscapeString(c), sums[c])
+		causes[i] = fmt.Sprint(i + 1)
+	}
+	p.NominalX(causes...)
+	return draw(page, p)
+}
+
+func draw(page *bytes.Buffer, p *plot.Plot) error {
+	image, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var svg bytes.Buffer
+	if _, err := image.WriteTo(&svg); err != nil {
+		return errors.Trace(err)
+	}
+	// The declaration of an XML document has no place inside a page.
+	_, body, _ := bytes.Cut(svg.Bytes(), []byte("<svg"))
+	page.WriteString("<svg")
+	page.Write(body)
+	page.WriteString("\n")
+	return nil
+}
