admission: a further attempt sees the newest backend servers and the deadline

Cause: the candidates of a request were those of its first attempt.

Change: each choice takes the newest estate; after the deadline there is no further attempt at all.

Ruled out: the hold of entries after an outage of the store, which had ended in time.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -207,10 +207,18 @@
 
 // Next returns the backend server for the next attempt, which counts as sent,
 // or the reason why there is none and the best one that was passed over, if any.
-func (m *Machine) Next(t *Ticket, now time.Time) (affinity.Choice, Reason) {
+//
+// e is the newest estate: a backend server that has left since the request came
+// gets no further attempt of it.
+func (m *Machine) Next(t *Ticket, e *Estate, now time.Time) (affinity.Choice, Reason) {
 	if t.Service == nil {
 		return affinity.Choice{}, NoService
 	}
+	if e != t.Estate {
+		m.adopt(e)
+		t.Estate = e
+		t.query.Backends, t.query.Weights = m.candidates(t.ServiceName, t.Route.HomeRegions), m.weights[t.ServiceName]
+	}
 	if len(t.query.Backends) == 0 {
 		return affinity.Choice{}, NoBackends
 	}
@@ -283,6 +291,8 @@
 // attempt arrived at its backend server, which counts against the budget.
 func (m *Machine) Again(t *Ticket, ran, reached bool, now time.Time) Reason {
 	switch {
+	case !now.Before(t.Deadline):
+		return Expired
 	case ran && !t.Route.Idempotent:
 		return MayHaveRun
 	case t.Sends >= maxSends, t.runs > 0 && !t.MayRepeat():
--- a/internal/decide/admission/admission_test.go
+++ b/internal/decide/admission/admission_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
 
@@ -123,3 +124,21 @@
 	}
 	require.Equal(t, fmt.Sprint(map[string]int{"a": 15, "b": 5}), fmt.Sprint(got))
 }
+
+// TestLeavingBetweenAttempts: a backend server that has left since the request
+// came gets no further attempt, and none is made when the time is over.
+func TestLeavingBetweenAttempts(t *testing.T) {
+	m := newMachine()
+	one, two := &traffic.Backend{ID: "one", Service: "shop", Slots: 3}, &traffic.Backend{ID: "two", Service: "shop", Slots: 3}
+	before, after := estate(1), estate(1)
+	before.Backends = map[string][]*traffic.Backend{"shop": {one, two}}
+	ticket := m.Begin(before, request(time.Second), start)
+	first, reason := m.Next(ticket, before, start)
+	require.Empty(t, reason)
+	after.Backends = map[string][]*traffic.Backend{"shop": {first.Backend}}
+	m.Ended(ticket, first, affinity.Result{End: affinity.Failed}, true, start)
+	require.Empty(t, m.Again(ticket, true, true, start))
+	second, reason := m.Next(ticket, after, start)
+	require.Equal(t, NoneUsable, reason, "sent to %v", second.Backend)
+	require.Equal(t, Expired, m.Again(ticket, true, true, start.Add(time.Second)))
+}
--- a/internal/edge/filter/dispatch/desk.go
+++ b/internal/edge/filter/dispatch/desk.go
@@ -61,7 +61,7 @@
 func (d *Desk) next(t *admission.Ticket) (affinity.Choice, admission.Reason) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.Next(t, time.Now())
+	return d.machine.Next(t, d.estateOf(d.control.View()), time.Now())
 }
 
 func (d *Desk) ended(t *admission.Ticket, c affinity.Choice, r affinity.Result, ran bool) {
--- a/internal/emulator/call.go
+++ b/internal/emulator/call.go
@@ -49,15 +49,16 @@
 	t := i.policy.Begin(i.estate, r, now)
 	w.place(i, t)
 	// Requests in flight end with the policy that they began with.
-	w.attempt(&exchange{call: c, zone: i.zone, policy: i.policy, ticket: t})
+	w.attempt(&exchange{call: c, instance: i, zone: i.zone, policy: i.policy, ticket: t})
 }
 
 // exchange is a request at an instance.
 type exchange struct {
-	call   *call
-	zone   string
-	policy Policy
-	ticket *admission.Ticket
+	call     *call
+	instance *instance
+	zone     string
+	policy   Policy
+	ticket   *admission.Ticket
 }
 
 // place asks the first instance of the region for the place of an object. The
@@ -81,7 +82,7 @@
 // attempt makes the next attempt that the policy asks for.
 func (w *world) attempt(x *exchange) {
 	t := x.ticket
-	choice, reason := x.policy.Next(t, w.clock())
+	choice, reason := x.policy.Next(t, x.instance.estate, w.clock())
 	if reason != "" {
 		w.turnAway(x.call, x.policy.RetryAfter(t, w.clock()))
 		return
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -15,7 +15,7 @@
 // Policy decides on the requests of one instance; admission.Machine is one.
 type Policy interface {
 	Begin(e *admission.Estate, r admission.Request, now time.Time) *admission.Ticket
-	Next(t *admission.Ticket, now time.Time) (affinity.Choice, admission.Reason)
+	Next(t *admission.Ticket, e *admission.Estate, now time.Time) (affinity.Choice, admission.Reason)
 	Ended(t *admission.Ticket, c affinity.Choice, r affinity.Result, ran bool, now time.Time)
 	Again(t *admission.Ticket, ran, reached bool, now time.Time) admission.Reason
 	RetryAfter(t *admission.Ticket, now time.Time) time.Duration
@@ -77,7 +77,7 @@
 }
 
 // Next implements Policy.
-func (b *baseline) Next(t *admission.Ticket, now time.Time) (affinity.Choice, admission.Reason) {
+func (b *baseline) Next(t *admission.Ticket, _ *admission.Estate, now time.Time) (affinity.Choice, admission.Reason) {
 	var best *traffic.Backend
 	highest := 0.0
 	for _, x := range t.Estate.Backends[t.ServiceName] {
@@ -124,7 +124,7 @@
 }
 
 // Next implements Policy.
-func (a *allKnowing) Next(t *admission.Ticket, now time.Time) (affinity.Choice, admission.Reason) {
+func (a *allKnowing) Next(t *admission.Ticket, _ *admission.Estate, now time.Time) (affinity.Choice, admission.Reason) {
 	w := a.world
 	var best *traffic.Backend
 	least := math.Inf(1)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -58,7 +58,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ids++
-	return fmt.Sprintf("soak-%d", c.ids)
+	return fmt.Sprintf("soak-%s-%d", c.estate.run, c.ids)
 }
 
 func (c *crowd) note(r record) {
--- a/internal/soak/estate.go
+++ b/internal/soak/estate.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -49,8 +50,10 @@
 // estate is the system under test with what is outside of it.
 type estate struct {
 	work, program string
-	store         *store.Store
-	instances     []*instance
+	// run tells the names of this run from those of others on the machine.
+	run       string
+	store     *store.Store
+	instances []*instance
 
 	mu       sync.Mutex
 	backends []*node
@@ -92,8 +95,10 @@
 var estates atomic.Uint32
 
 func newEstate(work, program string) (*estate, error) {
-	e := &estate{work: work, program: program, store: store.New(), routes: map[string]time.Time{}}
 	number := estates.Add(1)
+	e := &estate{
+		work: work, program: program, run: fmt.Sprintf("%d-%d", os.Getpid(), number), store: store.New(), routes: map[string]time.Time{},
+	}
 	for n, zone := range zones {
 		p, err := faultproxy.New(e.store.Address())
 		if err != nil {
@@ -130,7 +135,7 @@
 	defer e.mu.Unlock()
 	e.names++
 	b := registered.StartBackend(e.store, registered.Start{
-		Name: fmt.Sprintf("i-%d", e.names), Zone: zone, Service: "shop", Address: address, Advertise: p.Address(), Work: 10 * time.Millisecond,
+		Name: fmt.Sprintf("i-%s-%d", e.run, e.names), Zone: zone, Service: "shop", Address: address, Advertise: p.Address(), Work: 10 * time.Millisecond,
 	})
 	e.backends = append(e.backends, &node{Backend: b, proxy: p})
 	return nil
@@ -165,22 +170,31 @@
 }
 
 // drain lets a backend server report that it leaves, and leave a while later; a
-// new one takes its place.
+// new one takes its place. It does nothing for one that has left.
 func (e *estate) drain(n *node) error {
-	e.mu.Lock()
-	n.drained = time.Now()
-	for i, x := range e.backends {
-		if x == n {
-			e.backends = append(e.backends[:i:i], e.backends[i+1:]...)
-		}
+	if !e.retire(n) {
+		return nil
 	}
-	e.former = append(e.former, n)
-	e.mu.Unlock()
 	n.Report("draining", 0)
 	time.AfterFunc(drainTime+time.Second, n.Leave)
 	return e.addBackend(n.Zone)
 }
 
+// retire moves a backend server to the former ones and reports whether it was not
+// there yet.
+func (e *estate) retire(n *node) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := slices.Index(e.backends, n)
+	if i < 0 {
+		return false
+	}
+	n.drained = time.Now()
+	e.backends = slices.Delete(e.backends, i, i+1)
+	e.former = append(e.former, n)
+	return true
+}
+
 // settingsText is the settings file of an instance.
 func (e *estate) settingsText(i *instance) string {
 	var b bytes.Buffer
