--- a/internal/edge/feeds/switch.go
+++ b/internal/edge/feeds/switch.go
@@ -68,12 +68,8 @@
 func (s *Switch) Members(members []traffic.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := make([]string, 0, len(members))
-	clear(s.addresses)
-	for _, m := range members {
-		names = append(names, m.Name)
-		s.addresses[m.Name] = m.Peer
-	}
+	var names []string
+	names, s.addresses = traffic.PeerAddresses(members)
 	s.selector.Members(s.region, names)
 }
 
--- a/internal/edge/places/places.go
+++ b/internal/edge/places/places.go
@@ -95,12 +95,8 @@
 func (p *Places) Members(members []traffic.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	names := make([]string, 0, len(members))
-	clear(p.addresses)
-	for _, m := range members {
-		names = append(names, m.Name)
-		p.addresses[m.Name] = m.Peer
-	}
+	var names []string
+	names, p.addresses = traffic.PeerAddresses(members)
 	p.selector.Members(p.region, names)
 }
 
--- a/internal/edge/traffic/traffic.go
+++ b/internal/edge/traffic/traffic.go
@@ -173,3 +173,13 @@
 	// RowVersion is the version of the member's row in the store.
 	RowVersion uint64 `json:"-"`
 }
+
+// PeerAddresses returns the names of instances and their peer addresses by name.
+func PeerAddresses(members []Member) (names []string, addresses map[string]string) {
+	addresses = make(map[string]string, len(members))
+	for _, m := range members {
+		names = append(names, m.Name)
+		addresses[m.Name] = m.Peer
+	}
+	return names, addresses
+}
