--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -38,6 +38,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after the other"},
 			&cli.IntFlag{Name: "jobs", Value: 1, Usage: "runs at once"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "length of a run"},
+			&cli.BoolFlag{Name: "regressions", Usage: "run the seeds that once failed, too"},
 			&cli.BoolFlag{Name: "steps", Usage: "print what happens"},
 		},
 		Action: run,
@@ -59,26 +60,45 @@
 	if c.Bool("steps") {
 		steps = os.Stdout
 	}
+	return play(ctx, runs(c, soak.Options{Program: program, Work: work, Progress: steps}), c.Int("jobs"))
+}
+
+// runs returns what to run, of which all but seed and length is the same.
+func runs(c *cli.Command, common soak.Options) []soak.Options {
+	var list []soak.Options
+	if c.Bool("regressions") {
+		for _, r := range soak.Regressions {
+			common.Seed, common.Length = r.Seed, r.Length
+			list = append(list, common)
+		}
+	}
+	for n := range c.Int("seeds") {
+		common.Seed, common.Length = c.Uint64("seed")+uint64(n), c.Duration("length")
+		list = append(list, common)
+	}
+	return list
+}
+
+// play makes the runs, some at once.
+func play(ctx context.Context, list []soak.Options, jobs int) error {
 	var (
 		all     sync.WaitGroup
 		mu      sync.Mutex
 		failed  int
-		places  = make(chan struct{}, max(1, c.Int("jobs")))
 		problem error
+		places  = make(chan struct{}, max(1, jobs))
 	)
-	for n := range c.Int("seeds") {
+	for _, opts := range list {
 		places <- struct{}{}
 		all.Go(func() {
 			defer func() { <-places }()
-			opts := soak.Options{Program: program, Work: work, Seed: c.Uint64("seed") + uint64(n), Length: c.Duration("length"), Progress: steps}
 			report, err := soak.Run(ctx, opts)
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil {
+			switch {
+			case err != nil:
 				problem = errors.Annotatef(err, "seed %d", opts.Seed)
-				return
-			}
-			if print(report, work) {
+			case print(report):
 				failed++
 			}
 		})
@@ -88,7 +108,7 @@
 		return problem
 	}
 	if failed > 0 {
-		return errors.Errorf("%d of %d seeds broke a promise; the logs are in %s", failed, c.Int("seeds"), work)
+		return errors.Errorf("%d of %d runs broke a promise; the logs are in %s", failed, len(list), list[0].Work)
 	}
 	return nil
 }
@@ -98,7 +118,7 @@
 
 // print shows a report and reports whether a promise was broken. Logs of runs
 // that broke none are removed.
-func print(r *soak.Report, work string) bool {
+func print(r *soak.Report) bool {
 	fmt.Printf("seed %d: %d requests, %d served, %d promises broken\n", r.Seed, r.Requests, r.Served, len(r.Broken))
 	for n, text := range r.Broken {
 		if n == maxListed {
@@ -109,7 +129,7 @@
 	}
 	if len(r.Broken) == 0 {
 		// What is left over in a temporary directory harms nothing.
-		_ = os.RemoveAll(filepath.Join(work, fmt.Sprint("seed-", r.Seed)))
+		_ = os.RemoveAll(r.Work)
 	}
 	return len(r.Broken) > 0
 }
--- a/internal/soak/estate.go
+++ b/internal/soak/estate.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -121,13 +120,7 @@
 }
 
 func (e *estate) addBackend(zone string) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return errors.Annotate(err, "find a port for a backend server")
-	}
-	address := l.Addr().String()
-	_ = l.Close()
-	p, err := faultproxy.New(address)
+	p, err := faultproxy.New("")
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -135,8 +128,9 @@
 	defer e.mu.Unlock()
 	e.names++
 	b := registered.StartBackend(e.store, registered.Start{
-		Name: fmt.Sprintf("i-%s-%d", e.run, e.names), Zone: zone, Service: "shop", Address: address, Advertise: p.Address(), Work: 10 * time.Millisecond,
+		Name: fmt.Sprintf("i-%s-%d", e.run, e.names), Zone: zone, Service: "shop", Advertise: p.Address(), Work: 10 * time.Millisecond,
 	})
+	p.SetTarget(b.Address())
 	e.backends = append(e.backends, &node{Backend: b, proxy: p})
 	return nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,7 +45,9 @@
 
 // Report is what came of a run.
 type Report struct {
-	Seed     uint64
+	Seed uint64
+	// Work holds the settings and logs.
+	Work     string
 	Requests int
 	// Served counts the requests that were answered with success.
 	Served int
@@ -66,7 +68,7 @@
 
 // Run makes one run. The error tells that it could not be carried out.
 func Run(ctx context.Context, opts Options) (*Report, error) {
-	work := filepath.Join(opts.Work, fmt.Sprint("seed-", opts.Seed))
+	work := filepath.Join(opts.Work, fmt.Sprintf("seed-%d-%s", opts.Seed, opts.Length))
 	if err := os.MkdirAll(work, 0o700); err != nil {
 		return nil, errors.Annotate(err, "make a directory for logs")
 	}
@@ -108,7 +110,7 @@
 	cancel()
 	<-done
 	broken := append(r.broken, check(r.estate, c.records, calm, end)...)
-	report := &Report{Seed: r.opts.Seed, Requests: len(c.records), Broken: broken}
+	report := &Report{Seed: r.opts.Seed, Work: r.estate.work, Requests: len(c.records), Broken: broken}
 	for _, x := range c.records {
 		if x.err == nil && x.status == 200 {
 			report.Served++
--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -39,12 +39,12 @@
 // Proxy relays the connections to its address to a target. It is safe for
 // concurrent use.
 type Proxy struct {
-	target   string
 	listener net.Listener
 
-	mu   sync.Mutex
-	harm Harm
-	open map[*link]struct{}
+	mu     sync.Mutex
+	target string
+	harm   Harm
+	open   map[*link]struct{}
 }
 
 // link is a connection and its continuation to the target.
@@ -54,7 +54,8 @@
 	silent    bool
 }
 
-// New opens a proxy on loopback.
+// New opens a proxy on loopback. An empty target is set later; connections are
+// reset until then.
 func New(target string) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -68,6 +69,13 @@
 // Address returns host:port.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
+// SetTarget sets where new connections go.
+func (p *Proxy) SetTarget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = address
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -100,6 +108,12 @@
 	return p.harm
 }
 
+func (p *Proxy) destination() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 func (p *Proxy) accept() {
 	for {
 		near, err := p.listener.Accept()
@@ -115,7 +129,7 @@
 		(&link{near: near}).reset()
 		return
 	}
-	far, err := net.DialTimeout("tcp", p.target, dialTimeout)
+	far, err := net.DialTimeout("tcp", p.destination(), dialTimeout)
 	if err != nil {
 		(&link{near: near}).reset()
 		return
