logs: the request limit that a backend server states in a response

A limit is read once, in platform/, under either spelling, and validated; an attempt's line has limit, limit_header and limit_invalid; counters answers_with_limit and answers_with_invalid_limit. No decision uses it yet.

TestInvalidRequestLimitIsIgnored: values that are no single decimal number lose nothing else of the response.

--- a/internal/edge/filter/accesslog/accesslog.go
+++ b/internal/edge/filter/accesslog/accesslog.go
@@ -64,6 +64,20 @@
 		route = ex.Route.Name
 	}
 	f.metrics.RecordRequest(route, ex.Outcome.Service, ex.Outcome.Zone(), ex.Outcome.Reason, resp.Status, took)
+	f.countLimits(ex.Outcome.Attempts)
+}
+
+// countLimits counts the attempts whose responses state a request limit, and those with
+// an invalid one.
+func (f *Filter) countLimits(attempts []gateway.Attempt) {
+	for _, a := range attempts {
+		switch {
+		case a.Limit.Named():
+			f.metrics.Add("answers_with_limit", 1)
+		case a.Limit.Invalid:
+			f.metrics.Add("answers_with_invalid_limit", 1)
+		}
+	}
 }
 
 // takeLine reports whether a request may be logged and deducts it from the
@@ -112,6 +126,9 @@
 	if a.Detail != "" {
 		e.Str("detail", a.Detail)
 	}
+	if a.Limit.Header != "" {
+		e.Float64("limit", a.Limit.PerSecond).Str("limit_header", a.Limit.Header).Bool("limit_invalid", a.Limit.Invalid)
+	}
 	e.Msg("")
 }
 
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -141,6 +141,9 @@
 	reason string
 	// err is the cause of an attempt without a response.
 	err error
+	// limit is what the response states about the rate of requests that the backend
+	// server takes.
+	limit platform.RequestLimit
 }
 
 // send makes one attempt and records its end.
@@ -154,7 +157,7 @@
 	f.decider.recordEnd(state, choice, result, end.mayHaveRun)
 	a := gateway.Attempt{Choice: choice, Sent: started, Took: result.Took, Reason: end.reason, MayHaveRun: end.mayHaveRun}
 	if resp != nil {
-		a.Status = resp.Status
+		a.Status, a.Limit = resp.Status, end.limit
 	}
 	if err != nil {
 		a.Detail = err.Error()
@@ -202,25 +205,26 @@
 	if v.HasLoad {
 		result.Load = &affinity.Load{Running: v.Running, Waiting: v.Waiting, Slots: v.Slots}
 	}
+	end, outcome := classifyResponse(resp, v)
+	end.limit, result.Outcome = v.Limit, outcome
+	return end, result
+}
+
+// classifyResponse is classify for a complete response.
+func classifyResponse(resp *egress.BackendResponse, v platform.ResponseInfo) (attemptEnd, affinity.Outcome) {
 	switch {
 	case v.Misdirected:
-		result.Outcome = affinity.Unreachable
-		return attemptEnd{reason: "misdirected"}, result
+		return attemptEnd{reason: "misdirected"}, affinity.Unreachable
 	case v.NotRun:
-		result.Outcome = affinity.Shed
-		return attemptEnd{reason: "shed"}, result
+		return attemptEnd{reason: "shed"}, affinity.Shed
 	case resp.Status < http.StatusInternalServerError && v.Stamped:
-		result.Outcome = affinity.Answered
-		return attemptEnd{mayHaveRun: true, response: callerResponse(resp), reason: "answered"}, result
+		return attemptEnd{mayHaveRun: true, response: callerResponse(resp), reason: "answered"}, affinity.Answered
 	case resp.Status >= http.StatusMultipleChoices && resp.Status < http.StatusInternalServerError:
-		result.Outcome = affinity.Answered
-		return attemptEnd{mayHaveRun: true, response: callerResponse(resp), reason: "answered"}, result
+		return attemptEnd{mayHaveRun: true, response: callerResponse(resp), reason: "answered"}, affinity.Answered
 	case resp.Status >= http.StatusInternalServerError:
-		result.Outcome = affinity.Failed
-		return attemptEnd{mayHaveRun: true, response: callerResponse(resp), retryable: true, reason: "server_error"}, result
+		return attemptEnd{mayHaveRun: true, response: callerResponse(resp), retryable: true, reason: "server_error"}, affinity.Failed
 	}
-	result.Outcome = affinity.Failed
-	return attemptEnd{mayHaveRun: true, reason: "spoilt_answer"}, result
+	return attemptEnd{mayHaveRun: true, reason: "spoilt_answer"}, affinity.Failed
 }
 
 // classifyError is classify for an attempt without a complete response. An error
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/control"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+	"github.com/banyandeal/banyandeal/platform"
 )
 
 // Exchange is the state of a request while it passes through the filters.
@@ -74,6 +75,9 @@
 	Detail string
 	// MayHaveRun is set when the backend server may have run the request.
 	MayHaveRun bool
+	// Limit is what the response states about the rate of requests that the backend
+	// server takes.
+	Limit platform.RequestLimit
 }
 
 // Rejection explains why a request was sent to no further backend server.
