--- /dev/null
+++ b/internal/edge/edgetest/limit_test.go
@@ -0,0 +1,204 @@
+package edgetest
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// What the users' rules allow a backend server that names a limit: in each limitWindow
+// that begins limitContact or more after the first naming, limitFactor times what the
+// limit allows and limitSlack requests.
+const (
+	limitWindow  = 4 * time.Second
+	limitContact = 4 * time.Second
+	limitFactor  = 1.5
+	limitSlack   = 5
+)
+
+// limitedUse is the least share of the named limits that callers use while they send more,
+// and servedBeside the least share of all requests that is served while other backend
+// servers have room.
+const (
+	limitedUse   = 0.6
+	servedBeside = 0.95
+)
+
+// sentRequest is a request of a load and its response.
+type sentRequest struct {
+	CallerResponse
+	at time.Time
+}
+
+// load sends requests with objects 0 to objects-1 at the instances in turn until stop is
+// closed, perSecond of them a second, and returns them with their responses. It does not
+// wait for a response before it sends the next request.
+func (f *fleet) load(c CallerRequest, objects, perSecond int, stop <-chan struct{}) []sentRequest {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var sent []sentRequest
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			all.Wait()
+			return sent
+		case <-ticker.C:
+		}
+		all.Go(func() {
+			request := c
+			request.Object = fmt.Sprint("object-", n*7919%objects)
+			at := time.Now()
+			r := f.Do(f.instance(n), request)
+			mu.Lock()
+			defer mu.Unlock()
+			sent = append(sent, sentRequest{CallerResponse: r, at: at})
+		})
+	}
+}
+
+// servedShare returns the share of the requests sent from a time on, and before another,
+// that were served.
+func servedShare(sent []sentRequest, from, to time.Time) float64 {
+	all, served := 0, 0
+	for _, r := range sent {
+		if r.at.Before(from) || !r.at.Before(to) {
+			continue
+		}
+		all++
+		if r.Status == http.StatusOK {
+			served++
+		}
+	}
+	return float64(served) / float64(max(1, all))
+}
+
+// arrivalTimes returns when requests reached a backend server, in order.
+func arrivalTimes(b *Backend, from, to time.Time) []time.Time {
+	var times []time.Time
+	for _, a := range b.Arrivals() {
+		if !a.At.Before(from) && a.At.Before(to) {
+			times = append(times, a.At)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// worstWindow returns the largest number of the times within a limitWindow.
+func worstWindow(times []time.Time) int {
+	most, first := 0, 0
+	for n, at := range times {
+		for at.Sub(times[first]) > limitWindow {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+// allowed returns the largest number of requests in a limitWindow that a limit allows.
+func allowed(limit float64) int { return int(limitFactor*limit*limitWindow.Seconds()) + limitSlack }
+
+// setLimits makes the backend servers name a limit.
+func setLimits(backends []*Backend, limit float64) {
+	for _, b := range backends {
+		b.SetLimits(strconv.FormatFloat(limit, 'f', -1, 64))
+	}
+}
+
+// worstOf returns the worst window of several backend servers from a time on.
+func worstOf(backends []*Backend, from, to time.Time) int {
+	worst := 0
+	for _, b := range backends {
+		worst = max(worst, worstWindow(arrivalTimes(b, from, to)))
+	}
+	return worst
+}
+
+// zonesOf returns n zones of instances, spread over the regions.
+func zonesOf(n int) []string {
+	var zones []string
+	for k := range n {
+		zones = append(zones, []string{"a1", "b1", "a2"}[k%3])
+	}
+	return zones
+}
+
+// TestNamedLimitHoldsOverAllInstances guards against a backend server that names a limit
+// and still gets its full share, or that share from each instance (rule LIMIT); and against
+// a limit that is kept by refusing callers whom others have room for.
+func TestNamedLimitHoldsOverAllInstances(t *testing.T) {
+	for name, c := range map[string]struct {
+		backends, limited, instances, objects, perSecond int
+		limit                                            float64
+		path                                             string
+	}{
+		"third of the backend servers":    {backends: 9, limited: 3, instances: 6, objects: 200, perSecond: 90, limit: 2, path: "/read/x"},
+		"not idempotent":                  {backends: 9, limited: 3, instances: 6, objects: 200, perSecond: 90, limit: 3.5, path: "/write/x"},
+		"few objects":                     {backends: 9, limited: 3, instances: 6, objects: 40, perSecond: 90, limit: 1, path: "/read/x"},
+		"more instances than the limit":   {backends: 6, limited: 2, instances: 12, objects: 200, perSecond: 90, limit: 0.5, path: "/read/x"},
+		"all backend servers of the shop": {backends: 6, limited: 6, instances: 4, objects: 200, perSecond: 120, limit: 10, path: "/read/x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, c.backends, Start{Work: 20 * time.Millisecond}, zonesOf(c.instances)...)
+			limited := f.backends[:c.limited]
+			stop := make(chan struct{})
+			var sent []sentRequest
+			var all sync.WaitGroup
+			all.Go(func() { sent = f.load(CallerRequest{Path: c.path}, c.objects, c.perSecond, stop) })
+			time.Sleep(time.Second)
+			setLimits(limited, c.limit)
+			named := time.Now()
+			from, to := named.Add(limitContact), named.Add(limitContact+8*time.Second)
+			time.Sleep(time.Until(to))
+			close(stop)
+			all.Wait()
+			worst, arrived := worstOf(limited, from, to), 0
+			for _, b := range limited {
+				arrived += len(arrivalTimes(b, from, to))
+			}
+			use := float64(arrived) / (c.limit * to.Sub(from).Seconds() * float64(c.limited))
+			share := servedShare(sent, from, to)
+			t.Logf("worst 4 s: %d of %d allowed; %.2f of the limits used; %.3f served", worst, allowed(c.limit), use, share)
+			require.LessOrEqual(t, worst, allowed(c.limit))
+			require.GreaterOrEqual(t, use, limitedUse)
+			if c.limited < c.backends {
+				require.GreaterOrEqual(t, share, servedBeside)
+			}
+		})
+	}
+}
+
+// TestNamedLimitHoldsThroughRestarts guards against new instances that begin with their
+// full share at a backend server that has named a limit.
+func TestNamedLimitHoldsThroughRestarts(t *testing.T) {
+	t.Parallel()
+	const limit = 2
+	f := startFleet(t, 9, Start{Work: 20 * time.Millisecond}, zonesOf(6)...)
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	all.Go(func() { f.load(CallerRequest{Path: "/read/x"}, 200, 90, stop) })
+	time.Sleep(time.Second)
+	setLimits(f.backends[:3], limit)
+	named := time.Now()
+	time.Sleep(2 * time.Second)
+	for n := range f.instances {
+		f.replaceInstance(n)
+	}
+	time.Sleep(limitWindow)
+	end := time.Now()
+	close(stop)
+	all.Wait()
+	worst := worstOf(f.backends[:3], named.Add(limitContact), end)
+	t.Logf("worst 4 s: %d of %d allowed", worst, allowed(limit))
+	require.LessOrEqual(t, worst, allowed(limit))
+}
--- a/internal/edge/edgetest/quarantine_test.go
+++ b/internal/edge/edgetest/quarantine_test.go
@@ -26,38 +26,19 @@
 
 // crashEnvironment has instances and backend servers that a request whose body begins
 // with crashBody crashes.
-type crashEnvironment struct {
-	*Environment
-	backends []*Backend
-
-	mu        sync.Mutex
-	instances []*Instance
-}
+type crashEnvironment struct{ *fleet }
 
 func startCrashEnvironment(t *testing.T, instanceZones ...string) *crashEnvironment {
-	e := &crashEnvironment{Environment: New(t)}
-	e.Configure(Route{Prefix: "/read/", Kind: "safe", Service: "shop"}, Route{Prefix: "/write/", Kind: "unsafe", Service: "shop"})
-	for n := range 12 {
-		b := e.Backend(Start{
-			Name: fmt.Sprint("i-", n), Zone: []string{"a1", "a2", "b1"}[n%3], Service: "shop", Work: 30 * time.Millisecond, Down: backendDown,
-		})
+	f := startFleet(t, 12, Start{Work: 30 * time.Millisecond, Down: backendDown}, instanceZones...)
+	for _, b := range f.backends {
 		b.SetAct(func(a *Arrival) Act {
 			if strings.HasPrefix(a.Body, crashBody) {
 				return Crash
 			}
 			return Run
 		})
-		e.backends = append(e.backends, b)
 	}
-	for n, zone := range instanceZones {
-		e.instances = append(e.instances, e.Instance(fmt.Sprint("instance-", n), zone))
-	}
-	t.Cleanup(func() {
-		for _, i := range e.instances {
-			i.Stop()
-		}
-	})
-	return e
+	return &crashEnvironment{f}
 }
 
 // repeat sends a request again and again, at the instances in turn, for a while. It
@@ -74,24 +55,6 @@
 	return responses
 }
 
-// instance returns the n-th instance, counted round and round.
-func (e *crashEnvironment) instance(n int) *Instance {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.instances[n%len(e.instances)]
-}
-
-// replaceInstance stops the n-th instance and starts another one in its zone.
-func (e *crashEnvironment) replaceInstance(n int) {
-	old := e.instance(n)
-	started := e.Instance(old.Settings.Instance+"-new", old.Settings.Zone)
-	e.mu.Lock()
-	e.instances[n] = started
-	e.mu.Unlock()
-	old.Stop()
-	<-old.Done
-}
-
 // sends returns the times at which requests with the body reached backend servers, in
 // order.
 func (e *crashEnvironment) sends(body string) []time.Time {
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -76,6 +76,8 @@
 	work     time.Duration
 	running  int
 	conns    int
+	// limits holds the request limits that its responses state, normally at most one.
+	limits []string
 }
 
 // Start is how a backend server begins.
@@ -214,6 +216,25 @@
 	b.act = f
 }
 
+// SetLimits sets the request limits that responses state from now on, normally one number.
+// Without limits, responses state none.
+func (b *Backend) SetLimits(limits ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = limits
+}
+
+// limitHeaders returns the header lines that state the request limits.
+func (b *Backend) limitHeaders() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lines := ""
+	for _, limit := range b.limits {
+		lines += "Server-Limit: " + limit + "\r\n"
+	}
+	return lines
+}
+
 // SetWork sets how long a run takes.
 func (b *Backend) SetWork(d time.Duration) {
 	b.mu.Lock()
@@ -306,7 +327,7 @@
 		b.mu.Unlock()
 	}()
 	if act == Shed {
-		fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", a.ID)
+		fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Not-Run: 1\r\n%sContent-Length: 0\r\n\r\n", a.ID, b.limitHeaders())
 		return true
 	}
 	if act == Crash {
@@ -339,8 +360,9 @@
 
 func (b *Backend) reply(nc net.Conn, a *Arrival, act Act, running int) bool {
 	text := "answer to " + a.ID
+	limits := b.limitHeaders()
 	head := func(status int, id string) string {
-		return fmt.Sprintf("HTTP/1.1 %d OK\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Server-Load: %d,0,3\r\n", status, id, running)
+		return fmt.Sprintf("HTTP/1.1 %d OK\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Server-Load: %d,0,3\r\n%s", status, id, running, limits)
 	}
 	stamp := "X-Banyandeal-Server-Stamp: " + b.Name + "." + a.ID + "\r\n"
 	whole := func(status int, id, stamp, text string) {
