limits: a backend server's named limit is kept by all instances together

What callers saw: little; the backend server that had named a limit of 1 a second got 31 to 33 requests in 4 s (allowed 11), one of 3 or 3.5 a second 33 and 34 (allowed 23, 26).

Cause: nothing on the platform's path read Server-Limit, so that a backend server in need kept its full share. Class: a rate of all instances together for which each instance has no part of its own.

Why it works: a rate is issued as grants on a clock that all instances share (the store's steady clock). Each grant has one owner, found by weighted rendezvous hashing over the members, and lapses after 4 s; so the sum over all instances does not depend on their number and needs no message, nothing piles up, and members that come and go change the owner of their grants only (internal/decide/pace). What is known of limits (internal/decide/limit) comes from responses, in the order of sending, and from a row in the store for those who hear nothing; every instance gets grants in its turn and so hears of the end also while the store is away. What does not fit goes to the next backend server of the object's order, the same at all instances; if none has room the request is refused at once with the time of the next grant. After the end objects return over 3 s.

Weighed: an equal share each (at 77 instances and 1 a second one request each is seven times too much), few fixed holders (new ones start with nothing, the others never hear of the end and their callers are never served where all are limited).

Lines about verdicts and limits that are cut at 20 a second are counted in log_dropped.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -11,10 +11,13 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/decide/assign"
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
+	"github.com/banyandeal/banyandeal/internal/decide/pace"
 	"github.com/banyandeal/banyandeal/internal/decide/retry"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
@@ -58,6 +61,8 @@
 	// after refused connections, or may get no further request during its cold
 	// start.
 	NoneUsable Reason = "none_usable"
+	// Limited is like NoneUsable, where request limits of backend servers are a cause.
+	Limited Reason = "limited"
 	// NoTime means that the request is not expected to finish before its
 	// deadline.
 	NoTime Reason = "no_time"
@@ -103,6 +108,12 @@
 	// number in all regions. Both include this instance. Instances is 0 until it
 	// is known.
 	RegionInstances, Instances int
+	// Members holds the instances in all regions, the same in the same order at all
+	// instances that know the same ones.
+	Members []traffic.Member
+	// ClockZero is the time at which the clock was zero that all instances share. If it
+	// is not known, the time of day serves instead.
+	ClockZero time.Time
 }
 
 // Request is a caller's request.
@@ -139,6 +150,8 @@
 	// Patience is the maximum wait for a slot that the last call of Next
 	// allowed.
 	Patience time.Duration
+	// Limitation is set when the last call of Next returned Limited.
+	Limitation *Limitation
 
 	route *routeState
 	query affinity.Query
@@ -148,7 +161,7 @@
 	// runs is the number of backend servers that may have run the request.
 	runs int
 	// slotFreeIn is the expected time until a slot is free for the request. It
-	// is 0 until a call of Next returns QueueFull.
+	// is 0 until a call of Next returns QueueFull or Limited.
 	slotFreeIn time.Duration
 }
 
@@ -189,6 +202,13 @@
 	// weights holds the shares of objects by service name and backend server
 	// ID. It is computed from snapshot and changes only with it.
 	weights map[string]map[string]float64
+	// limits holds the request limits of backend servers.
+	limits *limit.Table
+	// pacer holds the grants of this instance for backend servers with a request
+	// limit.
+	pacer *pace.Pacer
+	// owners caches the owners of grants. It changes with snapshot.
+	owners map[ownersKey][]pace.Member
 }
 
 // New returns a Machine without any recorded state.
@@ -197,13 +217,14 @@
 	return &Machine{
 		cfg: cfg, balancer: balancer, placements: assign.New(), lastPlacementRequest: map[assign.Key]time.Time{},
 		budgets: map[string]*retry.Budget{}, routes: map[routeKey]*routeState{}, shortestRun: map[string]shortestRun{},
+		limits: limit.New(cfg.Instance), pacer: pace.New(cfg.Instance),
 	}
 }
 
 // Begin returns the state of a new request, with which its attempts are made.
 // It counts the request in the retry budget of its service.
 func (m *Machine) Begin(snapshot *Snapshot, r Request, now time.Time) *RequestState {
-	m.useSnapshot(snapshot)
+	m.useSnapshot(snapshot, now)
 	state := m.route(r.Route, now)
 	req := &RequestState{Request: r, Snapshot: snapshot, ServiceName: state.pickService(r.Route), route: state}
 	req.Service = snapshot.Services[req.ServiceName]
@@ -227,7 +248,7 @@
 
 // useSnapshot replaces the current snapshot and what was computed from it. It
 // does nothing if the snapshot is the current one.
-func (m *Machine) useSnapshot(latest *Snapshot) {
+func (m *Machine) useSnapshot(latest *Snapshot, now time.Time) {
 	if m.snapshot == latest {
 		return
 	}
@@ -247,7 +268,14 @@
 			known[b.ID] = true
 		}
 	}
-	m.balancer.Retain(func(id string) bool { return known[id] })
+	exists := func(id string) bool { return known[id] }
+	m.balancer.Retain(exists)
+	m.limits.Retain(exists, now)
+	m.pacer.Retain(func(key string) bool {
+		_, id, _ := strings.Cut(key, " ")
+		return exists(id)
+	})
+	m.owners = map[ownersKey][]pace.Member{}
 }
 
 // candidates returns the backend servers of a service that are in the home
@@ -277,7 +305,7 @@
 		return affinity.Choice{}, NoService
 	}
 	if snapshot != req.Snapshot {
-		m.useSnapshot(snapshot)
+		m.useSnapshot(snapshot, now)
 		req.Snapshot = snapshot
 		req.query.Backends, req.query.Weights = m.candidates(req.ServiceName, req.Route.HomeRegions), m.weights[req.ServiceName]
 	}
@@ -285,9 +313,10 @@
 		return affinity.Choice{}, NoBackends
 	}
 	query := req.attemptQuery()
+	query.Allows = func(b *traffic.Backend) bool { return m.allows(req, b, now) }
 	choice, ok := m.balancer.Choose(query, now)
 	if !ok {
-		return choice, NoneUsable
+		return choice, m.noneUsable(req, now)
 	}
 	if choice.Expected > req.Deadline.Sub(now) && !req.mayProbe(now) {
 		return choice, NoTime
@@ -297,12 +326,23 @@
 		req.slotFreeIn = choice.Wait - req.Patience
 		return choice, QueueFull
 	}
+	m.takeGrants(choice.Backend, now)
 	m.balancer.RecordSent(choice, query, now)
 	req.Sends++
 	req.query.Tried[choice.Backend.ID] = true
 	return choice, ""
 }
 
+// noneUsable returns why no backend server can get the request.
+func (m *Machine) noneUsable(req *RequestState, now time.Time) Reason {
+	req.Limitation = m.limitation(req, now)
+	if req.Limitation == nil {
+		return NoneUsable
+	}
+	req.slotFreeIn = req.Limitation.FreeIn
+	return Limited
+}
+
 // attemptQuery returns the query for the next attempt.
 func (r *RequestState) attemptQuery() affinity.Query {
 	q := r.query
--- /dev/null
+++ b/internal/decide/admission/pacing.go
@@ -0,0 +1,166 @@
+package admission
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/decide/hrw"
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
+	"github.com/banyandeal/banyandeal/internal/decide/pace"
+	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+)
+
+const (
+	// In each span of limitWindow a backend server with a request limit takes at most
+	// limitFactor times what the limit allows and limitSlack requests. The users' rules say
+	// so. limitGrantLifetime is the lifetime of the grants for them.
+	limitWindow        = 4 * time.Second
+	limitFactor        = 1.5
+	limitSlack         = 5
+	limitGrantLifetime = 4 * time.Second
+	// minLimit is the rate per second at which requests are sent to a backend server with a
+	// lower limit, so that the end of the limit is noticed.
+	minLimit = 0.25
+	// otherRegionsShare is the share of the grants for a backend server that go to
+	// instances whose callers do not use its region normally.
+	otherRegionsShare = 0.02
+)
+
+func limitKey(b *traffic.Backend) string { return "limit " + b.ID }
+
+// identityOf returns the incarnation of a backend server.
+func identityOf(b *traffic.Backend) limit.Backend { return limit.Backend{ID: b.ID, Born: b.Born} }
+
+// limitRate returns the rate of requests to a backend server with a request limit.
+func limitRate(perSecond float64) pace.Rate {
+	return pace.Rate{
+		PerSecond: max(minLimit, perSecond), Factor: limitFactor, Slack: limitSlack,
+		Window: limitWindow, Lifetime: limitGrantLifetime,
+	}
+}
+
+// sharedTime returns the time on the clock that all instances share.
+func (s *Snapshot) sharedTime(now time.Time) time.Duration {
+	if s.ClockZero.IsZero() {
+		return now.Sub(time.Unix(0, 0))
+	}
+	return now.Sub(s.ClockZero)
+}
+
+// allows reports whether this instance may send a request to a backend server now, as far
+// as the rates of all instances together are concerned. The requests of some objects return
+// first after the end of a limit, those of others later.
+func (m *Machine) allows(req *RequestState, b *traffic.Backend, now time.Time) bool {
+	if m.limits.Empty() {
+		return true
+	}
+	state := m.limits.State(identityOf(b), now)
+	if state.Limited {
+		return m.hasGrant(limitKey(b), limitRate(state.PerSecond), b, now)
+	}
+	m.pacer.Forget(limitKey(b))
+	return state.Returned == 1 || hrw.Fraction(cmp.Or(req.query.Object, req.query.SpreadKey), b.ID) < state.Returned
+}
+
+// hasGrant reports whether this instance has a grant for a request to a backend server.
+func (m *Machine) hasGrant(key string, r pace.Rate, b *traffic.Backend, now time.Time) bool {
+	return m.pacer.Available(key, r, m.grantOwners(b), m.snapshot.sharedTime(now))
+}
+
+// takeGrants uses the grants for a request that is sent to a backend server.
+func (m *Machine) takeGrants(b *traffic.Backend, now time.Time) {
+	if m.limits.State(identityOf(b), now).Limited {
+		m.pacer.Take(limitKey(b))
+	}
+}
+
+// ownersKey identifies the backend servers whose grants have the same owners.
+type ownersKey struct{ service, region string }
+
+// grantOwners returns the instances that own grants for a backend server, with a weight in
+// proportion to the requests that their callers normally send there. All instances with the
+// same snapshot return the same.
+func (m *Machine) grantOwners(b *traffic.Backend) []pace.Member {
+	key := ownersKey{b.Service, m.cfg.RegionOf[b.Zone]}
+	owners, ok := m.owners[key]
+	if !ok {
+		owners = m.newOwners(key)
+		m.owners[key] = owners
+	}
+	return owners
+}
+
+// newOwners computes what grantOwners returns.
+func (m *Machine) newOwners(key ownersKey) []pace.Member {
+	counts, zones := map[string]int{}, map[string]int{}
+	for _, member := range m.snapshot.Members {
+		counts[m.cfg.RegionOf[member.Zone]]++
+	}
+	for _, region := range m.cfg.RegionOf {
+		zones[region]++
+	}
+	demand, total := map[string]float64{}, 0.0
+	for region := range counts {
+		demand[region] = float64(zones[region]) * m.shareSentTo(key, region)
+		total += demand[region]
+	}
+	var owners []pace.Member
+	for _, member := range m.snapshot.Members {
+		region := m.cfg.RegionOf[member.Zone]
+		weight := max(demand[region], otherRegionsShare*total) / float64(counts[region])
+		owners = append(owners, pace.Member{Name: member.Name, Weight: weight})
+	}
+	return owners
+}
+
+// shareSentTo returns the share of the requests of a region's callers to a service that go
+// to its backend servers in key.region.
+func (m *Machine) shareSentTo(key ownersKey, callers string) float64 {
+	backends := m.snapshot.Backends[key.service]
+	shares, sum := affinity.Shares(callers, m.cfg.RegionOf, backends), 0.0
+	for _, b := range backends {
+		if m.cfg.RegionOf[b.Zone] == key.region {
+			sum += shares[b.ID]
+		}
+	}
+	return sum
+}
+
+// Limitation describes the request limit because of which a request is refused.
+type Limitation struct {
+	// Backend is the ID of the limited backend server that gets a request next.
+	Backend string
+	State   limit.State
+	// Issued is the number of requests per second that all instances together send there.
+	Issued float64
+	// Instances is the number of instances that share them.
+	Instances int
+	// FreeIn is the time until one of these instances may send a request.
+	FreeIn time.Duration
+}
+
+// limitation returns the limit that ends first for a request that no candidate may get, or
+// nil if none of the candidates has a limit.
+func (m *Machine) limitation(req *RequestState, now time.Time) *Limitation {
+	var first *Limitation
+	for _, b := range req.query.Backends {
+		state := m.limits.State(identityOf(b), now)
+		if !state.Limited || req.query.Tried[b.ID] {
+			continue
+		}
+		rate := limitRate(state.PerSecond)
+		freeIn := rate.UntilNext(m.snapshot.sharedTime(now))
+		if first == nil || freeIn < first.FreeIn {
+			first = &Limitation{Backend: b.ID, State: state, Issued: rate.Issued(), Instances: len(m.grantOwners(b)), FreeIn: freeIn}
+		}
+	}
+	return first
+}
+
+// Limits returns the request limits of backend servers as known to this instance.
+func (m *Machine) Limits() *limit.Table { return m.limits }
+
+// GrantShare returns the number of requests per second that all instances together send to
+// a backend server with the given limit.
+func GrantShare(perSecond float64) float64 { return limitRate(perSecond).Issued() }
--- a/internal/decide/admission/placement.go
+++ b/internal/decide/admission/placement.go
@@ -59,7 +59,7 @@
 // returns the placements that are newer than version, the oldest first. Only
 // the assigning instance of the region calls it.
 func (m *Machine) Assign(snapshot *Snapshot, r PlacementRequest, version uint64, now time.Time) []assign.Entry {
-	m.useSnapshot(snapshot)
+	m.useSnapshot(snapshot, now)
 	if r.Key != (assign.Key{}) {
 		m.placements.Assign(r.Key, len(r.HomeRegions) > 0, m.placementCandidates(r.Key.Service, r.HomeRegions, now), now)
 	}
@@ -70,7 +70,7 @@
 // fewer objects, at a limited rate. Only the assigning instance of the region
 // calls it.
 func (m *Machine) Balance(snapshot *Snapshot, now time.Time) {
-	m.useSnapshot(snapshot)
+	m.useSnapshot(snapshot, now)
 	for service := range snapshot.Backends {
 		m.placements.Balance(service, m.placementCandidates(service, nil, now), now)
 	}
@@ -105,7 +105,8 @@
 	candidates := make([]assign.Candidate, 0, len(backends))
 	for _, b := range backends {
 		candidates = append(candidates, assign.Candidate{
-			ID: b.ID, Region: m.cfg.RegionOf[b.Zone], Weight: m.weights[service][b.ID], Cold: now.Before(b.ColdUntil),
+			ID: b.ID, Region: m.cfg.RegionOf[b.Zone], Weight: m.weights[service][b.ID],
+			Cold: now.Before(b.ColdUntil) || m.limits.State(identityOf(b), now).Limited,
 		})
 	}
 	return candidates
--- a/internal/decide/affinity/affinity.go
+++ b/internal/decide/affinity/affinity.go
@@ -111,6 +111,9 @@
 	// ColdRate is the number of requests per second that a cold backend server
 	// may get from this instance. There is no limit if it is 0.
 	ColdRate float64
+	// Allows reports whether the rates of a backend server allow this instance to send it
+	// the request now. It may be nil.
+	Allows func(b *traffic.Backend) bool
 }
 
 // Choice is the backend server that was chosen for a Query, with the estimates
@@ -254,8 +257,12 @@
 func (b *Balancer) chooseBest(q Query, now time.Time) (Choice, bool) {
 	var best Choice
 	bestCost := math.Inf(1)
-	ranked := b.rank(q, now)
-	for rank, c := range ranked[:min(len(ranked), b.maxBackends(q, ranked, now))] {
+	ranked, displaced := b.rank(q, now)
+	most := b.maxBackends(q, ranked, now)
+	if displaced {
+		most++
+	}
+	for rank, c := range ranked[:min(len(ranked), most)] {
 		choice := b.estimate(q, c, rank, now)
 		if cost := b.cost(q, c.server, choice, now); cost < bestCost {
 			best, bestCost = choice, cost
@@ -273,9 +280,10 @@
 
 // rank returns the candidates that may get the request, the best first. The
 // order depends on the object only and is the same at every instance of the
-// region.
-func (b *Balancer) rank(q Query, now time.Time) []candidate {
+// region. displaced reports that Query.Allows excludes the one that would be the first.
+func (b *Balancer) rank(q Query, now time.Time) (ranked []candidate, displaced bool) {
 	list := make([]candidate, 0, len(q.Backends))
+	var excluded candidate
 	key := cmp.Or(q.Object, q.SpreadKey)
 	for _, backend := range q.Backends {
 		if q.Tried[backend.ID] {
@@ -286,12 +294,21 @@
 			continue
 		}
 		score := hrw.Score(key, backend.ID, max(q.Weights[backend.ID], minWeight))
-		list = append(list, candidate{backend: backend, server: s, score: score})
+		c := candidate{backend: backend, server: s, score: score}
+		if q.Allows == nil || q.Allows(backend) {
+			list = append(list, c)
+		} else if excluded.backend == nil || compareCandidates(q.Placement, c, excluded) < 0 {
+			excluded = c
+		}
 	}
-	slices.SortFunc(list, func(x, y candidate) int {
-		return cmp.Or(comparePlacement(q.Placement, x, y), cmp.Compare(y.score, x.score), cmp.Compare(x.backend.ID, y.backend.ID))
-	})
-	return list
+	slices.SortFunc(list, func(x, y candidate) int { return compareCandidates(q.Placement, x, y) })
+	displaced = excluded.backend != nil && len(list) > 0 && compareCandidates(q.Placement, excluded, list[0]) < 0
+	return list, displaced
+}
+
+// compareCandidates orders candidates, the better one first.
+func compareCandidates(placement string, x, y candidate) int {
+	return cmp.Or(comparePlacement(placement, x, y), cmp.Compare(y.score, x.score), cmp.Compare(x.backend.ID, y.backend.ID))
 }
 
 // comparePlacement orders the candidate that the object was assigned to before
--- a/internal/decide/assign/assign.go
+++ b/internal/decide/assign/assign.go
@@ -55,8 +55,8 @@
 	Region string
 	// Weight is the backend server's share of the objects.
 	Weight float64
-	// Cold reports that the backend server is in its cold start: it keeps its
-	// objects and gets no others.
+	// Cold reports that the backend server is in its cold start or has a request limit:
+	// it keeps its objects and gets no others.
 	Cold bool
 }
 
--- /dev/null
+++ b/internal/decide/pace/pace_test.go
@@ -0,0 +1,193 @@
+package pace
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// coldRate is a rate with the bound of cold backend servers, limitRate one with that of
+// backend servers that name a limit.
+func coldRate(perSecond float64) Rate {
+	return Rate{PerSecond: perSecond, Factor: 1.5, Slack: 5, Window: time.Second, Lifetime: 2 * time.Second}
+}
+
+func limitRate(perSecond float64) Rate {
+	return Rate{PerSecond: perSecond, Factor: 1.5, Slack: 5, Window: 4 * time.Second, Lifetime: 4 * time.Second}
+}
+
+// bound returns the largest number of requests in a window.
+func (r Rate) bound() int { return int(r.Factor*r.PerSecond*r.Window.Seconds() + r.Slack) }
+
+// group is a number of instances that send under one rate.
+type group struct {
+	rate    Rate
+	pacers  []*Pacer
+	members []Member
+	sent    []time.Duration
+}
+
+func newGroup(r Rate, instances int) *group {
+	g := &group{rate: r}
+	for n := range instances {
+		name := fmt.Sprint("instance-", n)
+		g.members = append(g.members, Member{Name: name, Weight: 1})
+		g.pacers = append(g.pacers, New(name))
+	}
+	return g
+}
+
+// ask lets an instance send a request if it may.
+func (g *group) ask(n int, members []Member, shared, now time.Duration) {
+	if g.pacers[n].Available("b", g.rate, members, shared) {
+		g.pacers[n].Take("b")
+		g.sent = append(g.sent, now)
+	}
+}
+
+// worst returns the largest number of requests in a window.
+func (g *group) worst() int {
+	slices.Sort(g.sent)
+	most, first := 0, 0
+	for n, at := range g.sent {
+		for at-g.sent[first] > g.rate.Window {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+// use returns the share of the rate that was sent in a time.
+func (g *group) use(length time.Duration) float64 {
+	return float64(len(g.sent)) / (g.rate.PerSecond * length.Seconds())
+}
+
+// demand lets random instances ask, perSecond times a second, from one time to another.
+func (g *group) demand(rng *rand.Rand, perSecond float64, from, to time.Duration) {
+	for now := from; now < to; now += time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)) {
+		g.ask(rng.IntN(len(g.pacers)), g.members, now, now)
+	}
+}
+
+var sizes = []int{1, 2, 6, 11, 77, 300}
+
+var rates = []Rate{
+	coldRate(0.5), coldRate(2.7), coldRate(8), limitRate(0.25), limitRate(0.5), limitRate(1), limitRate(3.5), limitRate(10), limitRate(200),
+}
+
+// TestRateHoldsAtAnyNumberOfInstances guards against a sum over all instances that grows
+// with their number, and against a rate of which little is used under pressure.
+func TestRateHoldsAtAnyNumberOfInstances(t *testing.T) {
+	const length = 30 * time.Second
+	for _, r := range rates {
+		for _, instances := range sizes {
+			t.Run(fmt.Sprintf("%v in %v at %d", r.PerSecond, r.Window, instances), func(t *testing.T) {
+				g := newGroup(r, instances)
+				g.demand(rand.New(rand.NewPCG(1, 1)), 20*(r.PerSecond+float64(instances)), 0, length)
+				t.Logf("worst window: %d of %d; %.2f of the rate used", g.worst(), r.bound(), g.use(length))
+				require.LessOrEqual(t, g.worst(), r.bound())
+				require.GreaterOrEqual(t, g.use(length), 0.6)
+				require.LessOrEqual(t, g.use(length), 1.0)
+			})
+		}
+	}
+}
+
+// TestUnusedRateDoesNotPileUp guards against instances that save what they did not use and
+// send it all at once when many callers come.
+func TestUnusedRateDoesNotPileUp(t *testing.T) {
+	for _, r := range rates {
+		for _, instances := range sizes {
+			g := newGroup(r, instances)
+			rng := rand.New(rand.NewPCG(2, uint64(instances)))
+			for crowd := range 4 {
+				begin := time.Duration(crowd) * 20 * time.Second
+				g.demand(rng, 0.2, begin, begin+15*time.Second)
+				g.demand(rng, 50*(r.PerSecond+float64(instances)), begin+15*time.Second, begin+17*time.Second)
+			}
+			require.LessOrEqual(t, g.worst(), r.bound(), "%v in %v at %d", r.PerSecond, r.Window, instances)
+		}
+	}
+}
+
+// TestRateHoldsWhileMembersDisagree guards against a sum that is too large while instances
+// come and go: each learns of it up to 3 s late, one fifth of them not at all, and their
+// clocks differ by up to 0.2 s.
+func TestRateHoldsWhileMembersDisagree(t *testing.T) {
+	const length = 40 * time.Second
+	for _, r := range rates {
+		for _, instances := range []int{6, 11, 77} {
+			for seed := range uint64(5) {
+				g := newGroup(r, instances)
+				rng := rand.New(rand.NewPCG(seed, uint64(instances)))
+				delays, skews := make([]time.Duration, instances), make([]time.Duration, instances)
+				for n := range instances {
+					delays[n] = time.Duration(rng.Float64() * float64(3*time.Second))
+					if n%5 == 4 {
+						delays[n] = length
+					}
+					skews[n] = time.Duration((rng.Float64() - 0.5) * 0.4 * float64(time.Second))
+				}
+				// One instance after the other is away for two seconds.
+				view := func(n int, now time.Duration) []Member {
+					away := -1
+					if seen := now - delays[n]; seen > 0 {
+						away = int(seen/(2*time.Second)) % instances
+					}
+					if away == n {
+						return g.members
+					}
+					return slices.DeleteFunc(slices.Clone(g.members), func(m Member) bool { return away >= 0 && m.Name == g.members[away].Name })
+				}
+				step := time.Second / time.Duration(10*(r.PerSecond+float64(instances)))
+				for now := time.Second; now < length; now += step {
+					n := rng.IntN(instances)
+					g.ask(n, view(n, now), now+skews[n], now)
+				}
+				require.LessOrEqual(t, g.worst(), r.bound(), "%v in %v at %d, seed %d", r.PerSecond, r.Window, instances, seed)
+			}
+		}
+	}
+}
+
+// TestNewInstanceBeginsWithoutGrants guards against instances that all restart and then send
+// at once what was issued before.
+func TestNewInstanceBeginsWithoutGrants(t *testing.T) {
+	r := limitRate(10)
+	for restart := range 20 {
+		g := newGroup(r, 6)
+		now := time.Duration(restart) * 777 * time.Millisecond
+		for n := range g.pacers {
+			g.ask(n, g.members, now, now)
+		}
+		require.Empty(t, g.sent)
+	}
+}
+
+// TestLoweredRateVoidsGrants guards against grants of a higher rate that are used after the
+// rate has been lowered.
+func TestLoweredRateVoidsGrants(t *testing.T) {
+	p, members := New("one"), []Member{{Name: "one", Weight: 1}}
+	require.False(t, p.Available("b", limitRate(10), members, 0))
+	require.True(t, p.Available("b", limitRate(10), members, time.Second))
+	require.False(t, p.Available("b", limitRate(1), members, time.Second))
+	require.True(t, p.Available("b", limitRate(1), members, 3*time.Second))
+	require.True(t, p.Available("b", limitRate(2), members, 3*time.Second))
+}
+
+// TestGrantsFollowWeights checks that instances get grants in proportion to their weights.
+func TestGrantsFollowWeights(t *testing.T) {
+	members, owned := []Member{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}, {Name: "c"}}, map[string]int{}
+	for n := range int64(4000) {
+		owned[owner("key", n, members)]++
+	}
+	require.InDelta(t, 3000, owned["a"], 150)
+	require.InDelta(t, 1000, owned["b"], 150)
+	require.LessOrEqual(t, owned["c"], 2)
+	require.Empty(t, owner("key", 1, nil))
+}
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/filter/quarantine"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
+	"github.com/banyandeal/banyandeal/internal/edge/limits"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
 	"github.com/banyandeal/banyandeal/internal/edge/places"
 	"github.com/banyandeal/banyandeal/internal/edge/relay"
@@ -73,6 +74,7 @@
 	places         *places.Places
 	pool           *egress.Pool
 	evidence       *evidence.Sharer
+	limitSharer    *limits.Sharer
 }
 
 // peerAddress returns the address on which the instance listens for other instances.
@@ -89,9 +91,12 @@
 	client := relay.NewClient(s.Instance)
 	d.replica = feeds.NewReplica()
 	d.sourceSelector = feeds.NewSourceSelector(s.Instance, s.Region, d.store, client, log)
-	decider := dispatch.NewDecider(s, d.control)
+	limitChanges := &limitReporter{log: boundedLog(log, m, maxLimitLines), metrics: m}
+	decider := dispatch.NewDecider(s, d.control, d.store.ClockZero, limitChanges.change)
+	d.limitSharer = limits.New(decider, d.store, d.sourceSelector.Reads, log)
+	d.metrics.RegisterGauge("limited_backends", func() float64 { return float64(decider.LimitedBackends()) })
 	d.places = places.New(s.Instance, s.Region, decider, client, d.store, log)
-	verdicts := &verdictReporter{log: log.Sample(&zerolog.BurstSampler{Burst: maxVerdictLines, Period: time.Second}), metrics: m}
+	verdicts := &verdictReporter{log: boundedLog(log, m, maxVerdictLines), metrics: m}
 	d.evidence = evidence.New(d.store, d.sourceSelector.Reads, verdicts.change, log)
 	guard := d.evidence.Guard()
 	handler := gateway.New(d.control,
@@ -105,6 +110,21 @@
 	return d
 }
 
+// boundedLog returns a log that writes at most the given number of lines per second and
+// counts the others.
+func boundedLog(log zerolog.Logger, m *metrics.Metrics, lines uint32) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: lines, Period: time.Second, NextSampler: dropCounter{metrics: m}})
+}
+
+// dropCounter is a sampler that drops all lines and counts them.
+type dropCounter struct{ metrics *metrics.Metrics }
+
+// Sample implements zerolog.Sampler.
+func (d dropCounter) Sample(zerolog.Level) bool {
+	d.metrics.Add("log_dropped", 1)
+	return false
+}
+
 // registerGauges registers the gauges whose values other components hold.
 func (d *Daemon) registerGauges(pool *egress.Pool) {
 	d.metrics.RegisterGauge("backend_connections_opened", func() float64 { return float64(pool.Stats().Dialed) })
@@ -166,12 +186,13 @@
 // tasks. They run until ctx is done.
 func (d *Daemon) startBackground(ctx context.Context) {
 	go d.control.Run(ctx)
-	for _, f := range feeds.New(d.sourceSelector, d.replica, d.control.Push, d.evidence.Receive, d.log) {
+	for _, f := range feeds.New(d.sourceSelector, d.replica, d.control.Push, d.evidence.Receive, d.limitSharer.Receive, d.log) {
 		go f.Run(ctx)
 	}
 	go d.sweep(ctx)
 	go d.places.Run(ctx)
 	go d.evidence.Run(ctx)
+	go d.limitSharer.Run(ctx)
 	go func() {
 		if err := d.registration.Join(ctx); err != nil {
 			d.log.Warn().Str("event", "join_ended").Err(err).Msg("")
--- a/internal/edge/edgetest/limit_test.go
+++ b/internal/edge/edgetest/limit_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/standin/store"
 )
 
 // What the users' rules allow a backend server that names a limit: in each limitWindow
@@ -30,13 +34,16 @@
 	servedBeside = 0.95
 )
 
+// loadBefore is how long a load lasts before limits are named.
+const loadBefore = 3 * time.Second
+
 // sentRequest is a request of a load and its response.
 type sentRequest struct {
 	CallerResponse
 	at time.Time
 }
 
-// load sends requests with objects 0 to objects-1 at the instances in turn until stop is
+// load sends requests with random ones of so many objects at random instances until stop is
 // closed, perSecond of them a second, and returns them with their responses. It does not
 // wait for a response before it sends the next request.
 func (f *fleet) load(c CallerRequest, objects, perSecond int, stop <-chan struct{}) []sentRequest {
@@ -45,18 +52,20 @@
 	var sent []sentRequest
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
-	for n := 0; ; n++ {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for {
 		select {
 		case <-stop:
 			all.Wait()
 			return sent
 		case <-ticker.C:
 		}
+		instance, object := f.instance(rng.IntN(len(f.instances))), rng.IntN(objects)
 		all.Go(func() {
 			request := c
-			request.Object = fmt.Sprint("object-", n*7919%objects)
+			request.Object = fmt.Sprint("object-", object)
 			at := time.Now()
-			r := f.Do(f.instance(n), request)
+			r := f.Do(instance, request)
 			mu.Lock()
 			defer mu.Unlock()
 			sent = append(sent, sentRequest{CallerResponse: r, at: at})
@@ -155,10 +164,12 @@
 			var sent []sentRequest
 			var all sync.WaitGroup
 			all.Go(func() { sent = f.load(CallerRequest{Path: c.path}, c.objects, c.perSecond, stop) })
-			time.Sleep(time.Second)
+			time.Sleep(loadBefore)
 			setLimits(limited, c.limit)
 			named := time.Now()
-			from, to := named.Add(limitContact), named.Add(limitContact+8*time.Second)
+			// Each limited backend server takes eight requests or more in that time.
+			from := named.Add(limitContact)
+			to := from.Add(time.Duration(8 / min(1, c.limit) * float64(time.Second)))
 			time.Sleep(time.Until(to))
 			close(stop)
 			all.Wait()
@@ -183,11 +194,11 @@
 func TestNamedLimitHoldsThroughRestarts(t *testing.T) {
 	t.Parallel()
 	const limit = 2
-	f := startFleet(t, 9, Start{Work: 20 * time.Millisecond}, zonesOf(6)...)
+	f := startFleet(t, 9, Start{Work: 20 * time.Millisecond}, zonesOf(4)...)
 	stop := make(chan struct{})
 	var all sync.WaitGroup
 	all.Go(func() { f.load(CallerRequest{Path: "/read/x"}, 200, 90, stop) })
-	time.Sleep(time.Second)
+	time.Sleep(loadBefore)
 	setLimits(f.backends[:3], limit)
 	named := time.Now()
 	time.Sleep(2 * time.Second)
@@ -202,3 +213,89 @@
 	t.Logf("worst 4 s: %d of %d allowed", worst, allowed(limit))
 	require.LessOrEqual(t, worst, allowed(limit))
 }
+
+// TestLimitEndsWithoutJump guards against a backend server that stays without requests after
+// its limit has ended, since those that send nothing hear nothing, and against one that gets
+// all of them back at once; with the store, and while it is away.
+func TestLimitEndsWithoutJump(t *testing.T) {
+	for name, away := range map[string]bool{"store": false, "store away": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const limit = 2
+			f := startFleet(t, 9, Start{Work: 20 * time.Millisecond}, zonesOf(6)...)
+			limited := f.backends[:3]
+			stop := make(chan struct{})
+			var all sync.WaitGroup
+			all.Go(func() { f.load(CallerRequest{Path: "/read/x"}, 60, 90, stop) })
+			time.Sleep(loadBefore)
+			if away {
+				f.Store.SetTrouble(func(*http.Request) store.Trouble { return store.Refuse })
+			}
+			named := time.Now()
+			setLimits(limited, limit)
+			time.Sleep(limitContact + limitWindow)
+			ended := time.Now()
+			for _, b := range limited {
+				b.SetLimits()
+			}
+			back := limitEndSeen
+			if away {
+				back = limitEndSeenAlone
+			}
+			time.Sleep(back + loadBefore)
+			close(stop)
+			all.Wait()
+			require.LessOrEqual(t, worstOf(limited, named.Add(limitContact), ended), allowed(limit))
+			for _, b := range limited {
+				usual := len(arrivalTimes(b, named.Add(-loadBefore), named))
+				first := len(arrivalTimes(b, ended, ended.Add(time.Second)))
+				last := len(arrivalTimes(b, ended.Add(back), ended.Add(back+loadBefore)))
+				t.Logf("%s: %d in 3 s before, %d in the first second after the end, %d in 3 s from %s on", b.Name, usual, first, last, back)
+				require.LessOrEqual(t, first, usual/3/2)
+				require.GreaterOrEqual(t, last, usual/2)
+			}
+		})
+	}
+}
+
+// limitEndSeen is how long after the end of a limit a backend server has at least half of its
+// usual requests again, and limitEndSeenAlone the same while the store is away.
+const (
+	limitEndSeen      = 6 * time.Second
+	limitEndSeenAlone = 10 * time.Second
+)
+
+// TestInvalidLimitChangesNothing guards against limits that are no number and cost a backend
+// server its requests, or callers their responses.
+func TestInvalidLimitChangesNothing(t *testing.T) {
+	t.Parallel()
+	e, i, backends := startShop(t)
+	for _, values := range [][]string{{"x"}, {"-1"}, {"NaN"}, {"Inf"}, {"1", "1"}, {strings.Repeat("9", 500)}, {""}} {
+		for _, b := range backends {
+			b.SetLimits(values...)
+		}
+		before := backends[0].Runs() + backends[1].Runs()
+		for n := range 20 {
+			require.Equal(t, http.StatusOK, e.Do(i, CallerRequest{Path: "/read/x", Object: fmt.Sprint(n)}).Status)
+		}
+		require.Equal(t, before+20, backends[0].Runs()+backends[1].Runs())
+	}
+}
+
+// TestLimitedRefusalTellsWhenThereIsRoom checks that a request is refused at once if all
+// backend servers take no more, and that its caller learns when to come back.
+func TestLimitedRefusalTellsWhenThereIsRoom(t *testing.T) {
+	t.Parallel()
+	e, i, backends := startShop(t)
+	setLimits(backends, 0.5)
+	refused := CallerResponse{}
+	require.Eventually(t, func() bool {
+		began := time.Now()
+		refused = e.Do(i, CallerRequest{Path: "/write/x", DeadlineMs: 8000})
+		return refused.Status == http.StatusServiceUnavailable && time.Since(began) < 100*time.Millisecond
+	}, 3*time.Second, 10*time.Millisecond)
+	after, err := strconv.ParseFloat(refused.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Greater(t, after, 0.0)
+	require.LessOrEqual(t, after, 2.0)
+}
--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -26,6 +26,10 @@
 // the crash of a backend server. The key of the row is the request's fingerprint.
 const TableQuarantine = "quarantine"
 
+// TableLimits is the table that holds a row for each backend server that states a request
+// limit. The key of the row is the ID of the backend server.
+const TableLimits = "limits"
+
 const (
 	// operatorStoreWait bounds one wait of the operator's feed for changes from the
 	// store. It is short because this feed detects, for all feeds, a store that
@@ -56,6 +60,8 @@
 	memberBatchInterval = 500 * time.Millisecond
 	// quarantineBatchInterval is the batch interval of the quarantine feed.
 	quarantineBatchInterval = 50 * time.Millisecond
+	// limitBatchInterval is the batch interval of the feed of request limits.
+	limitBatchInterval = 50 * time.Millisecond
 )
 
 // Feed follows one table.
@@ -70,7 +76,7 @@
 	decode func(rows []platform.Row) control.Update
 	// receive takes rows instead of push. full means that they are all rows of the
 	// table.
-	receive func(rows []platform.Row, full bool)
+	receive RowReceiver
 	// detectsOutage is set for the feed that detects, for all feeds, a store that does
 	// not respond.
 	detectsOutage bool
@@ -83,10 +89,14 @@
 	lostAt time.Time
 }
 
+// RowReceiver takes rows of a table. full means that they are all its rows. It must not
+// block.
+type RowReceiver func(rows []platform.Row, full bool)
+
 // New returns the feeds of the operator's table, of the backend servers' table, of the
-// members' table and of the quarantine table. The first three pass their updates to
-// push, the last one passes its rows to quarantine, which must not block.
-func New(s *SourceSelector, r *Replica, push func(context.Context, control.Update), quarantine func(rows []platform.Row, full bool), log zerolog.Logger) []*Feed {
+// members' table, of the quarantine table and of the table of request limits. The first
+// three pass their updates to push, the last two pass their rows to quarantine and limits.
+func New(s *SourceSelector, r *Replica, push func(context.Context, control.Update), quarantine, limits RowReceiver, log zerolog.Logger) []*Feed {
 	operator := &Feed{detectsOutage: true, table: platform.TableOperator, kind: control.KindOperator, storeWait: operatorStoreWait, readerWait: operatorReaderWait, batchInterval: operatorBatchInterval}
 	operator.decode = operator.operator
 	backends := &Feed{table: platform.TableBackends, kind: control.KindBackends, storeWait: backendStoreWait, readerWait: readerWait, batchInterval: backendBatchInterval}
@@ -94,7 +104,8 @@
 	members := &Feed{table: TableMembers, kind: control.KindMembers, storeWait: memberStoreWait, readerWait: readerWait, batchInterval: memberBatchInterval}
 	members.decode = members.members
 	crashing := &Feed{table: TableQuarantine, receive: quarantine, storeWait: memberStoreWait, readerWait: readerWait, batchInterval: quarantineBatchInterval}
-	all := []*Feed{operator, backends, members, crashing}
+	limited := &Feed{table: TableLimits, receive: limits, storeWait: memberStoreWait, readerWait: readerWait, batchInterval: limitBatchInterval}
+	all := []*Feed{operator, backends, members, crashing, limited}
 	for _, f := range all {
 		f.selector, f.replica, f.push, f.log = s, r, push, log
 	}
--- a/internal/edge/feeds/feeds_test.go
+++ b/internal/edge/feeds/feeds_test.go
@@ -232,7 +232,7 @@
 	for _, i := range c.instances {
 		i.selector = NewSourceSelector(i.name, "region", cutSource{from: i}, i, zerolog.Nop())
 		i.selector.Members(members)
-		for _, f := range New(i.selector, i.replica, i.push, func([]platform.Row, bool) {}, zerolog.Nop()) {
+		for _, f := range New(i.selector, i.replica, i.push, ignoreRows, ignoreRows, zerolog.Nop()) {
 			f.batchInterval = time.Millisecond
 			all.Go(func() { f.Run(ctx) })
 		}
@@ -337,3 +337,5 @@
 		})
 	}
 }
+
+func ignoreRows([]platform.Row, bool) {}
--- a/internal/edge/filter/accesslog/accesslog.go
+++ b/internal/edge/filter/accesslog/accesslog.go
@@ -139,6 +139,10 @@
 	if r.Backend != nil {
 		addChoice(e, r.Choice)
 	}
+	if l := r.Limitation; l != nil {
+		e.Str("limited_backend", l.Backend).Float64("limit", l.State.PerSecond).Dur("limit_age", time.Since(l.State.Since)).
+			Float64("issued", l.Issued).Int("instances", l.Instances).Dur("free_in", l.FreeIn)
+	}
 	e.Msg("")
 }
 
--- a/internal/edge/filter/dispatch/decider.go
+++ b/internal/edge/filter/dispatch/decider.go
@@ -8,6 +8,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/decide/assign"
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/edge/control"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
@@ -18,6 +19,10 @@
 type Decider struct {
 	settings *traffic.Settings
 	control  *control.Control
+	// clockZero returns when the clock was zero that all instances share.
+	clockZero func() time.Time
+	// onLimitChange is called for each change of a backend server's request limit.
+	onLimitChange OnLimitChange
 
 	mu      sync.Mutex
 	machine *admission.Machine
@@ -27,9 +32,14 @@
 	snapshot *admission.Snapshot
 }
 
-// NewDecider returns a Decider without load observations or placements.
-func NewDecider(s *traffic.Settings, c *control.Control) *Decider {
-	return &Decider{settings: s, control: c, machine: admission.New(admission.Config{
+// OnLimitChange is called when the request limit of a backend server has changed, with the
+// number of instances that share it. It must not block.
+type OnLimitChange func(c limit.Change, instances int)
+
+// NewDecider returns a Decider without load observations or placements. clockZero returns
+// when the clock was zero that all instances share, or the zero time if it is unknown.
+func NewDecider(s *traffic.Settings, c *control.Control, clockZero func() time.Time, onLimitChange OnLimitChange) *Decider {
+	return &Decider{settings: s, control: c, clockZero: clockZero, onLimitChange: onLimitChange, machine: admission.New(admission.Config{
 		Instance: s.Instance, Region: s.Region, RegionOf: s.RegionOf, Bounds: s.Bounds,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})}
@@ -50,7 +60,7 @@
 	if d.view == v {
 		return d.snapshot
 	}
-	s := &admission.Snapshot{Services: v.Config.Services, Backends: v.Backends, Instances: len(v.Members)}
+	s := &admission.Snapshot{Services: v.Config.Services, Backends: v.Backends, Instances: len(v.Members), Members: v.Members, ClockZero: d.clockZero()}
 	for _, m := range v.Members {
 		if d.settings.RegionOf[m.Zone] == d.settings.Region {
 			s.RegionInstances++
@@ -72,6 +82,51 @@
 	d.machine.RecordEnd(state, c, r, mayHaveRun, time.Now())
 }
 
+// observeLimit records what a response states about the request limit of its backend
+// server.
+func (d *Decider) observeLimit(b *traffic.Backend, s limit.Statement, sent time.Time) {
+	d.withLimits(func(t *limit.Table, now time.Time) {
+		t.Observe(limit.Backend{ID: b.ID, Born: b.Born}, s, sent, now)
+	})
+}
+
+// withLimits calls f with the table of request limits, and then reports its changes.
+func (d *Decider) withLimits(f func(t *limit.Table, now time.Time)) {
+	d.mu.Lock()
+	f(d.machine.Limits(), time.Now())
+	changes := d.machine.Limits().TakeChanges()
+	d.mu.Unlock()
+	instances := len(d.control.View().Members)
+	for _, c := range changes {
+		d.onLimitChange(c, instances)
+	}
+}
+
+// DueLimits implements limits.Table.
+func (d *Decider) DueLimits(cleans bool) []limit.Write {
+	var due []limit.Write
+	instances := len(d.control.View().Members)
+	d.withLimits(func(t *limit.Table, now time.Time) { due = t.Due(instances, cleans, now) })
+	return due
+}
+
+// LimitsWritten implements limits.Table.
+func (d *Decider) LimitsWritten(writes []limit.Write, version uint64) {
+	d.withLimits(func(t *limit.Table, now time.Time) { t.Written(writes, version, now) })
+}
+
+// MergeLimits implements limits.Table.
+func (d *Decider) MergeLimits(rows []limit.SharedRow, full bool) {
+	d.withLimits(func(t *limit.Table, now time.Time) { t.Merge(rows, full, now) })
+}
+
+// LimitedBackends returns the number of backend servers with a request limit.
+func (d *Decider) LimitedBackends() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.machine.Limits().Limited(time.Now()))
+}
+
 func (d *Decider) checkRetry(state *admission.RequestState, mayHaveRun, reached bool) admission.Reason {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/banyandeal/banyandeal/internal/attempt"
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	decide "github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/edge/egress"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
@@ -79,7 +80,7 @@
 	state.Isolation = isolation(permit, ex.Fingerprint)
 	choice, rejection := f.decider.next(state)
 	if rejection != "" {
-		ex.Outcome.Rejected = &gateway.Rejection{Choice: choice, Patience: state.Patience}
+		ex.Outcome.Rejected = &gateway.Rejection{Choice: choice, Patience: state.Patience, Limitation: state.Limitation}
 		return f.reject(ex, state, string(rejection)), attemptEnd{}
 	}
 	if permit.Isolated() {
@@ -155,6 +156,7 @@
 	result.Took = time.Since(started)
 	f.recordEvidence(ctx, tracked, choice.Backend, &end)
 	f.decider.recordEnd(state, choice, result, end.mayHaveRun)
+	f.observeLimit(choice.Backend, end, result.Outcome, started)
 	a := gateway.Attempt{Choice: choice, Sent: started, Took: result.Took, Reason: end.reason, MayHaveRun: end.mayHaveRun}
 	if resp != nil {
 		a.Status, a.Limit = resp.Status, end.limit
@@ -166,6 +168,17 @@
 	return end
 }
 
+// observeLimit records the request limit that a response states. Only responses of a run
+// tell that there is none, since others may come from something in between.
+func (f *Filter) observeLimit(b *traffic.Backend, end attemptEnd, outcome affinity.Outcome, sent time.Time) {
+	switch {
+	case end.limit.Named() && outcome != affinity.Unreachable:
+		f.decider.observeLimit(b, limit.Statement{Limited: true, PerSecond: end.limit.PerSecond}, sent)
+	case end.limit.Header == "" && outcome == affinity.Answered:
+		f.decider.observeLimit(b, limit.Statement{}, sent)
+	}
+}
+
 // recordEvidence records what the end of an attempt shows about the request. If the
 // backend server has crashed, it changes the reason of the end.
 func (f *Filter) recordEvidence(ctx context.Context, tracked *quarantine.Attempt, b *traffic.Backend, end *attemptEnd) {
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/decide/admission"
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/edge/control"
@@ -86,6 +87,8 @@
 	affinity.Choice
 	// Patience is the maximum wait for a slot that was allowed.
 	Patience time.Duration
+	// Limitation is the request limit because of which the request was rejected, if any.
+	Limitation *admission.Limitation
 }
 
 // Zone returns the availability zone of the last attempt, empty if there is
--- /dev/null
+++ b/internal/edge/limits/limits.go
@@ -0,0 +1,169 @@
+// Package limits shares between the entry instances which backend servers state a request
+// limit. Each limit has a row in a table of the store, which an instance writes when its
+// responses tell something else, and which all of them follow. While the store is away, an
+// instance goes by the responses that it gets, and writes the rows later.
+package limits
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
+	"github.com/banyandeal/banyandeal/internal/edge/feeds"
+	"github.com/banyandeal/banyandeal/internal/wait"
+	"github.com/banyandeal/banyandeal/platform"
+)
+
+const (
+	// tickInterval is the time between checks for rows to write.
+	tickInterval = 200 * time.Millisecond
+	// writeInterval is the shortest time between transactions after a successful one.
+	writeInterval = 200 * time.Millisecond
+	// maxRowsPerWrite bounds the rows of one transaction; the store takes 100.
+	maxRowsPerWrite = 64
+	// minBackoff and maxBackoff bound the delay after a failed write.
+	minBackoff = 200 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Store writes rows. Its method is that of platform.Store.
+type Store interface {
+	Commit(ctx context.Context, tx platform.Transaction) (uint64, error)
+}
+
+// Table is the table of this instance. It must be safe for concurrent use.
+type Table interface {
+	// DueLimits returns the rows to write now. cleans means that this instance removes the
+	// rows of backend servers that do not exist.
+	DueLimits(cleans bool) []limit.Write
+	// LimitsWritten records that rows were written.
+	LimitsWritten(writes []limit.Write, version uint64)
+	// MergeLimits records rows of the store. full means that they are all rows.
+	MergeLimits(rows []limit.SharedRow, full bool)
+}
+
+// Sharer keeps the table of one instance and that of the store alike.
+type Sharer struct {
+	table Table
+	store Store
+	// cleans reports whether this instance removes the rows of backend servers that do
+	// not exist.
+	cleans  func() bool
+	log     zerolog.Logger
+	backoff *backoff.ExponentialBackOff
+}
+
+// New returns a Sharer. cleans is called to find out whether this instance removes rows of
+// backend servers that do not exist, so that not all of them do.
+func New(t Table, s Store, cleans func() bool, log zerolog.Logger) *Sharer {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = minBackoff, maxBackoff
+	return &Sharer{table: t, store: s, cleans: cleans, log: log, backoff: b}
+}
+
+// value is the content of a row, whose key is the ID of the backend server.
+type value struct {
+	// Born is the start time of the incarnation in Unix milliseconds; 0 if unknown.
+	Born int64 `json:"born"`
+	// PerSecond is the limit in requests per second.
+	PerSecond float64 `json:"per_second"`
+}
+
+// Receive records rows of the store's table. full means that they are all its rows.
+func (s *Sharer) Receive(rows []platform.Row, full bool) {
+	var shared []limit.SharedRow
+	for _, r := range rows {
+		row := limit.SharedRow{Backend: limit.Backend{ID: r.Key}, Version: r.Version, Deleted: r.Deleted}
+		if !r.Deleted {
+			var v value
+			if err := json.Unmarshal(r.Value, &v); err != nil || v.PerSecond < 0 {
+				s.log.Warn().Str("event", "row_skipped").Str("table", feeds.TableLimits).Str("key", r.Key).Err(err).
+					Msg("the row is no request limit; the next change of this limit overwrites it")
+				row.Unreadable = true
+			}
+			row.Backend.Born, row.PerSecond = v.Born, v.PerSecond
+		}
+		shared = append(shared, row)
+	}
+	s.table.MergeLimits(shared, full)
+}
+
+// Run writes what is due until ctx is done.
+func (s *Sharer) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.writeDue(ctx)
+	}
+}
+
+// writeDue writes the rows that are due in one transaction. Conflicting rows of others are
+// merged, after which the rest is due again.
+func (s *Sharer) writeDue(ctx context.Context) {
+	due := s.table.DueLimits(s.cleans())
+	if len(due) == 0 {
+		return
+	}
+	due = due[:min(len(due), maxRowsPerWrite)]
+	version, err := s.store.Commit(ctx, s.transaction(due))
+	var conflict *platform.Conflict
+	switch {
+	case err == nil:
+		s.table.LimitsWritten(due, version)
+		s.backoff.Reset()
+		wait.Sleep(ctx, writeInterval)
+	case errors.As(err, &conflict):
+		s.mergeConflict(due, conflict.Rows)
+	default:
+		s.log.Warn().Str("event", "limits_unwritten").Int("backends", len(due)).Err(err).
+			Msg("request limits cannot be written; each instance goes by the responses that it gets until a retry succeeds")
+		wait.Sleep(ctx, s.backoff.NextBackOff())
+	}
+}
+
+// transaction returns the transaction that writes the rows.
+func (s *Sharer) transaction(due []limit.Write) platform.Transaction {
+	var tx platform.Transaction
+	for _, w := range due {
+		row := platform.Row{Table: feeds.TableLimits, Key: w.Row.Backend.ID}
+		tx.Expected = append(tx.Expected, platform.Expectation{Table: row.Table, Key: row.Key, Version: w.Row.Version})
+		if w.Row.Deleted {
+			tx.Removes = append(tx.Removes, row)
+			continue
+		}
+		encoded, err := json.Marshal(value{Born: w.Row.Backend.Born, PerSecond: w.Row.PerSecond})
+		if err != nil {
+			s.log.Error().Str("event", "limits_unwritten").Str("backend", row.Key).Err(err).Msg("")
+			continue
+		}
+		row.Value = encoded
+		tx.Puts = append(tx.Puts, row)
+	}
+	return tx
+}
+
+// mergeConflict records the rows as they are after a conflict. Those that were to be written
+// and are not among the current ones do not exist.
+func (s *Sharer) mergeConflict(due []limit.Write, current []platform.Row) {
+	exists := map[string]bool{}
+	for _, r := range current {
+		exists[r.Key] = true
+	}
+	for _, w := range due {
+		if !exists[w.Row.Backend.ID] && w.Row.Version > 0 {
+			// The row was removed after the version that was expected.
+			current = append(current, platform.Row{Key: w.Row.Backend.ID, Version: w.Row.Version + 1, Deleted: true})
+		}
+	}
+	s.Receive(current, false)
+}
