limits: a limit above the demand takes nothing away; tests at 2 to 300 instances

Found by TestLimitAboveDemandChangesNothing: at 77 instances a backend server that named 200 requests a second lost a third of the 10 that it normally got. Cause: grants for ten requests each were too few for 39 instances, and each instance had none when it first asked. Grants for several requests begin at 64 a second now instead of 16, and those since the limit was learnt count.

--- a/internal/decide/admission/pacing.go
+++ b/internal/decide/admission/pacing.go
@@ -57,15 +57,16 @@
 	}
 	state := m.limits.State(identityOf(b), now)
 	if state.Limited {
-		return m.hasGrant(limitKey(b), limitRate(state.PerSecond), b, now)
+		return m.hasGrant(limitKey(b), limitRate(state.PerSecond), b, state.LimitedSince, now)
 	}
 	m.pacer.Forget(limitKey(b))
 	return state.Returned == 1 || hrw.Fraction(cmp.Or(req.query.Object, req.query.SpreadKey), b.ID) < state.Returned
 }
 
-// hasGrant reports whether this instance has a grant for a request to a backend server.
-func (m *Machine) hasGrant(key string, r pace.Rate, b *traffic.Backend, now time.Time) bool {
-	return m.pacer.Available(key, r, m.grantOwners(b), m.snapshot.sharedTime(now))
+// hasGrant reports whether this instance has a grant for a request to a backend server, of
+// those issued since a time.
+func (m *Machine) hasGrant(key string, r pace.Rate, b *traffic.Backend, since, now time.Time) bool {
+	return m.pacer.Available(key, r, m.grantOwners(b), m.snapshot.sharedTime(since), m.snapshot.sharedTime(now))
 }
 
 // takeGrants uses the grants for a request that is sent to a backend server.
--- /dev/null
+++ b/internal/decide/admission/pacing_test.go
@@ -0,0 +1,165 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
+	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+)
+
+var regionOf = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+// coldBounds are the bounds on requests to cold backend servers that operators set.
+var coldBounds = traffic.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ColdOvershoot: 1.5, ColdSlack: 5}
+
+// shop has instances and backend servers in the zones of regionOf.
+type shop struct {
+	snapshot *Snapshot
+	machines []*Machine
+	rng      *rand.Rand
+}
+
+// newShop returns a shop with so many instances and backend servers.
+func newShop(instances, backends int) *shop {
+	s := &shop{rng: rand.New(rand.NewPCG(1, uint64(instances)))}
+	s.snapshot = newSnapshot(instances)
+	s.snapshot.Backends, s.snapshot.ClockZero = map[string][]*traffic.Backend{}, start
+	zones := []string{"a1", "b1", "a2", "b2"}
+	for n := range backends {
+		b := &traffic.Backend{ID: fmt.Sprint("backend-", n), Service: "shop", Zone: zones[n%4], Slots: 3}
+		s.snapshot.Backends["shop"] = append(s.snapshot.Backends["shop"], b)
+	}
+	for n := range instances {
+		name, zone := fmt.Sprint("instance-", n), zones[n%4]
+		s.snapshot.Members = append(s.snapshot.Members, traffic.Member{Name: name, Zone: zone})
+		s.machines = append(s.machines, New(Config{
+			Instance: name, Region: regionOf[zone], RegionOf: regionOf, Bounds: coldBounds, Rand: rand.New(rand.NewPCG(1, uint64(n))),
+		}))
+	}
+	return s
+}
+
+// send sends a request with a random object at a random instance. It returns the backend
+// server, or nil if the request was refused. Its response states the given limits.
+func (s *shop) send(now time.Time, limits map[string]float64) *traffic.Backend {
+	m := s.machines[s.rng.IntN(len(s.machines))]
+	r := request(2 * time.Second)
+	sticky := *route
+	sticky.Sticky = true
+	r.ID, r.Route, r.Object = fmt.Sprint(now.UnixNano()), &sticky, fmt.Sprint(s.rng.IntN(300))
+	r.Received, r.Deadline, r.CallerDeadline = now, now.Add(2*time.Second), now.Add(2*time.Second)
+	state := m.Begin(s.snapshot, r, now)
+	choice, reason := m.Next(state, s.snapshot, now)
+	if reason != "" {
+		return nil
+	}
+	m.RecordEnd(state, choice, affinity.Result{Took: 20 * time.Millisecond}, true, now)
+	perSecond, limited := limits[choice.Backend.ID]
+	m.Limits().Observe(identityOf(choice.Backend), limit.Statement{Limited: limited, PerSecond: perSecond}, now, now)
+	return choice.Backend
+}
+
+// run sends requests, perSecond of them a second, and returns when they reached each backend
+// server, and the share that was not refused.
+func (s *shop) run(from, to time.Time, perSecond float64, limits map[string]float64) (arrivals map[string][]time.Time, served float64) {
+	arrivals = map[string][]time.Time{}
+	all, sent := 0, 0
+	for now := from; now.Before(to); now = now.Add(time.Duration(s.rng.ExpFloat64() / perSecond * float64(time.Second))) {
+		all++
+		if b := s.send(now, limits); b != nil {
+			sent++
+			arrivals[b.ID] = append(arrivals[b.ID], now)
+		}
+	}
+	return arrivals, float64(sent) / float64(all)
+}
+
+// worstWindow returns the largest number of the times within a window.
+func worstWindow(times []time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for n, at := range times {
+		for at.Sub(times[first]) > window {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+// TestLimitsAtAnyNumberOfInstances guards against named limits that are passed, left unused,
+// or kept at the expense of callers whom other backend servers have room for, at many
+// instances and for small limits.
+func TestLimitsAtAnyNumberOfInstances(t *testing.T) {
+	t.Parallel()
+	for _, instances := range []int{2, 11, 77, 300} {
+		for _, perSecond := range []float64{0, 0.5, 1, 3.5, 10} {
+			t.Run(fmt.Sprint(perSecond, " at ", instances), func(t *testing.T) {
+				t.Parallel()
+				s := newShop(instances, 12)
+				// Each backend server gets 12 requests a second or, if that is more, one a
+				// second from each instance of its region.
+				load := 12 * max(12, float64(instances)/2)
+				limits := map[string]float64{"backend-0": perSecond, "backend-1": perSecond, "backend-6": perSecond}
+				s.run(start, start.Add(4*time.Second), load, limits)
+				arrivals, served := s.run(start.Add(4*time.Second), start.Add(24*time.Second), load, limits)
+				for id := range limits {
+					use := float64(len(arrivals[id])) / max(1, 20*perSecond)
+					worst := worstWindow(arrivals[id], limitWindow)
+					t.Logf("%s: worst 4 s %d, %.2f of the limit used, %.3f served", id, worst, use, served)
+					require.LessOrEqual(t, float64(worst), limitFactor*limitWindow.Seconds()*perSecond+limitSlack)
+					require.True(t, perSecond == 0 || use >= 0.6, use)
+				}
+				require.GreaterOrEqual(t, served, 0.95)
+			})
+		}
+	}
+}
+
+// TestLimitAboveDemandChangesNothing guards against a backend server that loses requests by
+// a limit which it does not reach.
+func TestLimitAboveDemandChangesNothing(t *testing.T) {
+	for _, instances := range []int{2, 11, 77} {
+		free, limited := newShop(instances, 4), newShop(instances, 4)
+		without, _ := free.run(start, start.Add(20*time.Second), 40, nil)
+		with, served := limited.run(start, start.Add(20*time.Second), 40, map[string]float64{"backend-0": 200})
+		require.Equal(t, 1.0, served)
+		require.InEpsilon(t, len(without["backend-0"]), len(with["backend-0"]), 0.1, instances)
+	}
+}
+
+// TestDisplacedObjectsStayTogether guards against objects that a limited backend server
+// cannot take and that each instance sends to another one, where they are not loaded.
+func TestDisplacedObjectsStayTogether(t *testing.T) {
+	s := newShop(11, 8)
+	limits := map[string]float64{"backend-0": 0}
+	s.run(start, start.Add(4*time.Second), 500, limits)
+	places := map[string]map[string]bool{}
+	for n := range 4000 {
+		now := start.Add(5*time.Second + time.Duration(n)*time.Millisecond)
+		m := s.machines[4*s.rng.IntN(3)]
+		object := fmt.Sprint(n % 100)
+		sticky := *route
+		sticky.Sticky = true
+		r := request(2 * time.Second)
+		r.Object, r.Route, r.Received, r.Deadline, r.CallerDeadline = object, &sticky, now, now.Add(time.Second), now.Add(time.Second)
+		state := m.Begin(s.snapshot, r, now)
+		choice, reason := m.Next(state, s.snapshot, now)
+		require.Empty(t, reason)
+		m.RecordEnd(state, choice, affinity.Result{Took: 20 * time.Millisecond}, true, now)
+		if places[object] == nil {
+			places[object] = map[string]bool{}
+		}
+		if choice.Backend.ID != "backend-0" {
+			places[object][choice.Backend.ID] = true
+		}
+	}
+	for object, backends := range places {
+		require.Len(t, backends, 1, "object %s", object)
+	}
+}
--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -67,6 +67,9 @@
 	Statement
 	// Since is when the newest evidence for the statement arrived.
 	Since time.Time
+	// LimitedSince is when this instance learnt that there is a limit, of whatever value;
+	// zero if there is none.
+	LimitedSince time.Time
 	// Shared reports whether the evidence is the shared row, and not a response that this
 	// instance got.
 	Shared bool
@@ -105,8 +108,9 @@
 	backend Backend
 	// own is what the responses to this instance tell, shared what the shared row tells.
 	own, shared belief
-	// ended is when the limit ended; zero if there was none, or while there is one.
-	ended time.Time
+	// begun is when this instance learnt that there is a limit, and ended when the limit
+	// ended. One of them is zero.
+	begun, ended time.Time
 	// reported is the newest state that TakeChanges has been told of.
 	reported State
 	// version is the version of the shared row; 0 if there is none.
@@ -156,7 +160,7 @@
 	case e.own.at.After(e.shared.at) || e.own.Limited && now.Sub(e.own.at) < settleTime && e.shared.allowsMoreThan(e.own.Statement):
 		b, shared = e.own, false
 	}
-	s := State{Statement: b.Statement, Since: b.at, Shared: shared, Returned: 1}
+	s := State{Statement: b.Statement, Since: b.at, LimitedSince: e.begun, Shared: shared, Returned: 1}
 	if !s.Limited && !e.ended.IsZero() {
 		s.Returned = min(1, now.Sub(e.ended).Seconds()/ReturnTime.Seconds())
 	}
@@ -201,11 +205,11 @@
 // recordChange notes a change of what holds.
 func (t *Table) recordChange(e *entry, cause Cause, now time.Time) {
 	state := e.effective(now)
-	if state.Limited {
-		e.ended = time.Time{}
-	} else if e.reported.Limited {
-		e.ended = now
-		state.Returned = 0
+	switch {
+	case state.Limited && !e.reported.Limited:
+		e.begun, e.ended = now, time.Time{}
+	case !state.Limited && e.reported.Limited:
+		e.begun, e.ended = time.Time{}, now
 	}
 	if state.Statement != e.reported.Statement {
 		t.changes = append(t.changes, Change{Backend: e.backend, From: e.reported, To: state, Cause: cause})
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -31,7 +31,7 @@
 	margin = 2
 	// maxGrantsPerSecond bounds the grants of one rate. A higher rate is issued in
 	// grants for several requests.
-	maxGrantsPerSecond = 16
+	maxGrantsPerSecond = 64
 	// minWeight is the weight of a member that has a smaller one.
 	minWeight = 1e-6
 )
@@ -108,18 +108,18 @@
 func New(self string) *Pacer { return &Pacer{self: self, issues: map[string]*issue{}} }
 
 // Available reports whether this instance may send a request under the rate with the given
-// key. now is the time on the shared clock. An instance gets no grants that were issued
-// before the first call for a key.
-func (p *Pacer) Available(key string, r Rate, members []Member, now time.Duration) bool {
+// key. now is the time on the shared clock, and since the time from which on this instance
+// has known that there is a rate. It gets no grants that were issued before.
+func (p *Pacer) Available(key string, r Rate, members []Member, since, now time.Duration) bool {
 	i := p.issues[key]
 	if i == nil {
-		i = &issue{}
+		i = &issue{rate: r}
 		p.issues[key] = i
 	}
 	if i.rate != r {
 		i.change(r, now)
 	}
-	p.advance(i, key, members, now)
+	p.advance(i, key, members, since, now)
 	return len(i.grants) > 0
 }
 
@@ -137,13 +137,13 @@
 	return int64(math.Floor(now.Seconds() * i.rate.grantsPerSecond()))
 }
 
-// advance takes the grants of this instance that were issued since the last call, and drops
-// those that are void.
-func (p *Pacer) advance(i *issue, key string, members []Member, now time.Duration) {
+// advance takes the grants of this instance that were issued since the last call and after
+// since, and drops those that are void.
+func (p *Pacer) advance(i *issue, key string, members []Member, since, now time.Duration) {
 	perSecond := i.rate.grantsPerSecond()
 	latest := i.latest(now)
 	oldest := int64(math.Ceil((now - i.rate.Lifetime).Seconds() * perSecond))
-	for n := max(i.next, oldest); n <= latest; n++ {
+	for n := max(i.next, oldest, i.latest(since)+1); n <= latest; n++ {
 		if owner(key, n, members) == p.self {
 			issued := time.Duration(float64(n) / perSecond * float64(time.Second))
 			i.grants = append(i.grants, grant{expires: issued + i.rate.Lifetime, left: i.rate.size()})
