soak: backend servers name request limits; a limit that ended refuses nobody

Backend servers of the soak name limits of 0 to 10 a second, one, or a whole zone of them, in the planned and in the faulty phase; the check sums over the instances that had passed on the limit and were not interrupted since, as the users' rule does.

Found while writing it: while limits of all backend servers end, requests whose objects had not returned anywhere were refused although no limit was left. Such a backend server is passed over only if another one may get the request.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -317,8 +317,7 @@
 		return affinity.Choice{}, NoBackends
 	}
 	query := req.attemptQuery()
-	query.Allows = func(b *traffic.Backend) bool { return m.allows(req, b, now) }
-	choice, ok := m.balancer.Choose(query, now)
+	choice, ok := m.choose(req, query, now)
 	if !ok {
 		return choice, m.noneUsable(req, now)
 	}
@@ -337,6 +336,25 @@
 	return choice, ""
 }
 
+// choose returns the backend server for a request. One whose limit has ended a moment ago
+// gets the requests of objects that have not returned there only if no other may get them.
+func (m *Machine) choose(req *RequestState, query affinity.Query, now time.Time) (affinity.Choice, bool) {
+	returning := false
+	query.Allows = func(b *traffic.Backend) bool {
+		if !m.returned(req, b, now) {
+			returning = true
+			return false
+		}
+		return m.allows(req, b, now)
+	}
+	choice, ok := m.balancer.Choose(query, now)
+	if ok || !returning {
+		return choice, ok
+	}
+	query.Allows = func(b *traffic.Backend) bool { return m.allows(req, b, now) }
+	return m.balancer.Choose(query, now)
+}
+
 // noneUsable returns why no backend server can get the request.
 func (m *Machine) noneUsable(req *RequestState, now time.Time) Reason {
 	req.Limitation = m.limitation(req, now)
--- a/internal/decide/admission/pacing.go
+++ b/internal/decide/admission/pacing.go
@@ -76,8 +76,7 @@
 }
 
 // allows reports whether this instance may send a request to a backend server now, as far
-// as the rates of all instances together are concerned. The requests of some objects return
-// first after the end of a limit, those of others later.
+// as the rates of all instances together are concerned.
 func (m *Machine) allows(req *RequestState, b *traffic.Backend, now time.Time) bool {
 	if isCold(req.Service, b, now) && !m.hasGrant(coldKey(b), m.coldRate(req.Service), b, m.coldSince(req.Service, b, now), now) {
 		return false
@@ -86,11 +85,17 @@
 		return true
 	}
 	state := m.limits.State(identityOf(b), now)
-	if state.Limited {
-		return m.hasGrant(limitKey(b), limitRate(state.PerSecond), b, state.LimitedSince, now)
+	return !state.Limited || m.hasGrant(limitKey(b), limitRate(state.PerSecond), b, state.LimitedSince, now)
+}
+
+// returned reports whether a backend server gets the requests for an object again after the
+// end of its limit. Some objects return earlier, others later.
+func (m *Machine) returned(req *RequestState, b *traffic.Backend, now time.Time) bool {
+	if m.limits.Empty() {
+		return true
 	}
-	m.pacer.Forget(limitKey(b))
-	return state.Returned == 1 || hrw.Fraction(cmp.Or(req.query.Object, req.query.SpreadKey), b.ID) < state.Returned
+	share := m.limits.State(identityOf(b), now).Returned
+	return share == 1 || hrw.Fraction(cmp.Or(req.query.Object, req.query.SpreadKey), b.ID) < share
 }
 
 // hasGrant reports whether this instance has a grant for a request to a backend server, of
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -179,9 +179,6 @@
 	}
 }
 
-// Forget forgets the rate with the given key and its grants.
-func (p *Pacer) Forget(key string) { delete(p.issues, key) }
-
 // Retain forgets the rates for whose keys keep returns false.
 func (p *Pacer) Retain(keep func(key string) bool) {
 	for key := range p.issues {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -42,7 +42,9 @@
 	status         int
 	response       string
 	hasServerStamp bool
-	err            error
+	// statesLimit is set if the response states a request limit.
+	statesLimit bool
+	err         error
 }
 
 // callerGroup is the group of all callers with the records of their requests.
@@ -243,6 +245,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	r.status, r.response, r.hasServerStamp = resp.StatusCode, string(body), resp.Header.Get("X-Banyandeal-Server-Stamp") != ""
+	r.statesLimit = resp.Header.Get("Server-Limit") != ""
 	if resp.Close {
 		c.requestsLeft = 0
 	}
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -93,6 +93,9 @@
 	// exitExpected is set while the process is allowed to exit.
 	exitExpected bool
 	done         chan struct{}
+	// interruptions holds when the process was started or got a signal that ends, pauses or
+	// continues it.
+	interruptions []time.Time
 	// unexpectedExit describes an exit of the process that was not expected.
 	unexpectedExit error
 }
@@ -238,6 +241,7 @@
 	}
 	i.mu.Lock()
 	i.cmd, i.exitExpected, i.done = cmd, false, make(chan struct{})
+	i.interruptions = append(i.interruptions, time.Now())
 	done := i.done
 	i.mu.Unlock()
 	go i.watch(cmd, done)
@@ -265,6 +269,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.exitExpected = i.exitExpected || ends
+	if s != syscall.SIGHUP {
+		i.interruptions = append(i.interruptions, time.Now())
+	}
 	// Signal fails if the process has already exited, which then needs no signal.
 	_ = i.cmd.Process.Signal(s)
 	return i.done
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,8 +78,17 @@
 	work     time.Duration
 	running  int
 	conns    int
-	// limits holds the request limits that its responses state, normally at most one.
-	limits []string
+	// limits holds the request limits that its responses state, normally at most one, and
+	// limitPeriods when they did so.
+	limits       []string
+	limitPeriods []LimitPeriod
+}
+
+// LimitPeriod is a time in which a backend server stated one request limit.
+type LimitPeriod struct {
+	PerSecond float64
+	// To is zero while the period lasts.
+	From, To time.Time
 }
 
 // Start is how a backend server begins.
@@ -162,6 +173,7 @@
 		return
 	}
 	b.crashed = true
+	b.setLimits(nil)
 	address := b.listener.Addr().String()
 	_ = b.listener.Close()
 	if b.start.OnCrash != nil {
@@ -221,7 +233,30 @@
 func (b *Backend) SetLimits(limits ...string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.setLimits(limits)
+}
+
+// setLimits is SetLimits for a caller that holds b.mu.
+func (b *Backend) setLimits(limits []string) {
+	now := time.Now()
+	if n := len(b.limitPeriods); n > 0 && b.limitPeriods[n-1].To.IsZero() {
+		b.limitPeriods[n-1].To = now
+	}
 	b.limits = limits
+	if len(limits) != 1 {
+		return
+	}
+	if perSecond, err := strconv.ParseFloat(limits[0], 64); err == nil {
+		b.limitPeriods = append(b.limitPeriods, LimitPeriod{PerSecond: perSecond, From: now})
+	}
+}
+
+// LimitPeriods returns the times in which responses stated one valid request limit. A crash
+// ends them.
+func (b *Backend) LimitPeriods() []LimitPeriod {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.limitPeriods)
 }
 
 // limitHeaders returns the header lines that state the request limits.
