emulator: backend servers name request limits; only a stamped response ends one

Tried and taken back: a request that is refused for a full queue uses a grant for any limited backend server of its region.

--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -145,6 +145,8 @@
 	// limit is what the response states about the rate of requests that the backend
 	// server takes.
 	limit platform.RequestLimit
+	// stamped is set when the response has the stamp of the backend server.
+	stamped bool
 }
 
 // send makes one attempt and records its end.
@@ -168,13 +170,13 @@
 	return end
 }
 
-// observeLimit records the request limit that a response states. Only responses of a run
-// tell that there is none, since others may come from something in between.
+// observeLimit records the request limit that a response states. Only a complete response to
+// a run tells that there is none.
 func (f *Filter) observeLimit(b *traffic.Backend, end attemptEnd, outcome affinity.Outcome, sent time.Time) {
 	switch {
 	case end.limit.Named() && outcome != affinity.Unreachable:
 		f.decider.observeLimit(b, limit.Statement{Limited: true, PerSecond: end.limit.PerSecond}, sent)
-	case end.limit.Header == "" && outcome == affinity.Answered:
+	case end.limit.Header == "" && end.stamped && outcome == affinity.Answered:
 		f.decider.observeLimit(b, limit.Statement{}, sent)
 	}
 }
@@ -219,7 +221,7 @@
 		result.Load = &affinity.Load{Running: v.Running, Waiting: v.Waiting, Slots: v.Slots}
 	}
 	end, outcome := classifyResponse(resp, v)
-	end.limit, result.Outcome = v.Limit, outcome
+	end.limit, end.stamped, result.Outcome = v.Limit, v.Stamped, outcome
 	return end, result
 }
 
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -24,6 +24,8 @@
 	// running is the number of occupied slots.
 	running int
 	queue   []*run
+	// limit is the request limit that responses state; nil if there is none.
+	limit *namedLimit
 	// lastRuns maps each cached object to the time of its last run.
 	lastRuns map[string]time.Duration
 }
@@ -63,6 +65,9 @@
 // accept starts the request in a free slot, queues it, or rejects it if the
 // queue is full or the backend server sheds it.
 func (b *backend) accept(sim *simulation, r *run) {
+	if b.limit != nil {
+		b.limit.arrivals = append(b.limit.arrivals, sim.now)
+	}
 	switch {
 	case b.terminated:
 		r.done(runAborted)
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -49,6 +49,9 @@
 	// RepeatCrashing lets callers repeat a request that crashes each backend server
 	// that runs it, Factor times a second.
 	RepeatCrashing
+	// NameLimits lets Share of the backend servers of a service state a request limit of
+	// Factor requests per second.
+	NameLimits
 )
 
 // AnyZone stands for a random zone that depends on the seed.
@@ -92,6 +95,11 @@
 		{Kind: RepeatCrashing, At: 9 * time.Second, ActiveFor: 15 * time.Second, Factor: 10},
 		{Kind: RepeatCrashing, At: 9 * time.Second, ActiveFor: 15 * time.Second, Factor: 1},
 	}},
+	{Name: "named limits", Length: 40 * time.Second, Disturbances: []Disturbance{
+		{Kind: NameLimits, At: 4 * time.Second, ActiveFor: 10 * time.Second, Share: 0.15, Factor: 1},
+		{Kind: NameLimits, At: 16 * time.Second, ActiveFor: 10 * time.Second, Share: 0.3, Factor: 3.5},
+		{Kind: Burst, At: 20 * time.Second, ActiveFor: 4 * time.Second, Factor: 1.6},
+	}},
 	{Name: "all shed", Length: 32 * time.Second, Disturbances: []Disturbance{
 		{Kind: Shed, At: 10 * time.Second, ActiveFor: 8 * time.Second, Share: 1, Factor: 0.5},
 	}},
--- a/internal/emulator/disturbance.go
+++ b/internal/emulator/disturbance.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,11 +32,13 @@
 		sim.restart(newPolicy)
 	case RepeatCrashing:
 		sim.repeatCrashing(t)
+	case NameLimits:
+		sim.nameLimits(t)
 	}
 }
 
 // restart replaces the policies of all instances. The new policies know only
-// the placements, which a real instance would read from the store.
+// the placements and the request limits, which a real instance would read from the store.
 func (sim *simulation) restart(newPolicy NewPolicy) {
 	for _, z := range sim.zones {
 		for _, i := range sim.instances[z] {
@@ -45,6 +48,9 @@
 				kept := before.Assign(i.snapshot, admission.PlacementRequest{}, 0, sim.clock())
 				i.policy.(placementPolicy).MergePlacements(nil, kept, sim.clock())
 			}
+			if p, ok := i.policy.(limitPolicy); ok {
+				p.Limits().Merge(slices.Collect(maps.Values(sim.limitRows)), true, sim.clock())
+			}
 		}
 	}
 }
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	{Kind: Shed, At: 4 * time.Second, ActiveFor: 2 * time.Second, Share: 0.2, Factor: 0.5},
 	{Kind: Replace, At: 4 * time.Second, ActiveFor: 2 * time.Second, Share: 0.2},
 	{Kind: RepeatCrashing, At: 5 * time.Second, ActiveFor: 2 * time.Second, Factor: 4},
+	{Kind: NameLimits, At: 2 * time.Second, ActiveFor: 5 * time.Second, Share: 0.2, Factor: 1},
 	{Kind: RestartInstances, At: 6 * time.Second},
 }}
 
@@ -101,6 +103,33 @@
 	}
 }
 
+// TestNamedLimitsAtAnySize guards against limits of backend servers that are passed the
+// further the more instances there are, also through a restart of all of them, and against
+// callers who are refused because of them.
+func TestNamedLimitsAtAnySize(t *testing.T) {
+	for _, perSecond := range []float64{0, 1, 3.5} {
+		for name, d := range map[string]*Deployment{"11": poorRegion(), "77": tenfold()} {
+			t.Run(fmt.Sprint(perSecond, " at ", name), func(t *testing.T) {
+				t.Parallel()
+				disturbances := []Disturbance{{Kind: NameLimits, At: 3 * time.Second, ActiveFor: 12 * time.Second, Share: 0.15, Factor: perSecond}}
+				disturbances = append(disturbances, Disturbance{Kind: RestartInstances, At: 8 * time.Second})
+				sim := newSimulation(d, Day{Length: 16 * time.Second, Disturbances: disturbances}, 1)
+				sim.run(newMachine)
+				calm := Simulate(d, Day{Length: 16 * time.Second}, newMachine, 1)
+				served, worst, used := sim.score.score().Served, 0, 0.0
+				for _, n := range sim.limits {
+					use := n.use()
+					require.LessOrEqual(t, float64(use.worst), use.allowed)
+					worst = max(worst, use.worst)
+					used += use.used / float64(len(sim.limits))
+				}
+				t.Logf("%d limited: worst 4 s %d of %.0f, %.2f of the limits used, %.3f served, %.3f without limits", len(sim.limits), worst, sim.limits[0].use().allowed, used, served, calm.Served)
+				require.Greater(t, served, calm.Served-0.05)
+			})
+		}
+	}
+}
+
 // TestPrint checks the layout of the table, and that an unknown name gives an
 // error that points to --help.
 func TestPrint(t *testing.T) {
--- /dev/null
+++ b/internal/emulator/limits.go
@@ -0,0 +1,137 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
+)
+
+// limitSyncInterval is the time between checks of an instance whether it has to write shared
+// rows of request limits.
+const limitSyncInterval = 200 * time.Millisecond
+
+// limitPolicy is a policy that keeps request limits.
+type limitPolicy interface{ Limits() *limit.Table }
+
+// namedLimit is a request limit that a backend server states.
+type namedLimit struct {
+	backend   *backend
+	perSecond float64
+	// from and to are simulated times.
+	from, to time.Duration
+	// arrivals holds when requests arrived.
+	arrivals []time.Duration
+}
+
+// nameLimits lets backend servers state the limit Factor, in requests per second.
+func (sim *simulation) nameLimits(t Disturbance) {
+	for _, b := range sim.pickBackends(t) {
+		named := &namedLimit{backend: b, perSecond: t.Factor, from: sim.now, to: sim.now + t.ActiveFor}
+		b.limit = named
+		sim.limits = append(sim.limits, named)
+		sim.after(t.ActiveFor, func() { b.limit = nil })
+	}
+	if !sim.sharesLimits {
+		sim.sharesLimits = true
+		sim.shareLimits()
+	}
+}
+
+// statedLimit returns what a response of the backend server states.
+func (b *backend) statedLimit() limit.Statement {
+	if b.limit == nil {
+		return limit.Statement{}
+	}
+	return limit.Statement{Limited: true, PerSecond: b.limit.perSecond}
+}
+
+// observeLimit passes what a response stated to the policy that sent the request.
+func (sim *simulation) observeLimit(x *exchange, b *backend, stated limit.Statement, sent time.Duration) {
+	if p, ok := x.policy.(limitPolicy); ok {
+		p.Limits().Observe(limit.Backend{ID: b.ID}, stated, epoch.Add(sent), sim.clock())
+	}
+}
+
+// shareLimits lets all instances write the shared rows that are due.
+func (sim *simulation) shareLimits() {
+	for _, z := range sim.zones {
+		for _, i := range sim.instances[z] {
+			if p, ok := i.policy.(limitPolicy); ok && i.snapshot != nil {
+				sim.writeLimits(p.Limits(), i.snapshot.Instances)
+			}
+		}
+	}
+	if sim.now < sim.day.Length {
+		sim.after(limitSyncInterval, sim.shareLimits)
+	}
+}
+
+// writeLimits writes the shared rows that are due at an instance, unless another one has
+// written them meanwhile.
+func (sim *simulation) writeLimits(t *limit.Table, instances int) {
+	for _, w := range t.Due(instances, false, sim.clock()) {
+		current := sim.limitRows[w.Row.Backend.ID]
+		if current.Version != w.Row.Version {
+			t.Merge([]limit.SharedRow{current}, false, sim.clock())
+			continue
+		}
+		sim.limitVersion++
+		row := w.Row
+		row.Version = sim.limitVersion
+		t.Written([]limit.Write{w}, row.Version, sim.clock())
+		sim.limitRows[row.Backend.ID] = row
+		if row.Deleted {
+			delete(sim.limitRows, row.Backend.ID)
+		}
+		sim.after(noticeDelay, func() { sim.deliverLimit(row) })
+	}
+}
+
+// deliverLimit passes a shared row to all instances.
+func (sim *simulation) deliverLimit(row limit.SharedRow) {
+	for _, z := range sim.zones {
+		for _, i := range sim.instances[z] {
+			if p, ok := i.policy.(limitPolicy); ok {
+				p.Limits().Merge([]limit.SharedRow{row}, false, sim.clock())
+			}
+		}
+	}
+}
+
+// Bounds on the requests to a backend server with a limit, from limitContact after it was
+// named: in each limitWindow limitFactor times what the limit allows and limitSlack.
+const (
+	limitContact = 4 * time.Second
+	limitWindow  = 4 * time.Second
+	limitFactor  = 1.5
+	limitSlack   = 5
+)
+
+// limitUse says how a named limit was kept.
+type limitUse struct {
+	// worst is the largest number of requests in a limitWindow, allowed what the limit
+	// allows there.
+	worst   int
+	allowed float64
+	// used is the share of the limit that was used.
+	used float64
+}
+
+// use returns how the limit was kept from limitContact after it was named.
+func (n *namedLimit) use() limitUse {
+	from := n.from + limitContact
+	counted := slices.DeleteFunc(slices.Clone(n.arrivals), func(at time.Duration) bool { return at < from || at >= n.to })
+	u := limitUse{allowed: limitFactor*n.perSecond*limitWindow.Seconds() + limitSlack}
+	first := 0
+	for k, at := range counted {
+		for at-counted[first] > limitWindow {
+			first++
+		}
+		u.worst = max(u.worst, k-first+1)
+	}
+	if n.perSecond > 0 {
+		u.used = float64(len(counted)) / (n.perSecond * (n.to - from).Seconds())
+	}
+	return u
+}
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -119,7 +119,13 @@
 	sim.after(rtt/2, func() {
 		b.accept(sim, &run{kind: x.request.kind, object: x.request.kind.Name + x.request.object, deadline: end, done: func(end runOutcome) {
 			load := &affinity.Load{Running: b.running, Waiting: len(b.queue), Slots: b.service.Slots}
-			sim.after(rtt/2, func() { sim.handleResult(x, end, load, finish) })
+			stated := b.statedLimit()
+			sim.after(rtt/2, func() {
+				sim.handleResult(x, end, load, finish)
+				if end == runCompleted || stated.Limited {
+					sim.observeLimit(x, b, stated, sent)
+				}
+			})
 		}})
 	})
 }
--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
@@ -77,7 +78,13 @@
 	callerShifts map[string]callerShift
 	// crashing holds the requests that crash backend servers.
 	crashing []*crashingRequest
-	score    *scoreCounter
+	// limits holds the request limits that were named. sharesLimits is set once instances
+	// share them through limitRows, whose newest version is limitVersion.
+	limits       []*namedLimit
+	sharesLimits bool
+	limitRows    map[string]limit.SharedRow
+	limitVersion uint64
+	score        *scoreCounter
 }
 
 // callerShift says which share of the callers of a zone uses another zone.
@@ -127,7 +134,7 @@
 	sim := &simulation{
 		deployment: d, day: day, rng: rand.New(rand.NewPCG(seed, 1)),
 		regionOf: d.regionOf(), services: map[string]*Service{}, routes: map[string]*traffic.Route{},
-		instances: map[string][]*instance{}, byID: map[string]*backend{}, rateFactor: map[string]float64{}, callerShifts: map[string]callerShift{}, score: newScoreCounter(),
+		instances: map[string][]*instance{}, byID: map[string]*backend{}, rateFactor: map[string]float64{}, callerShifts: map[string]callerShift{}, score: newScoreCounter(), limitRows: map[string]limit.SharedRow{},
 	}
 	for z := range sim.regionOf {
 		sim.zones = append(sim.zones, z)
