--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -6,7 +6,7 @@
 var Names = []string{
 	blockTable, blockRebuild, blockContent, blockEstate, blockObjects, blockSplit, blockJoin, blockChange, blockApply, blockChoose,
 	siteContent, siteChange, siteApply, sitePlan, zonePlan, zoneTables, zoneRamp, zoneRest,
-	memberHeap, memberTick, memberChange, memberPublish, memberAnew, memberSet, memberRecords, zoneLoads,
+	memberHeap, memberTick, memberChange, memberPublish, memberAnew, memberSet, memberRecords, zoneLoads, pacedGrant,
 	ownerRow, ownerTick, ownerHeap, linkRow, linkTick, linkHeap, claimRow, keyHeap,
 	trafficPlain, trafficRelay, trafficThree, trafficMesh,
 	listBytes, wireHeartbeats, wireCalls, wireLookups, wireAnswer, wireSessions,
--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyandeal/banyandeal/internal/decide/load"
 	"github.com/banyandeal/banyandeal/internal/decide/membership"
+	"github.com/banyandeal/banyandeal/internal/decide/pace"
 	"github.com/banyandeal/banyandeal/internal/decide/refresh"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
 	"github.com/banyandeal/banyandeal/internal/snapshot"
@@ -24,6 +25,7 @@
 	memberSet     = "replica of member records, memory"
 	memberRecords = "member records, bytes"
 	zoneLoads     = "load records of a zone, bytes"
+	pacedGrant    = "one grant for a backend server with a request limit, processor"
 )
 
 // start is the time at which measurements begin.
@@ -42,6 +44,22 @@
 	return m
 }
 
+// grantTime returns the time in which an instance finds the owner of one grant of its region,
+// which has n instances.
+func grantTime(n int) float64 {
+	region := pace.Group{Name: "region", Weight: 1}
+	for _, in := range newInstances(n, Letter.Zones) {
+		region.Members = append(region.Members, string(in.ID))
+	}
+	rate := pace.Rate{PerSecond: 1, Factor: 1.5, Slack: 5, Window: 4 * time.Second, Lifetime: 4 * time.Second}
+	perGrant := time.Duration(float64(time.Second) / rate.Issued())
+	p, now := pace.New(region.Name, region.Members[0]), time.Duration(0)
+	return seconds(func() {
+		now += perGrant
+		p.Available("backend", rate, []pace.Group{region}, 0, now)
+	})
+}
+
 // measureMembers measures what grows with the number of instances known.
 func measureMembers(add func(Series)) error {
 	known := over{add: add, variable: "instances", steps: memberSteps, target: Letter.Nodes}
@@ -71,6 +89,8 @@
 		}
 		return float64(proto.Size(m))
 	})
+	region := over{add: add, variable: "instances of the region", steps: []int{100, 400, Letter.RegionNodes()}, target: Letter.RegionNodes()}
+	region.measure(pacedGrant, Seconds, "internal/decide/pace", grantTime)
 	zone := over{add: add, variable: "instances of the zone", steps: []int{20, 80, Letter.ZoneNodes()}, target: Letter.ZoneNodes()}
 	zone.measure(zoneLoads, Bytes, "internal/peer/peerpb", func(n int) float64 {
 		m := &peerpb.Refresh{}
--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -209,7 +209,7 @@
 	// a limit.
 	pacer *pace.Pacer
 	// owners caches the owners of grants. It changes with snapshot.
-	owners map[ownersKey][]pace.Member
+	owners map[ownersKey][]pace.Group
 }
 
 // New returns a Machine without any recorded state.
@@ -218,7 +218,7 @@
 	return &Machine{
 		cfg: cfg, balancer: balancer, placements: assign.New(), lastPlacementRequest: map[assign.Key]time.Time{},
 		budgets: map[string]*retry.Budget{}, routes: map[routeKey]*routeState{}, shortestRun: map[string]shortestRun{},
-		limits: limit.New(cfg.Instance), pacer: pace.New(cfg.Instance),
+		limits: limit.New(cfg.Instance), pacer: pace.New(cfg.Region, cfg.Instance),
 	}
 }
 
@@ -279,7 +279,7 @@
 		_, id, _ := strings.Cut(key, " ")
 		return exists(id)
 	})
-	m.owners = map[ownersKey][]pace.Member{}
+	m.owners = map[ownersKey][]pace.Group{}
 }
 
 // candidates returns the backend servers of a service that are in the home
--- a/internal/decide/admission/pacing.go
+++ b/internal/decide/admission/pacing.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
@@ -26,8 +28,8 @@
 	// minLimit is the rate per second at which requests are sent to a backend server with a
 	// lower limit, so that the end of the limit is noticed.
 	minLimit = 0.25
-	// otherRegionsShare is the share of the grants for a backend server that go to
-	// instances whose callers do not use its region normally.
+	// otherRegionsShare is the share of the grants for a backend server that goes to a
+	// region whose callers do not use its region normally.
 	otherRegionsShare = 0.02
 )
 
@@ -117,10 +119,10 @@
 // ownersKey identifies the backend servers whose grants have the same owners.
 type ownersKey struct{ service, region string }
 
-// grantOwners returns the instances that own grants for a backend server, with a weight in
-// proportion to the requests that their callers normally send there. All instances with the
-// same snapshot return the same.
-func (m *Machine) grantOwners(b *traffic.Backend) []pace.Member {
+// grantOwners returns the instances that own grants for a backend server by region, with a
+// weight in proportion to the requests that the region's callers normally send there. All
+// instances with the same snapshot return the same.
+func (m *Machine) grantOwners(b *traffic.Backend) []pace.Group {
 	key := ownersKey{b.Service, m.cfg.RegionOf[b.Zone]}
 	owners, ok := m.owners[key]
 	if !ok {
@@ -131,26 +133,26 @@
 }
 
 // newOwners computes what grantOwners returns.
-func (m *Machine) newOwners(key ownersKey) []pace.Member {
-	counts, zones := map[string]int{}, map[string]int{}
+func (m *Machine) newOwners(key ownersKey) []pace.Group {
+	members, zones := map[string][]string{}, map[string]int{}
 	for _, member := range m.snapshot.Members {
-		counts[m.cfg.RegionOf[member.Zone]]++
+		region := m.cfg.RegionOf[member.Zone]
+		members[region] = append(members[region], member.Name)
 	}
 	for _, region := range m.cfg.RegionOf {
 		zones[region]++
 	}
-	demand, total := map[string]float64{}, 0.0
-	for region := range counts {
-		demand[region] = float64(zones[region]) * m.shareSentTo(key, region)
-		total += demand[region]
+	var groups []pace.Group
+	total := 0.0
+	for _, region := range slices.Sorted(maps.Keys(members)) {
+		demand := float64(zones[region]) * m.shareSentTo(key, region)
+		groups = append(groups, pace.Group{Name: region, Weight: demand, Members: members[region]})
+		total += demand
 	}
-	var owners []pace.Member
-	for _, member := range m.snapshot.Members {
-		region := m.cfg.RegionOf[member.Zone]
-		weight := max(demand[region], otherRegionsShare*total) / float64(counts[region])
-		owners = append(owners, pace.Member{Name: member.Name, Weight: weight})
+	for i := range groups {
+		groups[i].Weight = max(groups[i].Weight, otherRegionsShare*total)
 	}
-	return owners
+	return groups
 }
 
 // shareSentTo returns the share of the requests of a region's callers to a service that go
@@ -191,7 +193,7 @@
 		rate := limitRate(state.PerSecond)
 		freeIn := rate.UntilNext(m.snapshot.sharedTime(now))
 		if first == nil || freeIn < first.FreeIn {
-			first = &Limitation{Backend: b.ID, State: state, Issued: rate.Issued(), Instances: len(m.grantOwners(b)), FreeIn: freeIn}
+			first = &Limitation{Backend: b.ID, State: state, Issued: rate.Issued(), Instances: len(m.snapshot.Members), FreeIn: freeIn}
 		}
 	}
 	return first
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -3,9 +3,9 @@
 //
 // A rate is issued as grants, one after the other on a clock that the instances share. Each
 // grant is for a few requests, normally one, and belongs to one instance: all of them find
-// its owner by weighted rendezvous hashing over the members. An instance that does not know
-// a member, or still knows one that has left, finds another owner only for the grants of
-// that member. A grant that its owner does not use within a lifetime is void, so that grants
+// its owner by rendezvous hashing, first over the groups by weight, then over the members of
+// the group. An instance that does not know a member, or still knows one that has left,
+// finds another owner only for the grants of that member. A grant that its owner does not use within a lifetime is void, so that grants
 // do not pile up while there is little to send.
 //
 // Pacer is a pure state machine and not safe for concurrent use.
@@ -32,7 +32,7 @@
 	// maxGrantsPerSecond bounds the grants of one rate. A higher rate is issued in
 	// grants for several requests.
 	maxGrantsPerSecond = 64
-	// minWeight is the weight of a member that has a smaller one.
+	// minWeight is the weight of a group that has a smaller one.
 	minWeight = 1e-6
 )
 
@@ -73,16 +73,18 @@
 	return time.Duration((math.Floor(issued) + 1 - issued) / perSecond * float64(time.Second))
 }
 
-// Member is an instance that may own grants. An instance of twice the weight owns twice as
-// many.
-type Member struct {
-	Name   string
-	Weight float64
+// Group is a group of instances that own grants. A group of twice the weight owns twice as
+// many, and its members own equally many.
+type Group struct {
+	Name    string
+	Weight  float64
+	Members []string
 }
 
 // Pacer holds the grants of one instance.
 type Pacer struct {
-	self string
+	// group and self are the names of this instance's group and of the instance.
+	group, self string
 	// issues holds the state of each rate by its key.
 	issues map[string]*issue
 }
@@ -104,13 +106,15 @@
 	left int
 }
 
-// New returns a Pacer of the instance self without grants.
-func New(self string) *Pacer { return &Pacer{self: self, issues: map[string]*issue{}} }
+// New returns a Pacer of the instance self of a group, without grants.
+func New(group, self string) *Pacer {
+	return &Pacer{group: group, self: self, issues: map[string]*issue{}}
+}
 
 // Available reports whether this instance may send a request under the rate with the given
 // key. now is the time on the shared clock, and since the time from which on this instance
 // has known that there is a rate. It gets no grants that were issued before.
-func (p *Pacer) Available(key string, r Rate, members []Member, since, now time.Duration) bool {
+func (p *Pacer) Available(key string, r Rate, groups []Group, since, now time.Duration) bool {
 	i := p.issues[key]
 	if i == nil {
 		i = &issue{rate: r}
@@ -119,7 +123,7 @@
 	if i.rate != r {
 		i.change(r, now)
 	}
-	p.advance(i, key, members, since, now)
+	p.advance(i, key, groups, since, now)
 	return len(i.grants) > 0
 }
 
@@ -139,12 +143,12 @@
 
 // advance takes the grants of this instance that were issued since the last call and after
 // since, and drops those that are void.
-func (p *Pacer) advance(i *issue, key string, members []Member, since, now time.Duration) {
+func (p *Pacer) advance(i *issue, key string, groups []Group, since, now time.Duration) {
 	perSecond := i.rate.grantsPerSecond()
 	latest := i.latest(now)
 	oldest := int64(math.Ceil((now - i.rate.Lifetime).Seconds() * perSecond))
 	for n := max(i.next, oldest, i.latest(since)+1); n <= latest; n++ {
-		if owner(key, n, members) == p.self {
+		if p.owns(key, n, groups) {
 			issued := time.Duration(float64(n) / perSecond * float64(time.Second))
 			i.grants = append(i.grants, grant{expires: issued + i.rate.Lifetime, left: i.rate.size()})
 		}
@@ -153,14 +157,26 @@
 	i.grants = slices.DeleteFunc(i.grants, func(g grant) bool { return g.expires <= now })
 }
 
-// owner returns the name of the member that owns the n-th grant; empty if there are no
-// members.
-func owner(key string, n int64, members []Member) string {
+// owns reports whether this instance owns the n-th grant: its group ranks first for it, and
+// the instance does so within the group.
+func (p *Pacer) owns(key string, n int64, groups []Group) bool {
 	grantKey := key + "#" + strconv.FormatInt(n, 10)
-	best, highest := "", math.Inf(-1)
+	var first *Group
+	highest := math.Inf(-1)
+	for k := range groups {
+		if score := hrw.Score(grantKey, groups[k].Name, max(groups[k].Weight, minWeight)); score > highest {
+			first, highest = &groups[k], score
+		}
+	}
+	return first != nil && first.Name == p.group && firstRanked(grantKey, first.Members) == p.self
+}
+
+// firstRanked returns the member that ranks first for a key; empty if there is none.
+func firstRanked(key string, members []string) string {
+	best, highest := "", -1.0
 	for _, m := range members {
-		if score := hrw.Score(grantKey, m.Name, max(m.Weight, minWeight)); score > highest {
-			best, highest = m.Name, score
+		if f := hrw.Fraction(key, m); f > highest {
+			best, highest = m, f
 		}
 	}
 	return best
--- a/internal/decide/pace/pace_test.go
+++ b/internal/decide/pace/pace_test.go
@@ -27,7 +27,7 @@
 type group struct {
 	rate    Rate
 	pacers  []*Pacer
-	members []Member
+	members []string
 	// since is when the instances learnt of the rate.
 	since time.Duration
 	sent  []time.Duration
@@ -37,15 +37,15 @@
 	g := &group{rate: r}
 	for n := range instances {
 		name := fmt.Sprint("instance-", n)
-		g.members = append(g.members, Member{Name: name, Weight: 1})
-		g.pacers = append(g.pacers, New(name))
+		g.members = append(g.members, name)
+		g.pacers = append(g.pacers, New("region", name))
 	}
 	return g
 }
 
 // ask lets an instance send a request if it may.
-func (g *group) ask(n int, members []Member, shared, now time.Duration) {
-	if g.pacers[n].Available("b", g.rate, members, g.since, shared) {
+func (g *group) ask(n int, members []string, shared, now time.Duration) {
+	if g.pacers[n].Available("b", g.rate, []Group{{Name: "region", Weight: 1, Members: members}}, g.since, shared) {
 		g.pacers[n].Take("b")
 		g.sent = append(g.sent, now)
 	}
@@ -148,7 +148,7 @@
 					skews[n] = time.Duration((rng.Float64() - 0.5) * 0.4 * float64(time.Second))
 				}
 				// One instance after the other is away for two seconds.
-				view := func(n int, now time.Duration) []Member {
+				view := func(n int, now time.Duration) []string {
 					away := -1
 					if seen := now - delays[n]; seen > 0 {
 						away = int(seen/(2*time.Second)) % instances
@@ -156,7 +156,7 @@
 					if away == n {
 						return g.members
 					}
-					return slices.DeleteFunc(slices.Clone(g.members), func(m Member) bool { return away >= 0 && m.Name == g.members[away].Name })
+					return slices.DeleteFunc(slices.Clone(g.members), func(m string) bool { return away >= 0 && m == g.members[away] })
 				}
 				step := time.Second / time.Duration(10*(r.PerSecond+float64(instances)))
 				for now := time.Second; now < length; now += step {
@@ -187,21 +187,33 @@
 // TestLoweredRateVoidsGrants guards against grants of a higher rate that are used after the
 // rate has been lowered.
 func TestLoweredRateVoidsGrants(t *testing.T) {
-	p, members := New("one"), []Member{{Name: "one", Weight: 1}}
+	p, members := New("region", "one"), []Group{{Name: "region", Weight: 1, Members: []string{"one"}}}
 	require.True(t, p.Available("b", limitRate(10), members, 0, time.Second))
 	require.False(t, p.Available("b", limitRate(1), members, 0, time.Second))
 	require.True(t, p.Available("b", limitRate(1), members, 0, 3*time.Second))
 	require.True(t, p.Available("b", limitRate(2), members, 0, 3*time.Second))
 }
 
-// TestGrantsFollowWeights checks that instances get grants in proportion to their weights.
+// TestGrantsFollowWeights checks that groups get grants in proportion to their weights, and
+// the members of a group equally many.
 func TestGrantsFollowWeights(t *testing.T) {
-	members, owned := []Member{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}, {Name: "c"}}, map[string]int{}
-	for n := range int64(4000) {
-		owned[owner("key", n, members)]++
+	groups := []Group{{Name: "a", Weight: 3, Members: []string{"a1", "a2", "a3"}}, {Name: "b", Weight: 1, Members: []string{"b1"}}, {Name: "c", Members: []string{"c1"}}}
+	owned := map[string]int{}
+	for _, g := range groups {
+		for _, member := range g.Members {
+			p := New(g.Name, member)
+			for n := range int64(4000) {
+				if p.owns("key", n, groups) {
+					owned[member]++
+				}
+			}
+		}
+	}
+	for _, member := range groups[0].Members {
+		require.InDelta(t, 1000, owned[member], 150)
 	}
-	require.InDelta(t, 3000, owned["a"], 150)
-	require.InDelta(t, 1000, owned["b"], 150)
-	require.LessOrEqual(t, owned["c"], 2)
-	require.Empty(t, owner("key", 1, nil))
+	require.InDelta(t, 1000, owned["b1"], 150)
+	require.LessOrEqual(t, owned["c1"], 2)
+	require.Equal(t, 4000, owned["a1"]+owned["a2"]+owned["a3"]+owned["b1"]+owned["c1"])
+	require.False(t, New("a", "a1").owns("key", 1, nil))
 }
