--- a/internal/decide/admission/pacing_test.go
+++ b/internal/decide/admission/pacing_test.go
@@ -11,6 +11,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+	"github.com/banyandeal/banyandeal/internal/limitcheck"
 )
 
 var regionOf = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
@@ -80,18 +81,6 @@
 	return arrivals, float64(sent) / float64(all)
 }
 
-// worstWindow returns the largest number of the times within a window.
-func worstWindow(times []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for n, at := range times {
-		for at.Sub(times[first]) > window {
-			first++
-		}
-		most = max(most, n-first+1)
-	}
-	return most
-}
-
 // TestColdRateAtAnyNumberOfInstances guards against a cold backend server that gets more
 // than it bears when many instances use at once what each of them has saved up (rule
 // FAILBACK).
@@ -105,7 +94,7 @@
 			cold.ColdUntil = start.Add(time.Hour)
 			quiet, _ := s.run(start, start.Add(30*time.Second), 4, nil)
 			crowd, _ := s.run(start.Add(30*time.Second), start.Add(50*time.Second), 1000, nil)
-			worst := worstWindow(append(quiet[cold.ID], crowd[cold.ID]...), time.Second)
+			worst := limitcheck.Most(append(quiet[cold.ID], crowd[cold.ID]...), time.Second)
 			t.Logf("worst second: %d, allowed %.1f; %.2f of the rate used in the crowd", worst, rate*1.5+5, float64(len(crowd[cold.ID]))/rate/20)
 			require.LessOrEqual(t, float64(worst), rate*1.5+5)
 			require.GreaterOrEqual(t, float64(len(crowd[cold.ID])), 0.5*rate*20)
@@ -131,9 +120,9 @@
 				arrivals, served := s.run(start.Add(4*time.Second), start.Add(24*time.Second), load, limits)
 				for id := range limits {
 					use := float64(len(arrivals[id])) / max(1, 20*perSecond)
-					worst := worstWindow(arrivals[id], limitWindow)
+					worst := limitcheck.Most(arrivals[id], limitcheck.Window)
 					t.Logf("%s: worst 4 s %d, %.2f of the limit used, %.3f served", id, worst, use, served)
-					require.LessOrEqual(t, float64(worst), limitFactor*limitWindow.Seconds()*perSecond+limitSlack)
+					require.LessOrEqual(t, worst, limitcheck.Allowed(perSecond))
 					require.True(t, perSecond == 0 || use >= 0.6, use)
 				}
 				require.GreaterOrEqual(t, served, 0.95)
--- a/internal/decide/pace/pace_test.go
+++ b/internal/decide/pace/pace_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/limitcheck"
 )
 
 // coldRate is a rate with the bound of cold backend servers, limitRate one with that of
@@ -53,15 +55,11 @@
 
 // worst returns the largest number of requests in a window.
 func (g *group) worst() int {
-	slices.Sort(g.sent)
-	most, first := 0, 0
-	for n, at := range g.sent {
-		for at-g.sent[first] > g.rate.Window {
-			first++
-		}
-		most = max(most, n-first+1)
+	var times []time.Time
+	for _, at := range g.sent {
+		times = append(times, time.Unix(0, int64(at)))
 	}
-	return most
+	return limitcheck.Most(times, g.rate.Window)
 }
 
 // use returns the share of the rate that was sent in a time.
--- a/internal/edge/edgetest/limit_test.go
+++ b/internal/edge/edgetest/limit_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,19 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/banyandeal/banyandeal/internal/limitcheck"
 	"github.com/banyandeal/banyandeal/internal/standin/store"
 )
 
-// What the users' rules allow a backend server that names a limit: in each limitWindow
-// that begins limitContact or more after the first naming, limitFactor times what the
-// limit allows and limitSlack requests.
-const (
-	limitWindow  = 4 * time.Second
-	limitContact = 4 * time.Second
-	limitFactor  = 1.5
-	limitSlack   = 5
-)
-
 // limitedUse is the least share of the named limits that callers use while they send more,
 // and servedBeside the least share of all requests that is served while other backend
 // servers have room.
@@ -89,7 +79,7 @@
 	return float64(served) / float64(max(1, all))
 }
 
-// arrivalTimes returns when requests reached a backend server, in order.
+// arrivalTimes returns when requests reached a backend server.
 func arrivalTimes(b *Backend, from, to time.Time) []time.Time {
 	var times []time.Time
 	for _, a := range b.Arrivals() {
@@ -97,25 +87,9 @@
 			times = append(times, a.At)
 		}
 	}
-	slices.SortFunc(times, time.Time.Compare)
 	return times
 }
 
-// worstWindow returns the largest number of the times within a limitWindow.
-func worstWindow(times []time.Time) int {
-	most, first := 0, 0
-	for n, at := range times {
-		for at.Sub(times[first]) > limitWindow {
-			first++
-		}
-		most = max(most, n-first+1)
-	}
-	return most
-}
-
-// allowed returns the largest number of requests in a limitWindow that a limit allows.
-func allowed(limit float64) int { return int(limitFactor*limit*limitWindow.Seconds()) + limitSlack }
-
 // setLimits makes the backend servers name a limit.
 func setLimits(backends []*Backend, limit float64) {
 	for _, b := range backends {
@@ -127,7 +101,7 @@
 func worstOf(backends []*Backend, from, to time.Time) int {
 	worst := 0
 	for _, b := range backends {
-		worst = max(worst, worstWindow(arrivalTimes(b, from, to)))
+		worst = max(worst, limitcheck.Most(arrivalTimes(b, from, to), limitcheck.Window))
 	}
 	return worst
 }
@@ -168,7 +142,7 @@
 			setLimits(limited, c.limit)
 			named := time.Now()
 			// Each limited backend server takes eight requests or more in that time.
-			from := named.Add(limitContact)
+			from := named.Add(limitcheck.Contact)
 			to := from.Add(time.Duration(8 / min(1, c.limit) * float64(time.Second)))
 			time.Sleep(time.Until(to))
 			close(stop)
@@ -179,8 +153,8 @@
 			}
 			use := float64(arrived) / (c.limit * to.Sub(from).Seconds() * float64(c.limited))
 			share := servedShare(sent, from, to)
-			t.Logf("worst 4 s: %d of %d allowed; %.2f of the limits used; %.3f served", worst, allowed(c.limit), use, share)
-			require.LessOrEqual(t, worst, allowed(c.limit))
+			t.Logf("worst 4 s: %d of %d allowed; %.2f of the limits used; %.3f served", worst, limitcheck.Allowed(c.limit), use, share)
+			require.LessOrEqual(t, worst, limitcheck.Allowed(c.limit))
 			require.GreaterOrEqual(t, use, limitedUse)
 			if c.limited < c.backends {
 				require.GreaterOrEqual(t, share, servedBeside)
@@ -205,13 +179,13 @@
 	for n := range f.instances {
 		f.replaceInstance(n)
 	}
-	time.Sleep(limitWindow)
+	time.Sleep(limitcheck.Window)
 	end := time.Now()
 	close(stop)
 	all.Wait()
-	worst := worstOf(f.backends[:3], named.Add(limitContact), end)
-	t.Logf("worst 4 s: %d of %d allowed", worst, allowed(limit))
-	require.LessOrEqual(t, worst, allowed(limit))
+	worst := worstOf(f.backends[:3], named.Add(limitcheck.Contact), end)
+	t.Logf("worst 4 s: %d of %d allowed", worst, limitcheck.Allowed(limit))
+	require.LessOrEqual(t, worst, limitcheck.Allowed(limit))
 }
 
 // TestLimitEndsWithoutJump guards against a backend server that stays without requests after
@@ -233,7 +207,7 @@
 			}
 			named := time.Now()
 			setLimits(limited, limit)
-			time.Sleep(limitContact + limitWindow)
+			time.Sleep(limitcheck.Contact + limitcheck.Window)
 			ended := time.Now()
 			for _, b := range limited {
 				b.SetLimits()
@@ -245,7 +219,7 @@
 			time.Sleep(back + loadBefore)
 			close(stop)
 			all.Wait()
-			require.LessOrEqual(t, worstOf(limited, named.Add(limitContact), ended), allowed(limit))
+			require.LessOrEqual(t, worstOf(limited, named.Add(limitcheck.Contact), ended), limitcheck.Allowed(limit))
 			for _, b := range limited {
 				usual := len(arrivalTimes(b, named.Add(-loadBefore), named))
 				first := len(arrivalTimes(b, ended, ended.Add(time.Second)))
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -119,11 +119,11 @@
 				served, worst, used := sim.score.score().Served, 0, 0.0
 				for _, n := range sim.limits {
 					use := n.use()
-					require.LessOrEqual(t, float64(use.worst), use.allowed)
+					require.LessOrEqual(t, use.worst, use.allowed)
 					worst = max(worst, use.worst)
 					used += use.used / float64(len(sim.limits))
 				}
-				t.Logf("%d limited: worst 4 s %d of %.0f, %.2f of the limits used, %.3f served, %.3f without limits", len(sim.limits), worst, sim.limits[0].use().allowed, used, served, calm.Served)
+				t.Logf("%d limited: worst 4 s %d of %d, %.2f of the limits used, %.3f served, %.3f without limits", len(sim.limits), worst, sim.limits[0].use().allowed, used, served, calm.Served)
 				require.Greater(t, served, calm.Served-0.05)
 			})
 		}
--- a/internal/emulator/limits.go
+++ b/internal/emulator/limits.go
@@ -1,10 +1,10 @@
 package emulator
 
 import (
-	"slices"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
+	"github.com/banyandeal/banyandeal/internal/limitcheck"
 )
 
 // limitSyncInterval is the time between checks of an instance whether it has to write shared
@@ -99,37 +99,25 @@
 	}
 }
 
-// Bounds on the requests to a backend server with a limit, from limitContact after it was
-// named: in each limitWindow limitFactor times what the limit allows and limitSlack.
-const (
-	limitContact = 4 * time.Second
-	limitWindow  = 4 * time.Second
-	limitFactor  = 1.5
-	limitSlack   = 5
-)
-
 // limitUse says how a named limit was kept.
 type limitUse struct {
-	// worst is the largest number of requests in a limitWindow, allowed what the limit
+	// worst is the largest number of requests in a limitcheck.Window, allowed what the limit
 	// allows there.
-	worst   int
-	allowed float64
+	worst, allowed int
 	// used is the share of the limit that was used.
 	used float64
 }
 
-// use returns how the limit was kept from limitContact after it was named.
+// use returns how the limit was kept from limitcheck.Contact after it was named.
 func (n *namedLimit) use() limitUse {
-	from := n.from + limitContact
-	counted := slices.DeleteFunc(slices.Clone(n.arrivals), func(at time.Duration) bool { return at < from || at >= n.to })
-	u := limitUse{allowed: limitFactor*n.perSecond*limitWindow.Seconds() + limitSlack}
-	first := 0
-	for k, at := range counted {
-		for at-counted[first] > limitWindow {
-			first++
+	from := n.from + limitcheck.Contact
+	var counted []time.Time
+	for _, at := range n.arrivals {
+		if at >= from && at < n.to {
+			counted = append(counted, epoch.Add(at))
 		}
-		u.worst = max(u.worst, k-first+1)
 	}
+	u := limitUse{worst: limitcheck.Most(counted, limitcheck.Window), allowed: limitcheck.Allowed(n.perSecond)}
 	if n.perSecond > 0 {
 		u.used = float64(len(counted)) / (n.perSecond * (n.to - from).Seconds())
 	}
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/limitcheck"
 	"github.com/banyandeal/banyandeal/internal/standin/registered"
 	"github.com/banyandeal/banyandeal/internal/wait"
 )
@@ -18,16 +19,9 @@
 	limitInterval = 1500 * time.Millisecond
 	minLimitTime  = 5 * time.Second
 	maxLimitTime  = 10 * time.Second
-	// limitContact is the time after a limit was named from which on it is checked.
-	limitContact = 4 * time.Second
 	// toldDelay is the time after an instance has passed on a response with a limit from
 	// which on its requests count.
 	toldDelay = 500 * time.Millisecond
-	// In each limitWindow a backend server gets at most limitFactor times what its limit
-	// allows and limitSlack requests.
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
 )
 
 // limitValues are the limits that backend servers name, in requests a second.
@@ -76,11 +70,11 @@
 	var violations []string
 	for _, n := range append(slices.Clone(e.backends), e.retired...) {
 		for _, p := range n.LimitPeriods() {
-			worst := mostInWindow(e.countedArrivals(n, p, byID))
-			if allowed := limitFactor*p.PerSecond*limitWindow.Seconds() + limitSlack; float64(worst) > allowed {
+			worst := limitcheck.Most(e.countedArrivals(n, p, byID), limitcheck.Window)
+			if allowed := limitcheck.Allowed(p.PerSecond); worst > allowed {
 				violations = append(violations, fmt.Sprintf(
-					"%s named a limit of %v a second and got %d requests in %s from instances that it had told, %.0f are allowed",
-					n.Name, p.PerSecond, worst, limitWindow, allowed))
+					"%s named a limit of %v a second and got %d requests in %s from instances that it had told, %d are allowed",
+					n.Name, p.PerSecond, worst, limitcheck.Window, allowed))
 			}
 		}
 	}
@@ -103,7 +97,7 @@
 	var times []time.Time
 	for _, a := range n.Arrivals() {
 		since, ok := told[byID[a.ID].instance]
-		if !ok || a.At.Before(p.From.Add(limitContact)) || a.At.After(p.To) || a.At.Before(since.Add(toldDelay)) {
+		if !ok || a.At.Before(p.From.Add(limitcheck.Contact)) || a.At.After(p.To) || a.At.Before(since.Add(toldDelay)) {
 			continue
 		}
 		if !e.interrupted(byID[a.ID].instance, p.From, a.At) {
@@ -126,16 +120,3 @@
 	}
 	return false
 }
-
-// mostInWindow returns the largest number of the times within limitWindow.
-func mostInWindow(times []time.Time) int {
-	slices.SortFunc(times, time.Time.Compare)
-	most, first := 0, 0
-	for n, at := range times {
-		for at.Sub(times[first]) > limitWindow {
-			first++
-		}
-		most = max(most, n-first+1)
-	}
-	return most
-}
