--- a/internal/edge/edgetest/backend.go
+++ b/internal/edge/edgetest/backend.go
@@ -36,4 +36,6 @@
 	// Crash resets all connections when the request begins to run and refuses new
 	// ones for a while.
 	Crash = registered.Crash
+	// CrashSilently leaves all connections open without a response for a while.
+	CrashSilently = registered.CrashSilently
 )
--- a/internal/edge/edgetest/quarantine_test.go
+++ b/internal/edge/edgetest/quarantine_test.go
@@ -29,11 +29,16 @@
 type crashEnvironment struct{ *fleet }
 
 func startCrashEnvironment(t *testing.T, instanceZones ...string) *crashEnvironment {
+	return startCrashEnvironmentOf(t, Crash, instanceZones...)
+}
+
+// startCrashEnvironmentOf is startCrashEnvironment with the given kind of crash.
+func startCrashEnvironmentOf(t *testing.T, crash Act, instanceZones ...string) *crashEnvironment {
 	f := startFleet(t, 12, Start{Work: 30 * time.Millisecond, Down: backendDown}, instanceZones...)
 	for _, b := range f.backends {
 		b.SetAct(func(a *Arrival) Act {
 			if strings.HasPrefix(a.Body, crashBody) {
-				return Crash
+				return crash
 			}
 			return Run
 		})
@@ -149,6 +154,36 @@
 	}
 }
 
+// servedBesideSilence is the least share of other requests that is served while backend servers
+// fall silent.
+const servedBesideSilence = 0.9
+
+// TestSilentlyCrashingRequestIsStopped guards against a request that crashes backend servers,
+// which then take connections and answer nothing, and that reaches them as often as it is
+// repeated (rule BUDGET); and against other callers who wait there until their timeout.
+func TestSilentlyCrashingRequestIsStopped(t *testing.T) {
+	for _, path := range []string{"/read/x", "/write/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			e := startCrashEnvironmentOf(t, CrashSilently, "a1", "a2", "b1", "b1")
+			stop := make(chan struct{})
+			var by bystanders
+			var all sync.WaitGroup
+			for range 8 {
+				all.Go(func() { by.run(e, http.MethodPost, path, stop) })
+			}
+			e.repeat(CallerRequest{Method: http.MethodPost, Path: path, Body: crashBody}, 300*time.Millisecond, 22*time.Second)
+			close(stop)
+			all.Wait()
+			sends := e.sends(crashBody)
+			t.Logf("%d sends, %d of them late; %.2f of %d other requests were served", len(sends), lateSends(sends), by.share(), by.sent.Load())
+			require.LessOrEqual(t, lateSends(sends), maxLateSends)
+			require.GreaterOrEqual(t, by.share(), servedBesideSilence)
+			require.Zero(t, by.quarantined.Load())
+		})
+	}
+}
+
 // TestSendsDoNotGrowWithInstances guards against a crashing request that reaches
 // backend servers once for each instance, or more often if it is repeated faster.
 func TestSendsDoNotGrowWithInstances(t *testing.T) {
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -43,6 +43,9 @@
 	// reset and new ones are refused for Start.Down. Then the backend server is back
 	// under its name and address, with a new born.
 	Crash
+	// CrashSilently ends the process as Crash does, but its connections stay open and new
+	// ones are taken, without a byte in response, until the backend server is back.
+	CrashSilently
 )
 
 // Arrival is one request that reached a backend server.
@@ -71,8 +74,10 @@
 	stopped bool
 	// leaving is set once it has reported that it drains, or has left. It does not come
 	// back after a crash then.
-	leaving  bool
-	crashed  bool
+	leaving bool
+	crashed bool
+	// silenced is closed when a silent crash is over; nil if there is none.
+	silenced chan struct{}
 	arrivals []*Arrival
 	act      func(a *Arrival) Act
 	work     time.Duration
@@ -187,6 +192,49 @@
 	time.AfterFunc(b.start.Down, func() { b.restart(address) })
 }
 
+// crashSilently ends the process as the act CrashSilently does.
+func (b *Backend) crashSilently() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.silenced != nil {
+		return
+	}
+	b.silenced = make(chan struct{})
+	b.setLimits(nil)
+	time.AfterFunc(b.start.Down, b.endSilence)
+}
+
+// endSilence resets the connections of a silent crash and reports a new incarnation.
+func (b *Backend) endSilence() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.silenced)
+	b.silenced = nil
+	for nc := range b.open {
+		_ = nc.(*net.TCPConn).SetLinger(0)
+		_ = nc.Close()
+	}
+	if b.stopped || b.leaving {
+		return
+	}
+	b.born = time.Now().UnixMilli()
+	b.seq.Store(0)
+	go b.Report("ready", 0)
+}
+
+// awaitSilence returns true after a silent crash during which the request arrived, which then
+// gets no response.
+func (b *Backend) awaitSilence() bool {
+	b.mu.Lock()
+	silenced := b.silenced
+	b.mu.Unlock()
+	if silenced == nil {
+		return false
+	}
+	<-silenced
+	return true
+}
+
 // restartRetry is the time between attempts to listen again after a crash.
 const restartRetry = 20 * time.Millisecond
 
@@ -346,6 +394,9 @@
 		fmt.Fprintf(nc, "HTTP/1.1 421 Misdirected Request\r\nX-Banyandeal-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", b.Name)
 		return true
 	}
+	if b.awaitSilence() {
+		return false
+	}
 	b.mu.Lock()
 	act, work := b.act(a), b.work
 	if b.start.Crashes != nil && b.start.Crashes(a) {
@@ -365,11 +416,14 @@
 		fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Not-Run: 1\r\n%sContent-Length: 0\r\n\r\n", a.ID, b.limitHeaders())
 		return true
 	}
-	if act == Crash {
+	switch act {
+	case Crash:
 		b.Crash()
 		return false
+	case CrashSilently:
+		b.crashSilently()
 	}
-	if !b.finish(nc, br, work, a) {
+	if !b.finish(nc, br, work, a) || b.awaitSilence() {
 		return false
 	}
 	return b.reply(nc, a, act, running)
