--- a/internal/edge/edgetest/quarantine_test.go
+++ b/internal/edge/edgetest/quarantine_test.go
@@ -129,6 +129,24 @@
 
 func (by *bystanders) share() float64 { return float64(by.served.Load()) / float64(by.sent.Load()) }
 
+// repeatBesideOthers repeats a crashing request every 300 ms at four instances in turn, while
+// callers send other requests to the same path.
+func repeatBesideOthers(t *testing.T, crash Act, path string, callers int, length time.Duration) (sends []time.Time, by *bystanders) {
+	e := startCrashEnvironmentOf(t, crash, "a1", "a2", "b1", "b1")
+	stop := make(chan struct{})
+	by = &bystanders{}
+	var all sync.WaitGroup
+	for range callers {
+		all.Go(func() { by.run(e, http.MethodPost, path, stop) })
+	}
+	e.repeat(CallerRequest{Method: http.MethodPost, Path: path, Body: crashBody}, 300*time.Millisecond, length)
+	close(stop)
+	all.Wait()
+	sends = e.sends(crashBody)
+	t.Logf("%d sends, %d of them late; %.2f of %d other requests were served", len(sends), lateSends(sends), by.share(), by.sent.Load())
+	return sends, by
+}
+
 // TestRepeatedCrashingRequestIsStopped guards against a request that crashes each
 // backend server that runs it and reaches backend servers as often as its caller
 // repeats it (rule BUDGET).
@@ -136,18 +154,7 @@
 	for _, path := range []string{"/read/x", "/write/x"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			e := startCrashEnvironment(t, "a1", "a2", "b1", "b1")
-			stop := make(chan struct{})
-			var by bystanders
-			var all sync.WaitGroup
-			for range 2 {
-				all.Go(func() { by.run(e, http.MethodPost, path, stop) })
-			}
-			e.repeat(CallerRequest{Method: http.MethodPost, Path: path, Body: crashBody}, 300*time.Millisecond, 8*time.Second)
-			close(stop)
-			all.Wait()
-			sends := e.sends(crashBody)
-			t.Logf("%d sends, %d of them late; %.2f of %d other requests were served", len(sends), lateSends(sends), by.share(), by.sent.Load())
+			sends, by := repeatBesideOthers(t, Crash, path, 2, 8*time.Second)
 			require.LessOrEqual(t, lateSends(sends), maxLateSends)
 			require.Zero(t, by.quarantined.Load())
 		})
@@ -165,18 +172,7 @@
 	for _, path := range []string{"/read/x", "/write/x"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			e := startCrashEnvironmentOf(t, CrashSilently, "a1", "a2", "b1", "b1")
-			stop := make(chan struct{})
-			var by bystanders
-			var all sync.WaitGroup
-			for range 8 {
-				all.Go(func() { by.run(e, http.MethodPost, path, stop) })
-			}
-			e.repeat(CallerRequest{Method: http.MethodPost, Path: path, Body: crashBody}, 300*time.Millisecond, 22*time.Second)
-			close(stop)
-			all.Wait()
-			sends := e.sends(crashBody)
-			t.Logf("%d sends, %d of them late; %.2f of %d other requests were served", len(sends), lateSends(sends), by.share(), by.sent.Load())
+			sends, by := repeatBesideOthers(t, CrashSilently, path, 8, 22*time.Second)
 			require.LessOrEqual(t, lateSends(sends), maxLateSends)
 			require.GreaterOrEqual(t, by.share(), servedBesideSilence)
 			require.Zero(t, by.quarantined.Load())
