limits: rows share the quarantine's table; a conflict raises no limit

Rows read in a conflict count at once only if they allow less than what was to be written, else the write is tried again.

--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -279,13 +279,27 @@
 	Unreadable bool
 }
 
-// Merge records rows of the shared table. full means that they are all its rows.
-func (t *Table) Merge(rows []SharedRow, full bool, now time.Time) {
-	if full {
+// Reading is the way in which rows of the shared table were read.
+type Reading uint8
+
+// Readings.
+const (
+	// Changes are rows that have changed since the last reading.
+	Changes Reading = iota
+	// Whole are all rows of the table.
+	Whole
+	// Conflict are the rows, also those that do not exist, because of which a write of this
+	// instance failed. They may be older or newer than what it was about to write.
+	Conflict
+)
+
+// Merge records rows of the shared table.
+func (t *Table) Merge(rows []SharedRow, reading Reading, now time.Time) {
+	if reading == Whole {
 		t.forgetMissing(rows, now)
 	}
 	for _, r := range rows {
-		t.mergeRow(r, full, now)
+		t.mergeRow(r, reading, now)
 	}
 }
 
@@ -305,42 +319,44 @@
 	}
 }
 
-// mergeRow records one row. replaces means that the row is of a new reading of the whole
-// table, whose versions may be lower than those known.
-func (t *Table) mergeRow(r SharedRow, replaces bool, now time.Time) {
-	old := t.entries[r.Backend.ID]
-	if old != nil && r.Version <= old.version && !replaces {
+// mergeRow records one row. The versions of a new reading of the whole table may be lower than
+// those known.
+func (t *Table) mergeRow(r SharedRow, reading Reading, now time.Time) {
+	e := t.entries[r.Backend.ID]
+	if e != nil && r.Version <= e.version && reading == Changes {
 		return
 	}
-	switch {
-	case r.Deleted:
-		t.mergeRemoval(old, now)
-		return
-	case r.Unreadable:
-		if old != nil {
-			old.version = r.Version
-		}
-		return
+	if !r.Deleted && !r.Unreadable {
+		e = t.entryOfRow(r.Backend)
 	}
-	e := t.entry(r.Backend)
 	if e == nil {
-		// The row is of an earlier incarnation.
-		old.version = r.Version
 		return
 	}
 	e.version = r.Version
-	e.setShared(Statement{Limited: true, PerSecond: r.PerSecond}, now)
+	if r.Deleted {
+		e.version = 0
+	}
+	if r.Unreadable || e.backend.Born > r.Backend.Born && !r.Deleted {
+		return
+	}
+	stated := Statement{Limited: !r.Deleted, PerSecond: r.PerSecond}
+	if reading == Conflict && e.own.at.After(e.shared.at) && stated.allowsMoreThan(e.own.Statement) {
+		// What was to be written is on the safe side and is written again.
+		e.shared.Statement = stated
+		e.noteDifference(now)
+		return
+	}
+	e.setShared(stated, now)
 	t.recordChange(e, Row, now)
 }
 
-// mergeRemoval records that the row of an entry was removed. e may be nil.
-func (t *Table) mergeRemoval(e *entry, now time.Time) {
-	if e == nil {
-		return
+// entryOfRow returns the entry that a row belongs to and creates it if needed. The entry may be
+// of a later incarnation than the row.
+func (t *Table) entryOfRow(b Backend) *entry {
+	if e := t.entry(b); e != nil {
+		return e
 	}
-	e.version = 0
-	e.setShared(Statement{}, now)
-	t.recordChange(e, Row, now)
+	return t.entries[b.ID]
 }
 
 // setShared records what the shared row tells. A row that tells the same as before is no
--- a/internal/decide/limit/limit_test.go
+++ b/internal/decide/limit/limit_test.go
@@ -64,7 +64,7 @@
 	table.Observe(backend, limited(1), at(0), at(400))
 	require.Equal(t, 5.0, table.State(again, at(400)).PerSecond)
 	require.False(t, table.State(backend, at(400)).Limited)
-	table.Merge([]SharedRow{row(2, 9)}, false, at(500))
+	table.Merge([]SharedRow{row(2, 9)}, Changes, at(500))
 	require.Equal(t, 5.0, table.State(again, at(500)).PerSecond)
 	due := table.Due(1, false, at(2000))
 	require.Len(t, due, 1)
@@ -75,13 +75,13 @@
 // limit, its change and its end from the shared row.
 func TestRowSpeaksForThoseWhoHearNothing(t *testing.T) {
 	table := New("one")
-	table.Merge([]SharedRow{row(3, 1)}, false, at(0))
+	table.Merge([]SharedRow{row(3, 1)}, Changes, at(0))
 	requireLimit(t, table, 3, at(0))
-	table.Merge([]SharedRow{row(6, 2)}, false, at(100))
+	table.Merge([]SharedRow{row(6, 2)}, Changes, at(100))
 	requireLimit(t, table, 6, at(100))
-	table.Merge([]SharedRow{row(1, 1)}, false, at(200))
+	table.Merge([]SharedRow{row(1, 1)}, Changes, at(200))
 	requireLimit(t, table, 6, at(200))
-	table.Merge([]SharedRow{{Backend: backend, Version: 3, Deleted: true}}, false, at(300))
+	table.Merge([]SharedRow{{Backend: backend, Version: 3, Deleted: true}}, Changes, at(300))
 	requireLimit(t, table, -1, at(300))
 	require.Empty(t, table.Due(1, false, at(5000)))
 }
@@ -91,7 +91,7 @@
 func TestOwnResponseHoldsAgainstOlderRow(t *testing.T) {
 	table := New("one")
 	table.Observe(backend, limited(1), at(0), at(100))
-	table.Merge([]SharedRow{row(8, 1)}, false, at(150))
+	table.Merge([]SharedRow{row(8, 1)}, Changes, at(150))
 	requireLimit(t, table, 1, at(150))
 	requireLimit(t, table, 8, at(1200))
 	table.Observe(backend, limited(1), at(1100), at(1300))
@@ -105,7 +105,7 @@
 // end, and that a limit in an answer which comes during the write is not taken as older.
 func TestEndOfLimitRemovesRow(t *testing.T) {
 	table := New("one")
-	table.Merge([]SharedRow{row(3, 5)}, true, at(0))
+	table.Merge([]SharedRow{row(3, 5)}, Whole, at(0))
 	table.Observe(backend, Statement{}, at(100), at(200))
 	requireLimit(t, table, -1, at(200))
 	due := table.Due(1, false, at(300))
@@ -121,13 +121,13 @@
 // comes back from an older copy that lacks their rows: they stay and are written again.
 func TestOlderCopyOfStoreKeepsLimit(t *testing.T) {
 	table := New("one")
-	table.Merge([]SharedRow{row(3, 50)}, true, at(0))
-	table.Merge(nil, true, at(100))
+	table.Merge([]SharedRow{row(3, 50)}, Whole, at(0))
+	table.Merge(nil, Whole, at(100))
 	requireLimit(t, table, 3, at(100))
 	due := table.Due(1, false, at(200))
 	require.Len(t, due, 1)
 	require.Equal(t, row(3, 0), due[0].Row)
-	table.Merge([]SharedRow{row(3, 10)}, true, at(300))
+	table.Merge([]SharedRow{row(3, 10)}, Whole, at(300))
 	requireLimit(t, table, 3, at(300))
 	require.Empty(t, table.Due(1, false, at(1300)))
 }
@@ -136,9 +136,9 @@
 // what a response has shown since.
 func TestRereadRowIsNoNewEvidence(t *testing.T) {
 	table := New("one")
-	table.Merge([]SharedRow{row(3, 5)}, true, at(0))
+	table.Merge([]SharedRow{row(3, 5)}, Whole, at(0))
 	table.Observe(backend, Statement{}, at(100), at(200))
-	table.Merge([]SharedRow{row(3, 5)}, true, at(250))
+	table.Merge([]SharedRow{row(3, 5)}, Whole, at(250))
 	requireLimit(t, table, -1, at(250))
 }
 
@@ -157,7 +157,7 @@
 // removed by one instance, and forgotten by all.
 func TestUnknownBackendsLeaveTheTable(t *testing.T) {
 	table := New("one")
-	table.Merge([]SharedRow{row(3, 5)}, true, at(0))
+	table.Merge([]SharedRow{row(3, 5)}, Whole, at(0))
 	gone := func(string) bool { return false }
 	table.Retain(gone, at(0))
 	require.Empty(t, table.Due(1, true, at(29_000)))
@@ -174,12 +174,36 @@
 func TestUnreadableRowIsOverwritten(t *testing.T) {
 	table := New("one")
 	table.Observe(backend, limited(3), at(0), at(100))
-	table.Merge([]SharedRow{{Backend: Backend{ID: "b"}, Version: 4, Unreadable: true}}, false, at(150))
+	table.Merge([]SharedRow{{Backend: Backend{ID: "b"}, Version: 4, Unreadable: true}}, Changes, at(150))
 	requireLimit(t, table, 3, at(150))
 	due := table.Due(1, false, at(200))
 	require.Equal(t, row(3, 4), due[0].Row)
 }
 
+// TestMissingRowIsNotTheEnd guards against a limit that is forgotten because its row was
+// removed before this instance heard the limit again.
+func TestMissingRowIsNotTheEnd(t *testing.T) {
+	table := New("one")
+	table.Merge([]SharedRow{row(1, 4)}, Changes, at(0))
+	table.Observe(backend, limited(2), at(50), at(100))
+	table.Merge([]SharedRow{{Backend: backend, Deleted: true}}, Conflict, at(200))
+	requireLimit(t, table, 2, at(5000))
+	require.Equal(t, row(2, 0), table.Due(1, false, at(5000))[0].Row)
+}
+
+// TestConflictLeavesLowerLimit guards against a limit that is raised by a row which a write of
+// this instance was to replace, and checks that a lower one in that row holds.
+func TestConflictLeavesLowerLimit(t *testing.T) {
+	table := New("one")
+	table.Observe(backend, limited(1), at(0), at(100))
+	table.Merge([]SharedRow{row(3, 4)}, Conflict, at(200))
+	requireLimit(t, table, 1, at(5000))
+	require.Equal(t, row(1, 4), table.Due(1, false, at(5000))[0].Row)
+	table.Merge([]SharedRow{row(0.5, 6)}, Conflict, at(5100))
+	requireLimit(t, table, 0.5, at(5100))
+	require.Empty(t, table.Due(1, false, at(6000)))
+}
+
 // TestChangesAreReportedOnce checks that learning a limit, its change and its end are
 // reported once each, with what was known before.
 func TestChangesAreReportedOnce(t *testing.T) {
@@ -274,9 +298,7 @@
 		return
 	}
 	if due[0].Row.Version != w.row.Version {
-		current := w.row
-		current.Version = max(current.Version, due[0].Row.Version+1)
-		table.Merge([]SharedRow{current}, false, at(ms))
+		table.Merge([]SharedRow{w.row}, Conflict, at(ms))
 		return
 	}
 	w.version++
@@ -289,6 +311,6 @@
 	}
 	for _, other := range w.tables {
 		later := ms + 100 + 20*w.rng.IntN(10)
-		w.deliveries[later] = append(w.deliveries[later], func(now time.Time) { other.Merge([]SharedRow{written}, false, now) })
+		w.deliveries[later] = append(w.deliveries[later], func(now time.Time) { other.Merge([]SharedRow{written}, Changes, now) })
 	}
 }
--- a/internal/edge/evidence/evidence.go
+++ b/internal/edge/evidence/evidence.go
@@ -155,7 +155,7 @@
 func (s *Sharer) applyRow(r platform.Row) []decide.Notice {
 	fp, err := decide.ParseFingerprint(r.Key)
 	if err != nil {
-		s.log.Warn().Str("event", "row_skipped").Str("table", feeds.TableQuarantine).Str("key", r.Key).Err(err).Msg("the row is not used")
+		s.log.Warn().Str("event", "row_skipped").Str("table", feeds.TableNotices).Str("key", r.Key).Err(err).Msg("the row is not used")
 		return nil
 	}
 	if r.Version < s.rows[fp].version {
@@ -167,7 +167,7 @@
 	}
 	entry := &peerpb.QuarantineEntry{}
 	if err := proto.Unmarshal(r.Value, entry); err != nil || entry.Fingerprint != uint64(fp) {
-		s.log.Warn().Str("event", "row_skipped").Str("table", feeds.TableQuarantine).Str("key", r.Key).Err(err).Msg("the row cannot be decoded; the next write of this request overwrites it")
+		s.log.Warn().Str("event", "row_skipped").Str("table", feeds.TableNotices).Str("key", r.Key).Err(err).Msg("the row cannot be decoded; the next write of this request overwrites it")
 		s.rows[fp] = row{version: r.Version}
 		return nil
 	}
@@ -250,7 +250,7 @@
 			delete(s.due, n.Fingerprint)
 			continue
 		}
-		r := platform.Row{Table: feeds.TableQuarantine, Key: n.Fingerprint.String(), Value: value}
+		r := platform.Row{Table: feeds.TableNotices, Key: n.Fingerprint.String(), Value: value}
 		tx.Expected = append(tx.Expected, platform.Expectation{Table: r.Table, Key: r.Key, Version: known.version})
 		tx.Puts = append(tx.Puts, r)
 		notices = append(notices, n)
@@ -346,7 +346,7 @@
 		if r.notice.Expiry.After(now) && len(s.rows)-len(tx.Removes) <= maxRows || len(tx.Removes) == maxRowsPerWrite {
 			continue
 		}
-		key := platform.Row{Table: feeds.TableQuarantine, Key: fp.String()}
+		key := platform.Row{Table: feeds.TableNotices, Key: fp.String()}
 		tx.Expected = append(tx.Expected, platform.Expectation{Table: key.Table, Key: key.Key, Version: r.version})
 		tx.Removes = append(tx.Removes, key)
 	}
--- a/internal/edge/evidence/evidence_test.go
+++ b/internal/edge/evidence/evidence_test.go
@@ -63,7 +63,7 @@
 
 // readTable passes the whole table to the instance, as its feed does at its start.
 func (i *instance) readTable(t *testing.T) {
-	rows, _, err := i.store.Rows(t.Context(), feeds.TableQuarantine)
+	rows, _, err := i.store.Rows(t.Context(), feeds.TableNotices)
 	require.NoError(t, err)
 	i.Receive(rows, true)
 }
@@ -87,7 +87,7 @@
 	return v
 }
 
-func rowCount(s *store.Store) int { return len(s.Keys(feeds.TableQuarantine)) }
+func rowCount(s *store.Store) int { return len(s.Keys(feeds.TableNotices)) }
 
 // TestEvidenceOfInstancesIsMerged guards against instances that each see too few of
 // the crashes of a request: three saw one crash each, and write at the same time.
@@ -155,7 +155,7 @@
 	i := startInstance(t, s)
 	i.crash("backend", 7)
 	require.Eventually(t, func() bool { return rowCount(s) == 1 }, 2*time.Second, 10*time.Millisecond)
-	s.Remove(feeds.TableQuarantine, decide.Fingerprint(7).String())
+	s.Remove(feeds.TableNotices, decide.Fingerprint(7).String())
 	i.readTable(t)
 	require.Eventually(t, func() bool { return rowCount(s) == 1 }, 2*time.Second, 10*time.Millisecond)
 }
@@ -168,9 +168,9 @@
 	defer s.Close()
 	value, err := proto.Marshal(&peerpb.QuarantineEntry{Fingerprint: 9, Quarantined: true, ExpiresMs: time.Now().Add(-time.Second).UnixMilli()})
 	require.NoError(t, err)
-	s.PutRaw(feeds.TableQuarantine, decide.Fingerprint(9).String(), value)
-	s.PutRaw(feeds.TableQuarantine, decide.Fingerprint(8).String(), []byte("\xff garbage"))
-	s.PutRaw(feeds.TableQuarantine, "not a fingerprint", nil)
+	s.PutRaw(feeds.TableNotices, decide.Fingerprint(9).String(), value)
+	s.PutRaw(feeds.TableNotices, decide.Fingerprint(8).String(), []byte("\xff garbage"))
+	s.PutRaw(feeds.TableNotices, "not a fingerprint", nil)
 	i := startInstance(t, s)
 	i.readTable(t)
 	require.Equal(t, decide.Clear, i.verdict(9))
--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,13 +23,15 @@
 // the row is the name of the instance.
 const TableMembers = "members"
 
-// TableQuarantine is the table that holds a row for each request that was in flight in
-// the crash of a backend server. The key of the row is the request's fingerprint.
-const TableQuarantine = "quarantine"
-
-// TableLimits is the table that holds a row for each backend server that states a request
-// limit. The key of the row is the ID of the backend server.
-const TableLimits = "limits"
+// TableNotices is the table by which instances tell each other what they have learnt from
+// responses. It has a row for each request that was in flight in the crash of a backend
+// server, whose key is the request's fingerprint, and a row for each backend server that
+// states a request limit, whose key is LimitKeyPrefix and the ID of the backend server. They
+// share a table, and so a feed, because each feed costs calls to the store at rest.
+const (
+	TableNotices   = "quarantine"
+	LimitKeyPrefix = "limit/"
+)
 
 const (
 	// operatorStoreWait bounds one wait of the operator's feed for changes from the
@@ -58,10 +61,8 @@
 	backendBatchInterval = 200 * time.Millisecond
 	// memberBatchInterval is the batch interval of the members' feed.
 	memberBatchInterval = 500 * time.Millisecond
-	// quarantineBatchInterval is the batch interval of the quarantine feed.
-	quarantineBatchInterval = 50 * time.Millisecond
-	// limitBatchInterval is the batch interval of the feed of request limits.
-	limitBatchInterval = 50 * time.Millisecond
+	// noticeBatchInterval is the batch interval of the notices' feed.
+	noticeBatchInterval = 50 * time.Millisecond
 )
 
 // Feed follows one table.
@@ -94,8 +95,8 @@
 type RowReceiver func(rows []platform.Row, full bool)
 
 // New returns the feeds of the operator's table, of the backend servers' table, of the
-// members' table, of the quarantine table and of the table of request limits. The first
-// three pass their updates to push, the last two pass their rows to quarantine and limits.
+// members' table and of the table of notices. The first three pass their updates to push,
+// the last one passes its rows to quarantine and to limits, each its own.
 func New(s *SourceSelector, r *Replica, push func(context.Context, control.Update), quarantine, limits RowReceiver, log zerolog.Logger) []*Feed {
 	operator := &Feed{detectsOutage: true, table: platform.TableOperator, kind: control.KindOperator, storeWait: operatorStoreWait, readerWait: operatorReaderWait, batchInterval: operatorBatchInterval}
 	operator.decode = operator.operator
@@ -103,15 +104,35 @@
 	backends.decode = backends.backends
 	members := &Feed{table: TableMembers, kind: control.KindMembers, storeWait: memberStoreWait, readerWait: readerWait, batchInterval: memberBatchInterval}
 	members.decode = members.members
-	crashing := &Feed{table: TableQuarantine, receive: quarantine, storeWait: memberStoreWait, readerWait: readerWait, batchInterval: quarantineBatchInterval}
-	limited := &Feed{table: TableLimits, receive: limits, storeWait: memberStoreWait, readerWait: readerWait, batchInterval: limitBatchInterval}
-	all := []*Feed{operator, backends, members, crashing, limited}
+	notices := &Feed{table: TableNotices, receive: splitNotices(quarantine, limits), storeWait: memberStoreWait, readerWait: readerWait, batchInterval: noticeBatchInterval}
+	all := []*Feed{operator, backends, members, notices}
 	for _, f := range all {
 		f.selector, f.replica, f.push, f.log = s, r, push, log
 	}
 	return all
 }
 
+// splitNotices returns a receiver that passes the rows of limits to one receiver and the others
+// to another.
+func splitNotices(quarantine, limits RowReceiver) RowReceiver {
+	return func(rows []platform.Row, full bool) {
+		var limited, other []platform.Row
+		for _, r := range rows {
+			if strings.HasPrefix(r.Key, LimitKeyPrefix) {
+				limited = append(limited, r)
+			} else {
+				other = append(other, r)
+			}
+		}
+		if full || len(limited) > 0 {
+			limits(limited, full)
+		}
+		if full || len(other) > 0 {
+			quarantine(other, full)
+		}
+	}
+}
+
 // Run follows the table until ctx is done.
 func (f *Feed) Run(ctx context.Context) {
 	backoff := minBackoff
--- a/internal/edge/feeds/feeds_test.go
+++ b/internal/edge/feeds/feeds_test.go
@@ -44,7 +44,7 @@
 
 // reset replaces the content of all tables at the current position.
 func (s *fakeStore) reset(backends []platform.Row) {
-	for _, table := range []string{platform.TableOperator, TableMembers, TableQuarantine} {
+	for _, table := range []string{platform.TableOperator, TableMembers, TableNotices} {
 		s.Reset(table, nil, s.position)
 	}
 	s.Reset(platform.TableBackends, backends, s.position)
@@ -339,3 +339,23 @@
 }
 
 func ignoreRows([]platform.Row, bool) {}
+
+// TestNoticesAreSplitByKey guards against rows of limits that the quarantine reads as
+// fingerprints, and against a whole reading that one of the two receivers does not hear of.
+func TestNoticesAreSplitByKey(t *testing.T) {
+	var quarantine, limits []string
+	collect := func(keys *[]string) RowReceiver {
+		return func(rows []platform.Row, full bool) {
+			*keys = append(*keys, fmt.Sprint(len(rows), full))
+			for _, r := range rows {
+				*keys = append(*keys, r.Key)
+			}
+		}
+	}
+	receive := splitNotices(collect(&quarantine), collect(&limits))
+	receive([]platform.Row{{Key: LimitKeyPrefix + "i-1"}, {Key: "0a"}, {Key: LimitKeyPrefix + "i-2", Deleted: true}}, false)
+	receive([]platform.Row{{Key: "0b"}}, false)
+	receive([]platform.Row{{Key: "0c"}}, true)
+	require.Equal(t, []string{"1 false", "0a", "1 false", "0b", "1 true", "0c"}, quarantine)
+	require.Equal(t, []string{"2 false", "limit/i-1", "limit/i-2", "0 true"}, limits)
+}
--- a/internal/edge/filter/dispatch/decider.go
+++ b/internal/edge/filter/dispatch/decider.go
@@ -116,8 +116,8 @@
 }
 
 // MergeLimits implements limits.Table.
-func (d *Decider) MergeLimits(rows []limit.SharedRow, full bool) {
-	d.withLimits(func(t *limit.Table, now time.Time) { t.Merge(rows, full, now) })
+func (d *Decider) MergeLimits(rows []limit.SharedRow, reading limit.Reading) {
+	d.withLimits(func(t *limit.Table, now time.Time) { t.Merge(rows, reading, now) })
 }
 
 // LimitedBackends returns the number of backend servers with a request limit.
--- a/internal/edge/limits/limits.go
+++ b/internal/edge/limits/limits.go
@@ -1,5 +1,5 @@
 // Package limits shares between the entry instances which backend servers state a request
-// limit. Each limit has a row in a table of the store, which an instance writes when its
+// limit. Each limit has a row in the store's table of notices, which an instance writes when its
 // responses tell something else, and which all of them follow. While the store is away, an
 // instance goes by the responses that it gets, and writes the rows later.
 package limits
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -43,8 +45,8 @@
 	DueLimits(cleans bool) []limit.Write
 	// LimitsWritten records that rows were written.
 	LimitsWritten(writes []limit.Write, version uint64)
-	// MergeLimits records rows of the store. full means that they are all rows.
-	MergeLimits(rows []limit.SharedRow, full bool)
+	// MergeLimits records rows of the store.
+	MergeLimits(rows []limit.SharedRow, reading limit.Reading)
 }
 
 // Sharer keeps the table of one instance and that of the store alike.
@@ -66,7 +68,11 @@
 	return &Sharer{table: t, store: s, cleans: cleans, log: log, backoff: b}
 }
 
-// value is the content of a row, whose key is the ID of the backend server.
+// rowKey returns the key of the row of a backend server, and backendID the reverse.
+func rowKey(id string) string     { return feeds.LimitKeyPrefix + id }
+func backendID(key string) string { return strings.TrimPrefix(key, feeds.LimitKeyPrefix) }
+
+// value is the content of a row.
 type value struct {
 	// Born is the start time of the incarnation in Unix milliseconds; 0 if unknown.
 	Born int64 `json:"born"`
@@ -74,15 +80,24 @@
 	PerSecond float64 `json:"per_second"`
 }
 
-// Receive records rows of the store's table. full means that they are all its rows.
+// Receive records rows of limits. full means that they are all there are in the store.
 func (s *Sharer) Receive(rows []platform.Row, full bool) {
+	reading := limit.Changes
+	if full {
+		reading = limit.Whole
+	}
+	s.table.MergeLimits(s.decode(rows), reading)
+}
+
+// decode returns the rows as the table takes them.
+func (s *Sharer) decode(rows []platform.Row) []limit.SharedRow {
 	var shared []limit.SharedRow
 	for _, r := range rows {
-		row := limit.SharedRow{Backend: limit.Backend{ID: r.Key}, Version: r.Version, Deleted: r.Deleted}
+		row := limit.SharedRow{Backend: limit.Backend{ID: backendID(r.Key)}, Version: r.Version, Deleted: r.Deleted}
 		if !r.Deleted {
 			var v value
 			if err := json.Unmarshal(r.Value, &v); err != nil || v.PerSecond < 0 {
-				s.log.Warn().Str("event", "row_skipped").Str("table", feeds.TableLimits).Str("key", r.Key).Err(err).
+				s.log.Warn().Str("event", "row_skipped").Str("table", feeds.TableNotices).Str("key", r.Key).Err(err).
 					Msg("the row is no request limit; the next change of this limit overwrites it")
 				row.Unreadable = true
 			}
@@ -90,7 +105,7 @@
 		}
 		shared = append(shared, row)
 	}
-	s.table.MergeLimits(shared, full)
+	return shared
 }
 
 // Run writes what is due until ctx is done.
@@ -135,7 +150,7 @@
 func (s *Sharer) transaction(due []limit.Write) platform.Transaction {
 	var tx platform.Transaction
 	for _, w := range due {
-		row := platform.Row{Table: feeds.TableLimits, Key: w.Row.Backend.ID}
+		row := platform.Row{Table: feeds.TableNotices, Key: rowKey(w.Row.Backend.ID)}
 		tx.Expected = append(tx.Expected, platform.Expectation{Table: row.Table, Key: row.Key, Version: w.Row.Version})
 		if w.Row.Deleted {
 			tx.Removes = append(tx.Removes, row)
@@ -155,15 +170,11 @@
 // mergeConflict records the rows as they are after a conflict. Those that were to be written
 // and are not among the current ones do not exist.
 func (s *Sharer) mergeConflict(due []limit.Write, current []platform.Row) {
-	exists := map[string]bool{}
-	for _, r := range current {
-		exists[r.Key] = true
-	}
+	rows := s.decode(current)
 	for _, w := range due {
-		if !exists[w.Row.Backend.ID] && w.Row.Version > 0 {
-			// The row was removed after the version that was expected.
-			current = append(current, platform.Row{Key: w.Row.Backend.ID, Version: w.Row.Version + 1, Deleted: true})
+		if !slices.ContainsFunc(rows, func(r limit.SharedRow) bool { return r.Backend.ID == w.Row.Backend.ID }) {
+			rows = append(rows, limit.SharedRow{Backend: w.Row.Backend, Deleted: true})
 		}
 	}
-	s.Receive(current, false)
+	s.table.MergeLimits(rows, limit.Conflict)
 }
--- a/internal/emulator/disturbance.go
+++ b/internal/emulator/disturbance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
 )
 
 // applyDisturbance starts a disturbance and schedules its end.
@@ -49,7 +50,7 @@
 				i.policy.(placementPolicy).MergePlacements(nil, kept, sim.clock())
 			}
 			if p, ok := i.policy.(limitPolicy); ok {
-				p.Limits().Merge(slices.Collect(maps.Values(sim.limitRows)), true, sim.clock())
+				p.Limits().Merge(slices.Collect(maps.Values(sim.limitRows)), limit.Whole, sim.clock())
 			}
 		}
 	}
--- a/internal/emulator/limits.go
+++ b/internal/emulator/limits.go
@@ -71,9 +71,10 @@
 // written them meanwhile.
 func (sim *simulation) writeLimits(t *limit.Table, instances int) {
 	for _, w := range t.Due(instances, false, sim.clock()) {
-		current := sim.limitRows[w.Row.Backend.ID]
+		current, exists := sim.limitRows[w.Row.Backend.ID]
 		if current.Version != w.Row.Version {
-			t.Merge([]limit.SharedRow{current}, false, sim.clock())
+			current.Backend, current.Deleted = w.Row.Backend, !exists
+			t.Merge([]limit.SharedRow{current}, limit.Conflict, sim.clock())
 			continue
 		}
 		sim.limitVersion++
@@ -93,7 +94,7 @@
 	for _, z := range sim.zones {
 		for _, i := range sim.instances[z] {
 			if p, ok := i.policy.(limitPolicy); ok {
-				p.Limits().Merge([]limit.SharedRow{row}, false, sim.clock())
+				p.Limits().Merge([]limit.SharedRow{row}, limit.Changes, sim.clock())
 			}
 		}
 	}
