--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,6 +29,9 @@
 	}
 }
 
+// maxInstancesPerZone bounds the processes of a run to a few hundred.
+const maxInstancesPerZone = 60
+
 func newCommand() *cli.Command {
 	return &cli.Command{
 		Name: "soak", Usage: "run the system under random faults and check its promises",
@@ -39,6 +42,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of consecutive seeds"},
 			&cli.IntFlag{Name: "jobs", Value: 1, Usage: "maximum number of concurrent runs"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "duration of each run"},
+			&cli.IntFlag{Name: "instances", Value: 1, Usage: "instances in each of the four availability zones, at most 60"},
 			&cli.BoolFlag{Name: "regressions", Usage: "also run the seeds that failed in the past"},
 			&cli.BoolFlag{Name: "steps", Usage: "print the progress of each run"},
 		},
@@ -61,21 +65,24 @@
 	if c.Bool("steps") {
 		progress = os.Stdout
 	}
+	if n := c.Int("instances"); n < 1 || n > maxInstancesPerZone {
+		return errors.NotValidf("--instances %d (choose 1 to %d)", n, maxInstancesPerZone)
+	}
 	return runAll(ctx, buildRuns(c, soak.Options{Program: program, WorkDir: workDir, Progress: progress}), c.Int("jobs"))
 }
 
-// buildRuns returns the options of all runs. Only Seed and RunTime differ from
-// common.
+// buildRuns returns the options of all runs. Only Seed, RunTime and
+// InstancesPerZone differ from common.
 func buildRuns(c *cli.Command, common soak.Options) []soak.Options {
 	var list []soak.Options
 	if c.Bool("regressions") {
 		for _, r := range soak.Regressions {
-			common.Seed, common.RunTime = r.Seed, r.RunTime
+			common.Seed, common.RunTime, common.InstancesPerZone = r.Seed, r.RunTime, 1
 			list = append(list, common)
 		}
 	}
 	for n := range c.Int("seeds") {
-		common.Seed, common.RunTime = c.Uint64("seed")+uint64(n), c.Duration("length")
+		common.Seed, common.RunTime, common.InstancesPerZone = c.Uint64("seed")+uint64(n), c.Duration("length"), c.Int("instances")
 		list = append(list, common)
 	}
 	return list
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	callerCount    = 12
-	objectCount    = 24
-	lookupInterval = 2 * time.Second
-	connectTimeout = time.Second
+	// callersPerZoneInstance is the number of callers for each instance of a zone.
+	callersPerZoneInstance = 12
+	objectCount            = 24
+	lookupInterval         = 2 * time.Second
+	connectTimeout         = time.Second
 	// callerTimeout is how long a caller waits for a response.
 	callerTimeout = 2 * time.Second
 	// meanIdleTime is the mean wait between two requests of a caller.
@@ -72,7 +73,7 @@
 // run lets all callers send requests until ctx is done.
 func (c *callerGroup) run(ctx context.Context, seed uint64) {
 	var all sync.WaitGroup
-	for n := range callerCount {
+	for n := range callersPerZoneInstance * len(c.environment.instances) / len(zones) {
 		all.Go(func() {
 			caller := &caller{callerGroup: c, rng: rand.New(rand.NewPCG(seed, uint64(n))), zone: zones[n%len(zones)]}
 			caller.run(ctx)
@@ -115,7 +116,7 @@
 	if time.Since(c.lookedUpAt) < lookupInterval {
 		return
 	}
-	i := c.callerGroup.environment.instances[c.rng.IntN(len(zones))]
+	i := c.callerGroup.environment.anyInstance(c.rng)
 	addresses, err := resolve(ctx, i, c.zone)
 	if err != nil {
 		return
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -104,18 +104,19 @@
 // addresses of its own.
 var environmentCount atomic.Uint32
 
-func newEnvironment(workDir, program string) (*environment, error) {
+func newEnvironment(workDir, program string, instancesPerZone int) (*environment, error) {
 	number := environmentCount.Add(1)
 	e := &environment{
 		workDir: workDir, program: program, runID: fmt.Sprintf("%d-%d", os.Getpid(), number), store: store.New(), routes: map[string]time.Time{},
 	}
-	for n, zone := range zones {
+	for n := range instancesPerZone * len(zones) {
 		p, err := faultproxy.New(e.store.Address())
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
+		zone := zones[n%len(zones)]
 		e.instances = append(e.instances, &instance{
-			name: fmt.Sprintf("front-%s", zone), zone: zone, storeProxy: p,
+			name: instanceName(zone, n/len(zones)), zone: zone, storeProxy: p,
 			ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, number%250+1, n+1),
 		})
 	}
@@ -130,6 +131,14 @@
 	return e, nil
 }
 
+// instanceName returns the name of the n-th instance of a zone.
+func instanceName(zone string, n int) string {
+	if n == 0 {
+		return "front-" + zone
+	}
+	return fmt.Sprintf("front-%s-%d", zone, n)
+}
+
 func (e *environment) addBackend(zone string) error {
 	p, err := faultproxy.New("")
 	if err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -42,6 +42,8 @@
 	// Program is the path of the daemon. WorkDir is a directory for settings and logs.
 	Program, WorkDir string
 	Seed             uint64
+	// InstancesPerZone is the number of instances in each availability zone, at most 60.
+	InstancesPerZone int
 	// RunTime is the duration of the run, excluding startup and shutdown.
 	RunTime time.Duration
 	// Progress receives a line for each step.
@@ -78,7 +80,7 @@
 	if err := os.MkdirAll(work, 0o700); err != nil {
 		return nil, errors.Annotate(err, "create the directory for settings and logs")
 	}
-	e, err := newEnvironment(work, opts.Program)
+	e, err := newEnvironment(work, opts.Program, opts.InstancesPerZone)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
