accesslog: a request limit that cannot be read is logged

Only two requests a second that succeed are logged, so that an invalid Server-Limit left a counter and mostly no line. Such requests are logged like failures, 20 a second at most.

--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -5,8 +5,8 @@
 // grant is for a few requests, normally one, and belongs to one instance: all of them find
 // its owner by rendezvous hashing, first over the groups by weight, then over the members of
 // the group. An instance that does not know a member, or still knows one that has left,
-// finds another owner only for the grants of that member. A grant that its owner does not use within a lifetime is void, so that grants
-// do not pile up while there is little to send.
+// finds another owner only for the grants of that member. A grant that its owner does not
+// use within a lifetime is void, so that grants do not pile up while there is little to send.
 //
 // Pacer is a pure state machine and not safe for concurrent use.
 package pace
--- a/internal/edge/filter/accesslog/accesslog.go
+++ b/internal/edge/filter/accesslog/accesslog.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,7 @@
 
 const (
 	// maxFailureLines bounds the requests per second that are logged with a
-	// status of 300 or above.
+	// status of 300 or above, or with a request limit that cannot be read.
 	maxFailureLines = 20
 	// maxSuccessLines bounds the requests per second that are logged with a
 	// status below 300.
@@ -51,7 +52,7 @@
 	resp := next(ctx, ex)
 	took := time.Since(ex.Received)
 	f.countRequest(ex, resp, took)
-	if f.takeLine(resp.Status < http.StatusMultipleChoices) {
+	if f.takeLine(resp.Status < http.StatusMultipleChoices && !hasInvalidLimit(ex.Outcome.Attempts)) {
 		f.logExchange(ctx, ex, resp, took)
 	}
 	return resp
@@ -80,6 +81,11 @@
 	}
 }
 
+// hasInvalidLimit reports whether a response states a request limit that cannot be read.
+func hasInvalidLimit(attempts []gateway.Attempt) bool {
+	return slices.ContainsFunc(attempts, func(a gateway.Attempt) bool { return a.Limit.Invalid })
+}
+
 // takeLine reports whether a request may be logged and deducts it from the
 // window's limit. Failures and successes have separate limits.
 func (f *Filter) takeLine(success bool) bool {
--- a/internal/edge/limits/limits.go
+++ b/internal/edge/limits/limits.go
@@ -1,7 +1,7 @@
 // Package limits shares between the entry instances which backend servers state a request
-// limit. Each limit has a row in the store's table of notices, which an instance writes when its
-// responses tell something else, and which all of them follow. While the store is away, an
-// instance goes by the responses that it gets, and writes the rows later.
+// limit. Each limit has a row in the store's table of notices, which an instance writes when
+// its responses tell something else, and which all of them follow. While the store is away,
+// an instance goes by the responses that it gets, and writes the rows later.
 package limits
 
 import (
