limits: an earlier incarnation than the known one can be limited; stand-in store writes nothing older again

The logs show the backend server's entry going back to an earlier incarnation at 9.42 s, after the store had come back from an older copy: the stand-in wrote the lost entry again although its backend server had crashed and written a newer one since. Instances then sent to the earlier incarnation, and what they knew of the later one kept them from learning its limit, for as long as that entry stood.

Both mended: the stand-in leaves out what was written anew; the table of limits makes way for an earlier incarnation that gets requests for 1 s. TestEarlierIncarnationCanBeLimited failed before.

--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -33,6 +33,9 @@
 	// row first. writeDelayPerInstance is that time for each instance there is.
 	maxWriteDelay         = time.Second
 	writeDelayPerInstance = 20 * time.Millisecond
+	// followTime is how long an entry may be of a later incarnation than the one that gets
+	// requests.
+	followTime = time.Second
 	// unknownTime is how long the row of a backend server that does not exist is kept.
 	unknownTime = 30 * time.Second
 )
@@ -121,6 +124,9 @@
 	written time.Time
 	// unknownSince is since when the backend server does not exist; zero while it does.
 	unknownSince time.Time
+	// aheadSince is since when State is asked about an earlier incarnation; zero while it is
+	// not.
+	aheadSince time.Time
 }
 
 // Table holds the limits of all backend servers as known to one instance.
@@ -217,10 +223,10 @@
 	e.reported = state
 }
 
-// State returns what is known about an incarnation.
+// State returns what is known about an incarnation that gets requests.
 func (t *Table) State(b Backend, now time.Time) State {
-	e := t.entries[b.ID]
-	if e == nil || e.backend.Born != b.Born {
+	e := t.current(b, now)
+	if e == nil {
 		return State{Returned: 1}
 	}
 	t.recordChange(e, Row, now)
@@ -231,6 +237,28 @@
 	return state
 }
 
+// current returns the entry of an incarnation that gets requests; nil if there is none. An
+// entry of a later incarnation makes way for it after followTime; until then it may come from a
+// row that was read sooner than the entry of the backend server.
+func (t *Table) current(b Backend, now time.Time) *entry {
+	e := t.entries[b.ID]
+	switch {
+	case e == nil || e.backend.Born < b.Born:
+		return nil
+	case e.backend.Born == b.Born:
+		e.aheadSince = time.Time{}
+		return e
+	case e.aheadSince.IsZero():
+		e.aheadSince = now
+	}
+	if now.Sub(e.aheadSince) < followTime {
+		return nil
+	}
+	earlier := &entry{backend: b, version: e.version, reported: State{Returned: 1}}
+	t.entries[b.ID] = earlier
+	return earlier
+}
+
 // Empty reports whether nothing is known about any backend server.
 func (t *Table) Empty() bool { return len(t.entries) == 0 }
 
--- a/internal/decide/limit/limit_test.go
+++ b/internal/decide/limit/limit_test.go
@@ -71,6 +71,22 @@
 	require.Equal(t, SharedRow{Backend: again, PerSecond: 5, Version: 9}, due[0].Row)
 }
 
+// TestEarlierIncarnationCanBeLimited guards against a backend server whose limits are never
+// learnt because something is known of a later incarnation than the one that instances see, as
+// when its entry was replaced by an older one.
+func TestEarlierIncarnationCanBeLimited(t *testing.T) {
+	table := New("one")
+	later := Backend{ID: "b", Born: 8}
+	table.Merge([]SharedRow{{Backend: later, PerSecond: 5, Version: 3}}, Changes, at(0))
+	requireLimit(t, table, -1, at(100))
+	require.Equal(t, 5.0, table.State(later, at(200)).PerSecond)
+	requireLimit(t, table, -1, at(300))
+	requireLimit(t, table, -1, at(1400))
+	table.Observe(backend, limited(2), at(1400), at(1500))
+	requireLimit(t, table, 2, at(1500))
+	require.Equal(t, row(2, 3), table.Due(1, false, at(2600))[0].Row)
+}
+
 // TestRowSpeaksForThoseWhoHearNothing checks that an instance that gets no responses learns a
 // limit, its change and its end from the shared row.
 func TestRowSpeaksForThoseWhoHearNothing(t *testing.T) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -75,6 +75,8 @@
 	era atomic.Uint64
 	// log holds all writes, the oldest first.
 	log []Row
+	// rollbackVersion is the version to which the store came back last.
+	rollbackVersion uint64
 	// floor is the version below which the history is gone.
 	floor   uint64
 	changed chan struct{}
@@ -155,18 +157,25 @@
 		s.version = r.Version
 		s.place(r)
 	}
-	s.version, s.floor = to, min(s.floor, to)
+	s.version, s.rollbackVersion, s.floor = to, to, min(s.floor, to)
 	s.era.Add(1)
 	s.wake()
 	return slices.Collect(maps.Values(lost))
 }
 
-// WriteAgain writes rows that a Rollback has lost.
+// WriteAgain writes rows that a Rollback has lost, but for those that their writers have
+// written anew since.
 func (s *Store) WriteAgain(rows []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	anew := map[string]bool{}
+	for _, r := range s.rows {
+		anew[id(r.Table, r.Part, r.Key)] = r.Version > s.rollbackVersion
+	}
 	for _, r := range rows {
-		s.mu.Lock()
-		s.write(r)
-		s.mu.Unlock()
+		if !anew[id(r.Table, r.Part, r.Key)] {
+			s.write(r)
+		}
 	}
 }
 
