cli tests: an instance that refuses connections keeps its port

The test closed a listener so that its port would refuse; another test process got the port. The port stays bound, without listening, until the test ends.

--- a/internal/cli/fakes_test.go
+++ b/internal/cli/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sys/unix"
 
 	"github.com/banyandeal/banyandeal/internal/filter/accept"
 	"github.com/banyandeal/banyandeal/internal/operator"
@@ -104,7 +106,9 @@
 
 	fleet  []*fakeInstance
 	server *httptest.Server
-	reads  atomic.Int64
+	// address is where the instance is asked.
+	address string
+	reads   atomic.Int64
 }
 
 func startInstances(ts *testscript.TestScript, neg bool, args []string) {
@@ -116,7 +120,11 @@
 	for i, f := range fakes {
 		f.server = httptest.NewUnstartedServer(f)
 		ts.Defer(f.server.Close)
-		addr := f.server.Listener.Addr().String()
+		f.address = f.server.Listener.Addr().String()
+		if f.Fault == "refuse" {
+			f.address = refusingAddress(ts)
+		}
+		addr := f.address
 		ts.Setenv(strings.ToUpper(f.Status.Instance), addr)
 		nameAddress(ts, addr, "operator-of-"+f.Status.Instance)
 		if i == 0 {
@@ -126,12 +134,21 @@
 	}
 	for _, f := range fakes {
 		f.server.Start()
-		if f.Fault == "refuse" {
-			f.server.Close()
-		}
 	}
 }
 
+// refusingAddress returns an address that refuses connections. Its port stays bound, so that
+// no other process of a test run gets it and answers there.
+func refusingAddress(ts *testscript.TestScript) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	ts.Check(err)
+	ts.Defer(func() { _ = unix.Close(fd) })
+	ts.Check(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := unix.Getsockname(fd)
+	ts.Check(err)
+	return fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+}
+
 func (f *fakeInstance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch f.Fault {
 	case "garbage":
@@ -170,7 +187,7 @@
 	}
 	for _, g := range f.fleet {
 		in := operator.InstanceStatus{
-			ID: g.Status.Instance, Zone: g.Status.Zone, State: cmp.Or(g.Believed, "live"), Operator: g.server.Listener.Addr().String(),
+			ID: g.Status.Instance, Zone: g.Status.Zone, State: cmp.Or(g.Believed, "live"), Operator: g.address,
 		}
 		if g.GoneAfter > 0 && read > g.GoneAfter {
 			in.State = "gone"
