--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -51,7 +51,7 @@
 
 // verdictEvents are the events that tell whether requests with a fingerprint are
 // thought to crash backend servers. Those of all instances count, since they share it.
-var verdictEvents = []string{"verdict", "isolated"}
+var verdictEvents = []string{"verdict", "isolated", "crash"}
 
 // logLine is a line of an instance's log.
 type logLine struct {
@@ -60,7 +60,9 @@
 	Event       string `json:"event"`
 	ID          string `json:"id"`
 	Fingerprint string `json:"fingerprint"`
-	Backend     string `json:"backend"`
+	// Fingerprints holds the requests that a crash is counted for.
+	Fingerprints []string `json:"fingerprints"`
+	Backend      string   `json:"backend"`
 	// LimitedBackend is the backend server because of whose request limit a request was
 	// refused. Limit and Issued are requests per second.
 	LimitedBackend string  `json:"limited_backend"`
@@ -117,7 +119,7 @@
 // when it decided.
 func (r *requestLines) believed(l logLine) bool {
 	if slices.Contains(verdictEvents, l.Event) {
-		return l.Fingerprint == r.fingerprint && l.Time <= r.last
+		return (l.Fingerprint == r.fingerprint || slices.Contains(l.Fingerprints, r.fingerprint)) && l.Time <= r.last
 	}
 	if l.Instance != r.instance || l.Time > r.last || !slices.Contains(beliefEvents, l.Event) {
 		return false
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -54,12 +54,15 @@
 `), 0o600))
 	require.NoError(t, os.WriteFile(two, []byte(`{"time":10,"instance":"two","event":"verdict","fingerprint":"f","verdict":"suspect","crashes":1}
 {"time":11,"instance":"two","event":"isolated","id":"w","fingerprint":"f","backend":"i-1"}
+{"time":12,"instance":"two","event":"crash","backend":"i-1","cause":"refused","requests":2,"fingerprints":["g","f"]}
+{"time":12,"instance":"two","event":"crash","backend":"i-2","cause":"refused","requests":1,"fingerprints":["g"]}
 {"time":13,"instance":"two","event":"verdict","fingerprint":"f","verdict":"quarantined","crashes":3}
 {"time":40,"instance":"two","event":"verdict","fingerprint":"f","verdict":"clear"}
 `), 0o600))
 	_, out, _ := runTool(t, "explain", "x", one, two)
 	require.Equal(t, `{"time":10,"instance":"two","event":"verdict","fingerprint":"f","verdict":"suspect","crashes":1}
 {"time":11,"instance":"two","event":"isolated","id":"w","fingerprint":"f","backend":"i-1"}
+{"time":12,"instance":"two","event":"crash","backend":"i-1","cause":"refused","requests":2,"fingerprints":["g","f"]}
 {"time":13,"instance":"two","event":"verdict","fingerprint":"f","verdict":"quarantined","crashes":3}
 {"time":30,"instance":"one","event":"request","id":"x","fingerprint":"f","verdict":"quarantined","reason":"quarantined"}
 `, out)
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -97,7 +97,7 @@
 	d.metrics.RegisterGauge("limited_backends", func() float64 { return float64(decider.LimitedBackends()) })
 	d.places = places.New(s.Instance, s.Region, decider, client, d.store, log)
 	verdicts := &verdictReporter{log: boundedLog(log, m, maxVerdictLines), metrics: m}
-	d.evidence = evidence.New(d.store, d.sourceSelector.Reads, verdicts.change, log)
+	d.evidence = evidence.New(d.store, d.sourceSelector.Reads, verdicts, log)
 	guard := d.evidence.Guard()
 	handler := gateway.New(d.control,
 		accesslog.New(log, m), identify.Filter{}, match.Filter{}, quarantine.Filter{Guard: guard}, expire.Filter{},
--- a/internal/edge/daemon/verdicts.go
+++ b/internal/edge/daemon/verdicts.go
@@ -6,8 +6,9 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
+	decide "github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
+	"github.com/banyandeal/banyandeal/internal/quarantine"
 )
 
 // maxVerdictLines bounds the lines per second about verdicts.
@@ -20,8 +21,8 @@
 	metrics *metrics.Metrics
 }
 
-// change reports a change of the verdict on a request.
-func (r *verdictReporter) change(c quarantine.Change) {
+// VerdictChanged implements quarantine.Observer.
+func (r *verdictReporter) VerdictChanged(c decide.Change) {
 	r.metrics.Add(fmt.Sprintf("verdicts_%s_%s", c.To, c.Cause), 1)
 	e := r.log.Info().Str("event", "verdict").Stringer("fingerprint", c.Fingerprint).
 		Stringer("verdict", c.To).Stringer("before", c.From).Stringer("cause", c.Cause)
@@ -29,9 +30,27 @@
 	e.Msg("")
 }
 
+// maxCrashRequests bounds the requests that the line of a crash names.
+const maxCrashRequests = 8
+
+// CrashNoticed implements quarantine.Observer.
+func (r *verdictReporter) CrashNoticed(c quarantine.Crash) {
+	r.metrics.Add("crashes_"+string(c.Cause), 1)
+	r.log.Info().Str("event", "crash").Str("backend", c.Backend).Str("cause", string(c.Cause)).
+		Int("requests", len(c.Requests)).Stringers("fingerprints", stringers(c.Requests[:min(len(c.Requests), maxCrashRequests)])).Msg("")
+}
+
+func stringers(fps []decide.Fingerprint) []fmt.Stringer {
+	list := make([]fmt.Stringer, len(fps))
+	for i, fp := range fps {
+		list[i] = fp
+	}
+	return list
+}
+
 // isolated reports that a suspect is sent to a backend server that has no other
 // suspect of this instance in flight, if there is one.
-func (r *verdictReporter) isolated(id, backend string, fp quarantine.Fingerprint, ev quarantine.Evidence) {
+func (r *verdictReporter) isolated(id, backend string, fp decide.Fingerprint, ev decide.Evidence) {
 	r.metrics.Add("isolated_attempts", 1)
 	e := r.log.Info().Str("event", "isolated").Stringer("fingerprint", fp).Str("id", id).Str("backend", backend)
 	addEvidence(e, ev)
@@ -39,7 +58,7 @@
 }
 
 // addEvidence adds the evidence against a request, with its age, to a log event.
-func addEvidence(e *zerolog.Event, ev quarantine.Evidence) {
+func addEvidence(e *zerolog.Event, ev decide.Evidence) {
 	e.Int("crashes", ev.Crashes)
 	if !ev.LastCrash.IsZero() {
 		e.Dur("evidence_age", time.Since(ev.LastCrash)).Dur("evidence_span", ev.LastCrash.Sub(ev.FirstCrash))
--- a/internal/edge/evidence/evidence.go
+++ b/internal/edge/evidence/evidence.go
@@ -85,17 +85,17 @@
 	notice  decide.Notice
 }
 
-// New returns a Sharer with the guard that decides about requests. onChange gets each
-// change of a verdict and must not block. removesExpired is called to find out whether
-// this instance removes expired rows, so that not all of them do.
-func New(s Store, removesExpired func() bool, onChange func(decide.Change), log zerolog.Logger) *Sharer {
+// New returns a Sharer with the guard that decides about requests. removesExpired is
+// called to find out whether this instance removes expired rows, so that not all of them
+// do.
+func New(s Store, removesExpired func() bool, observer quarantine.Observer, log zerolog.Logger) *Sharer {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = minBackoff, maxBackoff
 	sharer := &Sharer{
 		store: s, removesExpired: removesExpired, log: log, backoff: b, wake: make(chan struct{}, 1),
 		due: map[decide.Fingerprint]time.Time{}, rows: map[decide.Fingerprint]row{}, written: map[decide.Fingerprint]bool{},
 	}
-	sharer.guard = quarantine.NewSharedGuard(sharer.notify, onChange)
+	sharer.guard = quarantine.NewSharedGuard(sharer.notify, observer)
 	return sharer
 }
 
--- a/internal/edge/evidence/evidence_test.go
+++ b/internal/edge/evidence/evidence_test.go
@@ -36,6 +36,12 @@
 	return s.Store.Commit(ctx, tx)
 }
 
+// silent is an Observer that ignores what it is told.
+type silent struct{}
+
+func (silent) VerdictChanged(decide.Change)  {}
+func (silent) CrashNoticed(quarantine.Crash) {}
+
 // instance is a Sharer whose feed the test plays.
 type instance struct {
 	*Sharer
@@ -50,7 +56,7 @@
 	require.NoError(t, l.Close())
 	counting := &countingStore{Store: platform.NewStore(s.Address())}
 	i := &instance{store: counting, address: l.Addr().String()}
-	i.Sharer = New(counting, func() bool { return true }, func(decide.Change) {}, zerolog.Nop())
+	i.Sharer = New(counting, func() bool { return true }, silent{}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -40,9 +40,7 @@
 	// block.
 	sendNotices func([]quarantine.Notice)
 	dial        DialFunc
-	// onChange is called with each change of a verdict. It must not block and may be
-	// nil.
-	onChange func(quarantine.Change)
+	observer    Observer
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -83,19 +81,18 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	return &Guard{
-		instance: instance, sendNotices: sendNotices, dial: dial, machine: quarantine.New(quarantine.Config{}),
+		instance: instance, sendNotices: sendNotices, dial: dial, observer: noObserver{}, machine: quarantine.New(quarantine.Config{}),
 		backends: map[string]*backendAttempts{}, isolated: map[quarantine.Fingerprint]chan struct{}{},
 	}
 }
 
 // NewSharedGuard returns the guard of an instance whose backend servers also get
 // requests from other instances. Its attempts begin with Admit. sendNotices gets
-// notices to share with these instances, and onChange each change of a verdict.
-// Neither may block or call the guard.
-func NewSharedGuard(sendNotices func([]quarantine.Notice), onChange func(quarantine.Change)) *Guard {
+// notices to share with these instances. It must neither block nor call the guard.
+func NewSharedGuard(sendNotices func([]quarantine.Notice), observer Observer) *Guard {
 	g := NewGuard("", nil, sendNotices)
 	g.machine = quarantine.New(quarantine.Config{SharedBackends: true, MaxEntries: maxSharedEntries})
-	g.onChange, g.sharedBackends = onChange, true
+	g.observer, g.sharedBackends = observer, true
 	return g
 }
 
@@ -178,7 +175,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if down && !a.crashCounted {
-		g.recordCrash(a.backend)
+		g.recordCrash(a.backend, CauseRefused)
 	}
 	g.removeAttempt(a)
 	return down
@@ -207,7 +204,7 @@
 
 // recordCrash records one crash for all attempts that the backend server had in
 // flight and that were not part of an earlier crash. g.mu must be held.
-func (g *Guard) recordCrash(backend string) {
+func (g *Guard) recordCrash(backend string, cause CrashCause) {
 	c := quarantine.Crash{Incident: g.nextIncident(backend)}
 	for a := range g.backends[backend].attempts {
 		if a.crashCounted {
@@ -216,9 +213,18 @@
 		a.crashCounted = true
 		c.InFlight = append(c.InFlight, a.SentRequest)
 	}
+	g.observer.CrashNoticed(Crash{Backend: backend, Cause: cause, Requests: fingerprintsOf(c.InFlight)})
 	g.step(c)
 }
 
+func fingerprintsOf(requests []quarantine.SentRequest) []quarantine.Fingerprint {
+	fps := make([]quarantine.Fingerprint, len(requests))
+	for i, r := range requests {
+		fps[i] = r.Fingerprint
+	}
+	return fps
+}
+
 // nextIncident returns the incident for a crash of a backend server that was just
 // detected. g.mu must be held.
 func (g *Guard) nextIncident(backend string) quarantine.Incident {
@@ -254,12 +260,10 @@
 	g.reportChanges()
 }
 
-// reportChanges passes the changes of verdicts to onChange. g.mu must be held.
+// reportChanges passes the changes of verdicts to the observer. g.mu must be held.
 func (g *Guard) reportChanges() {
 	for _, c := range g.machine.TakeChanges() {
-		if g.onChange != nil {
-			g.onChange(c)
-		}
+		g.observer.VerdictChanged(c)
 	}
 }
 
--- a/internal/quarantine/permit_test.go
+++ b/internal/quarantine/permit_test.go
@@ -13,11 +13,20 @@
 
 const suspect = quarantine.Fingerprint(7)
 
+// recorder is an Observer that keeps what it is told.
+type recorder struct {
+	changes []quarantine.Change
+	crashes []Crash
+}
+
+func (r *recorder) VerdictChanged(c quarantine.Change) { r.changes = append(r.changes, c) }
+func (r *recorder) CrashNoticed(c Crash)               { r.crashes = append(r.crashes, c) }
+
 // newTestGuard returns a guard of shared backend servers and the changes of verdicts
 // that it has reported.
 func newTestGuard() (*Guard, *[]quarantine.Change) {
-	var changes []quarantine.Change
-	return NewSharedGuard(func([]quarantine.Notice) {}, func(c quarantine.Change) { changes = append(changes, c) }), &changes
+	r := &recorder{}
+	return NewSharedGuard(func([]quarantine.Notice) {}, r), &r.changes
 }
 
 // refusingAddress returns an address that refuses connections.
