--- a/internal/edge/edgetest/backend.go
+++ b/internal/edge/edgetest/backend.go
@@ -38,4 +38,6 @@
 	Crash = registered.Crash
 	// CrashSilently leaves all connections open without a response for a while.
 	CrashSilently = registered.CrashSilently
+	// CrashFromQueue is Crash after a wait, also if the connection was closed meanwhile.
+	CrashFromQueue = registered.CrashFromQueue
 )
--- a/internal/edge/edgetest/quarantine_test.go
+++ b/internal/edge/edgetest/quarantine_test.go
@@ -16,6 +16,9 @@
 const (
 	// backendDown is how long a backend server is down after a crash.
 	backendDown = 2500 * time.Millisecond
+	// queueWait is how long a crashing request waits in the queue of a backend server in
+	// tests where it does: longer than the timeout of its route.
+	queueWait = 2300 * time.Millisecond
 	// contact is the time after the third crash from which on the sends of a
 	// crashing request are limited to maxLateSends, as the users' rules say.
 	contact      = 4 * time.Second
@@ -29,16 +32,21 @@
 type crashEnvironment struct{ *fleet }
 
 func startCrashEnvironment(t *testing.T, instanceZones ...string) *crashEnvironment {
-	return startCrashEnvironmentOf(t, Crash, instanceZones...)
+	return startCrashEnvironmentOf(t, eachTime(Crash), instanceZones...)
 }
 
-// startCrashEnvironmentOf is startCrashEnvironment with the given kind of crash.
-func startCrashEnvironmentOf(t *testing.T, crash Act, instanceZones ...string) *crashEnvironment {
-	f := startFleet(t, 12, Start{Work: 30 * time.Millisecond, Down: backendDown}, instanceZones...)
+// eachTime is a series of one act.
+func eachTime(a Act) func(n int64) Act { return func(int64) Act { return a } }
+
+// startCrashEnvironmentOf is startCrashEnvironment with the given treatment of the n-th
+// crashing request, beginning at 1.
+func startCrashEnvironmentOf(t *testing.T, act func(n int64) Act, instanceZones ...string) *crashEnvironment {
+	f := startFleet(t, 12, Start{Work: 30 * time.Millisecond, Down: backendDown, QueueWait: queueWait}, instanceZones...)
+	var count atomic.Int64
 	for _, b := range f.backends {
 		b.SetAct(func(a *Arrival) Act {
 			if strings.HasPrefix(a.Body, crashBody) {
-				return crash
+				return act(count.Add(1))
 			}
 			return Run
 		})
@@ -60,6 +68,15 @@
 	return responses
 }
 
+// repeatInTurn is repeat by one caller that waits for each response.
+func (e *crashEnvironment) repeatInTurn(c CallerRequest, every, total time.Duration) {
+	end := time.Now().Add(total)
+	for n := 0; time.Now().Before(end); n++ {
+		e.Do(e.instance(n), c)
+		time.Sleep(every)
+	}
+}
+
 // sends returns the times at which requests with the body reached backend servers, in
 // order.
 func (e *crashEnvironment) sends(body string) []time.Time {
@@ -75,14 +92,19 @@
 	return times
 }
 
-// lateSends returns how many of the sends came later than contact after the third.
-func lateSends(sends []time.Time) int {
-	if len(sends) < 3 {
+// lateSends returns how many of the sends came later than contact after the third crash.
+func (e *crashEnvironment) lateSends(sends []time.Time) int {
+	var crashes []time.Time
+	for _, b := range e.backends {
+		crashes = append(crashes, b.Crashes()...)
+	}
+	if len(crashes) < 3 {
 		return 0
 	}
+	slices.SortFunc(crashes, time.Time.Compare)
 	late := 0
 	for _, at := range sends {
-		if at.After(sends[2].Add(contact)) {
+		if at.After(crashes[2].Add(contact)) {
 			late++
 		}
 	}
@@ -129,22 +151,36 @@
 
 func (by *bystanders) share() float64 { return float64(by.served.Load()) / float64(by.sent.Load()) }
 
-// repeatBesideOthers repeats a crashing request every 300 ms at four instances in turn, while
-// callers send other requests to the same path.
-func repeatBesideOthers(t *testing.T, crash Act, path string, callers int, length time.Duration) (sends []time.Time, by *bystanders) {
-	e := startCrashEnvironmentOf(t, crash, "a1", "a2", "b1", "b1")
+// repeater repeats a crashing request for a while.
+type repeater func(e *crashEnvironment, c CallerRequest, length time.Duration)
+
+// overlapping repeats it every 300 ms without regard to responses.
+func overlapping(e *crashEnvironment, c CallerRequest, length time.Duration) {
+	e.repeat(c, 300*time.Millisecond, length)
+}
+
+// oneByOne repeats it a time after each response.
+func oneByOne(every time.Duration) repeater {
+	return func(e *crashEnvironment, c CallerRequest, length time.Duration) { e.repeatInTurn(c, every, length) }
+}
+
+// repeatBesideOthers repeats a crashing request at four instances in turn, while callers
+// send other requests to the same path.
+func repeatBesideOthers(t *testing.T, act func(n int64) Act, repeat repeater, path string, callers int, length time.Duration) (late int, by *bystanders) {
+	e := startCrashEnvironmentOf(t, act, "a1", "a2", "b1", "b1")
 	stop := make(chan struct{})
 	by = &bystanders{}
 	var all sync.WaitGroup
 	for range callers {
 		all.Go(func() { by.run(e, http.MethodPost, path, stop) })
 	}
-	e.repeat(CallerRequest{Method: http.MethodPost, Path: path, Body: crashBody}, 300*time.Millisecond, length)
+	repeat(e, CallerRequest{Method: http.MethodPost, Path: path, Body: crashBody}, length)
 	close(stop)
 	all.Wait()
-	sends = e.sends(crashBody)
-	t.Logf("%d sends, %d of them late; %.2f of %d other requests were served", len(sends), lateSends(sends), by.share(), by.sent.Load())
-	return sends, by
+	sends := e.sends(crashBody)
+	late = e.lateSends(sends)
+	t.Logf("%d sends, %d of them late; %.2f of %d other requests were served", len(sends), late, by.share(), by.sent.Load())
+	return late, by
 }
 
 // TestRepeatedCrashingRequestIsStopped guards against a request that crashes each
@@ -154,8 +190,8 @@
 	for _, path := range []string{"/read/x", "/write/x"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			sends, by := repeatBesideOthers(t, Crash, path, 2, 8*time.Second)
-			require.LessOrEqual(t, lateSends(sends), maxLateSends)
+			late, by := repeatBesideOthers(t, eachTime(Crash), overlapping, path, 2, 8*time.Second)
+			require.LessOrEqual(t, late, maxLateSends)
 			require.Zero(t, by.quarantined.Load())
 		})
 	}
@@ -172,14 +208,48 @@
 	for _, path := range []string{"/read/x", "/write/x"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			sends, by := repeatBesideOthers(t, CrashSilently, path, 8, 22*time.Second)
-			require.LessOrEqual(t, lateSends(sends), maxLateSends)
+			late, by := repeatBesideOthers(t, eachTime(CrashSilently), overlapping, path, 8, 22*time.Second)
+			require.LessOrEqual(t, late, maxLateSends)
 			require.GreaterOrEqual(t, by.share(), servedBesideSilence)
 			require.Zero(t, by.quarantined.Load())
 		})
 	}
 }
 
+// TestFailedResponseKeepsEvidence guards against a crashing request that counts as harmless
+// after a backend server has answered it with an error, as some do at its time limit (rule
+// BUDGET).
+func TestFailedResponseKeepsEvidence(t *testing.T) {
+	for _, path := range []string{"/read/x", "/write/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			thirdFails := func(n int64) Act {
+				if n%3 == 0 {
+					return Fail
+				}
+				return Crash
+			}
+			late, by := repeatBesideOthers(t, thirdFails, oneByOne(1500*time.Millisecond), path, 2, 20*time.Second)
+			require.LessOrEqual(t, late, maxLateSends)
+			require.Zero(t, by.quarantined.Load())
+		})
+	}
+}
+
+// TestCrashAfterTimeoutIsEvidence guards against a crashing request that waits in the queues
+// of backend servers until its callers have given up, crashes them after that, and reaches
+// them as often as it is repeated (rule BUDGET).
+func TestCrashAfterTimeoutIsEvidence(t *testing.T) {
+	for _, path := range []string{"/read/x", "/write/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			late, by := repeatBesideOthers(t, eachTime(CrashFromQueue), oneByOne(300*time.Millisecond), path, 2, 22*time.Second)
+			require.LessOrEqual(t, late, maxLateSends)
+			require.Zero(t, by.quarantined.Load())
+		})
+	}
+}
+
 // TestSendsDoNotGrowWithInstances guards against a crashing request that reaches
 // backend servers once for each instance, or more often if it is repeated faster.
 func TestSendsDoNotGrowWithInstances(t *testing.T) {
@@ -229,7 +299,7 @@
 	for n := range 3 {
 		sends := e.sends(fmt.Sprint(crashBody, n))
 		t.Logf("request %d: %d sends", n, len(sends))
-		require.LessOrEqual(t, lateSends(sends), maxLateSends)
+		require.LessOrEqual(t, e.lateSends(sends), maxLateSends)
 	}
 	require.Zero(t, reads.quarantined.Load()+writes.quarantined.Load())
 }
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -46,6 +46,9 @@
 	// CrashSilently ends the process as Crash does, but its connections stay open and new
 	// ones are taken, without a byte in response, until the backend server is back.
 	CrashSilently
+	// CrashFromQueue is Crash after the request has waited for Start.QueueWait, also if its
+	// connection has been closed meanwhile.
+	CrashFromQueue
 )
 
 // Arrival is one request that reached a backend server.
@@ -76,6 +79,7 @@
 	// back after a crash then.
 	leaving bool
 	crashed bool
+	crashes []time.Time
 	// silenced is closed when a silent crash is over; nil if there is none.
 	silenced chan struct{}
 	arrivals []*Arrival
@@ -107,7 +111,9 @@
 	// Down is how long the backend server is away after a Crash. OnCrash is called
 	// when it ends, and OnRestart before it reports that it is back; while OnRestart
 	// fails it stays away. Both may be nil.
-	Down      time.Duration
+	Down time.Duration
+	// QueueWait is how long a request waits before the act CrashFromQueue.
+	QueueWait time.Duration
 	OnCrash   func()
 	OnRestart func() error
 	// Crashes reports whether a request crashes the backend server; it may be nil.
@@ -178,6 +184,7 @@
 		return
 	}
 	b.crashed = true
+	b.crashes = append(b.crashes, time.Now())
 	b.setLimits(nil)
 	address := b.listener.Addr().String()
 	_ = b.listener.Close()
@@ -200,6 +207,7 @@
 		return
 	}
 	b.silenced = make(chan struct{})
+	b.crashes = append(b.crashes, time.Now())
 	b.setLimits(nil)
 	time.AfterFunc(b.start.Down, b.endSilence)
 }
@@ -343,6 +351,13 @@
 	return n
 }
 
+// Crashes returns when the backend server crashed, in order.
+func (b *Backend) Crashes() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.crashes)
+}
+
 // Conns returns how many connections were opened.
 func (b *Backend) Conns() int {
 	b.mu.Lock()
@@ -417,6 +432,10 @@
 		return true
 	}
 	switch act {
+	case CrashFromQueue:
+		time.Sleep(b.start.QueueWait)
+		b.Crash()
+		return false
 	case Crash:
 		b.Crash()
 		return false
