quarantine: a failed response does not clear a crashing request

Cause: each answer to a run counted as its completion, and a completion voids all that is held against a request, at all instances. An error, a run that was ended at its time limit, or an answer that cannot be used shows no such thing.

Only a response that counts as answered clears a request now; all others leave it as it was, which convicts nobody: a conviction still needs three successive crashes. The product's own path (internal/filter/limit) had the same and is mended too.

TestServerErrorKeepsEvidence for the own path failed before.

--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -156,7 +156,7 @@
 	resp, err := f.pool.Do(ctx, choice.Backend, f.request(ex, choice.Backend))
 	end, result := f.classify(ctx, resp, err)
 	result.Took = time.Since(started)
-	f.recordEvidence(ctx, tracked, choice.Backend, &end)
+	f.recordEvidence(ctx, tracked, choice.Backend, result.Outcome, &end)
 	f.decider.recordEnd(state, choice, result, end.mayHaveRun)
 	f.observeLimit(choice.Backend, end, result.Outcome, started)
 	a := gateway.Attempt{Choice: choice, Sent: started, Took: result.Took, Reason: end.reason, MayHaveRun: end.mayHaveRun}
@@ -183,13 +183,13 @@
 
 // recordEvidence records what the end of an attempt shows about the request. If the
 // backend server has crashed, it changes the reason of the end.
-func (f *Filter) recordEvidence(ctx context.Context, tracked *quarantine.Attempt, b *traffic.Backend, end *attemptEnd) {
+func (f *Filter) recordEvidence(ctx context.Context, tracked *quarantine.Attempt, b *traffic.Backend, outcome affinity.Outcome, end *attemptEnd) {
 	switch {
 	case end.reason == reasonConnectionLost:
 		if f.guard.ConnectionLost(ctx, tracked, b.Address) {
 			end.reason = reasonBackendCrashed
 		}
-	case end.mayHaveRun && end.err == nil:
+	case outcome == affinity.Answered:
 		f.guard.Done(tracked)
 	default:
 		f.guard.Inconclusive(tracked)
--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -126,7 +126,7 @@
 	switch {
 	case reply.ConnectionLost:
 		h.Guard.ConnectionLost(ctx, use, lease.Address())
-	case reply.Outcome == outcome.Done:
+	case reply.Outcome == outcome.Done && reply.Status < http.StatusInternalServerError:
 		h.Guard.Done(use)
 	default:
 		h.Guard.Inconclusive(use)
--- a/internal/filter/limit/limit_test.go
+++ b/internal/filter/limit/limit_test.go
@@ -142,3 +142,24 @@
 	defer resp.Close()
 	require.Equal(t, int64(len(largeBody)), resp.Length)
 }
+
+// TestServerErrorKeepsEvidence guards against a crashing request that counts as harmless
+// after a backend server has answered it with an error.
+func TestServerErrorKeepsEvidence(t *testing.T) {
+	s := &estate.Service{Name: "documents"}
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }))
+	t.Cleanup(failing.Close)
+	guard := quarantine.NewGuard("i", nil, func([]decide.Notice) {})
+	for _, address := range []string{crashingBackend(t), failing.Listener.Addr().String(), crashingBackend(t)} {
+		h := newTestHandler(s, address)
+		h.Guard = guard
+		resp, err := h.Serve(t.Context(), newRequest(s))
+		require.NoError(t, err)
+		if resp.Stream != nil {
+			_, err = io.ReadAll(resp.Stream)
+			require.Error(t, err)
+			require.NoError(t, resp.Stream.Close())
+		}
+	}
+	require.True(t, guard.Quarantined(quarantine.Fingerprint(newRequest(s))))
+}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -150,7 +150,9 @@
 	return out
 }
 
-// Done records that the backend server completed the request.
+// Done records that the backend server completed the request. A response that tells of a
+// failure does not show that the request is harmless: backend servers end runs at their
+// time limit with one.
 func (g *Guard) Done(a *Attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
