quarantine: a crash counts for requests whose attempts have ended

Cause: evidence lived as long as the attempt. An attempt whose caller's time was over was recorded as inconclusive, although its backend server may run the request later; and a crash was noticed only by an attempt in flight whose connection was lost. Class of fault: the run's end is not seen by the attempt that began it.

A request without a response now stays on record with its backend server for 10 s. A crash counts for it too, however it is noticed: by the lost connection of another request, by a refused connection of an attempt (which was no evidence before), or by the table of backend servers, where a later incarnation or another id at the same address stands without the former having announced that it leaves. A planned end counts for nobody. A conviction needs three successive crashes as before.

TestCrashCountsForRequestsWithoutResponse and TestUnannouncedEndsAreNoticed are new.

--- a/internal/edge/control/control.go
+++ b/internal/edge/control/control.go
@@ -24,11 +24,15 @@
 	updates chan Update
 	current atomic.Pointer[View]
 	log     zerolog.Logger
+	// onRestart is called for each backend server that was replaced without an
+	// announcement.
+	onRestart func(former *traffic.Backend)
 }
 
-// New returns a Control whose view is empty.
-func New(log zerolog.Logger) *Control {
-	c := &Control{updates: make(chan Update, 16), log: log}
+// New returns a Control whose view is empty. onRestart is called for each backend server
+// whose place another incarnation has taken without an announcement; it must not block.
+func New(onRestart func(former *traffic.Backend), log zerolog.Logger) *Control {
+	c := &Control{updates: make(chan Update, 16), onRestart: onRestart, log: log}
 	c.current.Store(newState().view())
 	return c
 }
@@ -60,6 +64,9 @@
 			missing, evacuations := s.expireMissing(now), s.expireEvacuations(now)
 			changed = missing || evacuations
 		case u := <-c.updates:
+			for _, former := range s.replaced(u) {
+				c.onRestart(former)
+			}
 			changed = s.apply(u, time.Now())
 			c.logUpdate(u, s.config)
 		}
--- a/internal/edge/control/state.go
+++ b/internal/edge/control/state.go
@@ -207,6 +207,41 @@
 	return u.Full || len(u.Backends) > 0
 }
 
+// replaced returns the backend servers that an update shows to have ended unannounced:
+// their entry names a later incarnation, or their address another backend server.
+func (s *state) replaced(u Update) []*traffic.Backend {
+	if u.NewEra {
+		return nil
+	}
+	byAddress := map[string]*traffic.Backend{}
+	if len(u.Backends) > 0 {
+		for _, b := range s.backends {
+			byAddress[b.Address] = b
+		}
+	}
+	var former []*traffic.Backend
+	for id, b := range u.Backends {
+		if b == nil {
+			continue
+		}
+		for _, known := range []*traffic.Backend{s.backends[id], s.removed[id], byAddress[b.Address]} {
+			if known != nil && !known.Draining && endedBefore(known, b) {
+				former = append(former, known)
+			}
+		}
+	}
+	return former
+}
+
+// endedBefore reports whether a backend server ended before the process that now has its
+// ID or its address began.
+func endedBefore(known, current *traffic.Backend) bool {
+	if known.ID == current.ID {
+		return known.Born < current.Born
+	}
+	return known.Address == current.Address && known.Born <= current.Born
+}
+
 // remove removes a backend server. Within the reregistrationWindow it only marks
 // the backend server as missing, since its entry may be written again.
 func (s *state) remove(id string, now time.Time) {
--- a/internal/edge/control/state_test.go
+++ b/internal/edge/control/state_test.go
@@ -69,3 +69,41 @@
 	require.Empty(t, usable(s))
 	require.Empty(t, s.evacuated)
 }
+
+// TestUnannouncedEndsAreNoticed guards against crashes that nobody learns of because
+// neither a connection was lost nor one refused, and against taking a planned end for one.
+func TestUnannouncedEndsAreNoticed(t *testing.T) {
+	at := func(id, address string, born int64, draining bool) *traffic.Backend {
+		return &traffic.Backend{ID: id, Address: address, Service: "shop", Zone: "z", Born: born, Draining: draining}
+	}
+	for name, c := range map[string]struct {
+		known, next *traffic.Backend
+		removed     bool
+		ended       bool
+	}{
+		"starts again":                        {known: at("x", "a:1", 1, false), next: at("x", "a:1", 2, false), ended: true},
+		"starts again after its entry lapsed": {known: at("x", "a:1", 1, false), next: at("x", "a:1", 2, false), removed: true, ended: true},
+		"another at its address":              {known: at("x", "a:1", 1, false), next: at("y", "a:1", 2, false), ended: true},
+		"another at its address, no born":     {known: at("x", "a:1", 0, false), next: at("y", "a:1", 0, false), ended: true},
+		"same incarnation":                    {known: at("x", "a:1", 1, false), next: at("x", "a:1", 1, false)},
+		"earlier incarnation":                 {known: at("x", "a:1", 2, false), next: at("x", "a:1", 1, false)},
+		"leaves and starts again":             {known: at("x", "a:1", 1, true), next: at("x", "a:1", 2, false)},
+		"leaves, address is used again":       {known: at("x", "a:1", 1, true), next: at("y", "a:1", 2, false)},
+		"left, address is used again":         {known: at("x", "a:1", 1, false), next: at("y", "a:1", 2, false), removed: true},
+		"another elsewhere":                   {known: at("x", "a:1", 1, false), next: at("y", "a:2", 2, false)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now := newState(), time.Now()
+			s.apply(Update{Kind: KindBackends, Full: true, Backends: backends(c.known)}, now)
+			if c.removed {
+				s.apply(Update{Kind: KindBackends, Backends: map[string]*traffic.Backend{c.known.ID: nil}}, now)
+			}
+			former := s.replaced(Update{Kind: KindBackends, Backends: backends(c.next)})
+			if !c.ended {
+				require.Empty(t, former)
+				return
+			}
+			require.Contains(t, former, c.known)
+		})
+	}
+}
--- a/internal/edge/filter/dispatch/decider.go
+++ b/internal/edge/filter/dispatch/decider.go
@@ -70,6 +70,9 @@
 	return s
 }
 
+// usable reports whether a backend server may still get requests.
+func (d *Decider) usable(b *traffic.Backend) bool { return d.control.View().Usable(b) }
+
 func (d *Decider) next(state *admission.RequestState) (affinity.Choice, admission.Reason) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -191,11 +191,21 @@
 		}
 	case outcome == affinity.Answered:
 		f.guard.Done(tracked)
+	case end.err != nil && end.mayHaveRun:
+		f.guard.Unanswered(tracked)
+	case isRefused(end.err) && f.decider.usable(b):
+		f.guard.Refused(tracked)
 	default:
 		f.guard.Inconclusive(tracked)
 	}
 }
 
+// isRefused reports whether an attempt failed because the address refuses connections.
+func isRefused(err error) bool {
+	var egressErr *egress.Error
+	return errors.As(err, &egressErr) && egressErr.ConnectionRefused
+}
+
 // request returns the request that is sent to b: the caller's request without
 // hop-by-hop headers, with the remaining time and the id of b.
 func (f *Filter) request(ex *gateway.Exchange, b *traffic.Backend) *egress.Request {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +27,11 @@
 	// maxSharedEntries is the largest number of requests that a guard of shared
 	// backend servers knows something about. An entry has up to 1 KB.
 	maxSharedEntries = 1024
+	// unansweredTime is how long a request without a response counts as possibly running.
+	// A crash shows when the backend server is back, which takes some seconds.
+	unansweredTime = 10 * time.Second
+	// maxUnanswered bounds the requests without a response of one backend server.
+	maxUnanswered = 32
 )
 
 // DialFunc opens a connection.
@@ -59,9 +65,20 @@
 	changed bool
 }
 
-// backendAttempts holds the attempts that one backend server has in flight.
+// backendAttempts holds the requests that one backend server may be running.
 type backendAttempts struct {
+	// attempts holds the attempts in flight.
 	attempts map[*Attempt]struct{}
+	// unanswered holds the requests of attempts that ended without a response, the oldest
+	// first. The backend server may still have them in its queue, or be silent because
+	// they crashed it.
+	unanswered []unansweredRequest
+}
+
+type unansweredRequest struct {
+	quarantine.SentRequest
+	// expiry is until when a crash counts for the request.
+	expiry time.Time
 }
 
 // Attempt is one attempt of a request at one backend server.
@@ -141,15 +158,49 @@
 	return a
 }
 
-// fingerprints returns the fingerprints of the attempts, in no particular order.
+// fingerprints returns the fingerprints of the requests, in no particular order.
 func (b *backendAttempts) fingerprints() []quarantine.Fingerprint {
-	out := make([]quarantine.Fingerprint, 0, len(b.attempts))
+	out := make([]quarantine.Fingerprint, 0, len(b.attempts)+len(b.unanswered))
 	for a := range b.attempts {
 		out = append(out, a.Fingerprint)
 	}
+	for _, r := range b.unanswered {
+		out = append(out, r.Fingerprint)
+	}
 	return out
 }
 
+// keepUnanswered notes a request that got no response.
+func (b *backendAttempts) keepUnanswered(r quarantine.SentRequest, now time.Time) {
+	if len(b.unanswered) >= maxUnanswered {
+		b.unanswered = b.unanswered[1:]
+	}
+	b.unanswered = append(b.unanswered, unansweredRequest{SentRequest: r, expiry: now.Add(unansweredTime)})
+}
+
+// expireUnanswered forgets the requests that are not running any more.
+func (b *backendAttempts) expireUnanswered(now time.Time) {
+	b.unanswered = slices.DeleteFunc(b.unanswered, func(r unansweredRequest) bool { return !r.expiry.After(now) })
+}
+
+// takeRequests returns the requests that a crash counts for: those in flight that were not
+// part of an earlier crash, and those without a response, which it forgets.
+func (b *backendAttempts) takeRequests() []quarantine.SentRequest {
+	var requests []quarantine.SentRequest
+	for a := range b.attempts {
+		if a.crashCounted {
+			continue
+		}
+		a.crashCounted = true
+		requests = append(requests, a.SentRequest)
+	}
+	for _, r := range b.unanswered {
+		requests = append(requests, r.SentRequest)
+	}
+	b.unanswered = nil
+	return requests
+}
+
 // Done records that the backend server completed the request. A response that tells of a
 // failure does not show that the request is harmless: backend servers end runs at their
 // time limit with one.
@@ -160,14 +211,42 @@
 	g.step(quarantine.Completed{Fingerprint: a.Fingerprint})
 }
 
-// Inconclusive records that the attempt ended without showing whether the request
-// crashes backend servers.
+// Inconclusive records that the attempt has ended, that the request is not running any
+// more, and that nothing shows whether it crashes backend servers.
 func (g *Guard) Inconclusive(a *Attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.removeAttempt(a)
 }
 
+// Unanswered records that the attempt ended before the backend server had responded. If
+// the backend server turns out to have crashed, that counts for the request.
+func (g *Guard) Unanswered(a *Attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !a.crashCounted {
+		g.backends[a.backend].keepUnanswered(a.SentRequest, time.Now())
+	}
+	g.removeAttempt(a)
+}
+
+// Refused records that the address of the backend server refused the connection for an
+// attempt, which was not sent. The backend server has crashed.
+func (g *Guard) Refused(a *Attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.removeAttempt(a)
+	g.recordCrash(a.backend, CauseRefused)
+}
+
+// Restarted records that another incarnation has taken the place of the named backend
+// server without having been announced.
+func (g *Guard) Restarted(backend string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.recordCrash(backend, CauseRestarted)
+}
+
 // ConnectionLost records that the connection was lost while the backend server
 // had the request. It checks whether the backend server has crashed, and returns
 // after the check, so that the verdict for a retry takes the crash into account. It
@@ -176,8 +255,13 @@
 	down := g.crashWasCounted(a) || IsDown(ctx, g.dial, addr)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if down && !a.crashCounted {
+	switch {
+	case a.crashCounted:
+	case down:
 		g.recordCrash(a.backend, CauseRefused)
+	case g.sharedBackends:
+		// The backend server may have crashed and be back, or be silent.
+		g.backends[a.backend].keepUnanswered(a.SentRequest, time.Now())
 	}
 	g.removeAttempt(a)
 	return down
@@ -204,17 +288,20 @@
 	return false
 }
 
-// recordCrash records one crash for all attempts that the backend server had in
-// flight and that were not part of an earlier crash. g.mu must be held.
+// recordCrash records one crash for all requests that the backend server may have been
+// running and that were not part of an earlier crash. g.mu must be held.
 func (g *Guard) recordCrash(backend string, cause CrashCause) {
-	c := quarantine.Crash{Incident: g.nextIncident(backend)}
-	for a := range g.backends[backend].attempts {
-		if a.crashCounted {
-			continue
-		}
-		a.crashCounted = true
-		c.InFlight = append(c.InFlight, a.SentRequest)
+	b := g.backends[backend]
+	if b == nil {
+		return
 	}
+	b.expireUnanswered(time.Now())
+	c := quarantine.Crash{InFlight: b.takeRequests()}
+	g.dropIfIdle(backend)
+	if len(c.InFlight) == 0 {
+		return
+	}
+	c.Incident = g.nextIncident(backend)
 	g.observer.CrashNoticed(Crash{Backend: backend, Cause: cause, Requests: fingerprintsOf(c.InFlight)})
 	g.step(c)
 }
@@ -241,10 +328,14 @@
 
 // removeAttempt removes an attempt that has ended. g.mu must be held.
 func (g *Guard) removeAttempt(a *Attempt) {
-	b := g.backends[a.backend]
-	delete(b.attempts, a)
-	if len(b.attempts) == 0 {
-		delete(g.backends, a.backend)
+	delete(g.backends[a.backend].attempts, a)
+	g.dropIfIdle(a.backend)
+}
+
+// dropIfIdle forgets a backend server that runs no request. g.mu must be held.
+func (g *Guard) dropIfIdle(backend string) {
+	if b := g.backends[backend]; len(b.attempts) == 0 && len(b.unanswered) == 0 {
+		delete(g.backends, backend)
 	}
 }
 
@@ -289,11 +380,16 @@
 	return nil
 }
 
-// Tick makes the machine remove what has expired.
+// Tick removes what has expired.
 func (g *Guard) Tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.machine.Step(time.Now(), quarantine.Tick{})
+	now := time.Now()
+	for name, b := range g.backends {
+		b.expireUnanswered(now)
+		g.dropIfIdle(name)
+	}
+	g.machine.Step(now, quarantine.Tick{})
 	g.reportChanges()
 }
 
--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -5,8 +5,13 @@
 // CrashCause says how a crash was noticed.
 type CrashCause string
 
-// CauseRefused: the address of the backend server refuses connections.
-const CauseRefused CrashCause = "refused"
+// Causes.
+const (
+	// CauseRefused: the address of the backend server refuses connections.
+	CauseRefused CrashCause = "refused"
+	// CauseRestarted: another incarnation has taken the place of the backend server.
+	CauseRestarted CrashCause = "restarted"
+)
 
 // Crash is a crash of a backend server as this instance has noticed it.
 type Crash struct {
--- a/internal/quarantine/permit_test.go
+++ b/internal/quarantine/permit_test.go
@@ -122,3 +122,33 @@
 	require.True(t, q.Avoid("b3"))
 	require.False(t, q.Avoid("b4"))
 }
+
+// TestCrashCountsForRequestsWithoutResponse guards against a crash that is counted for
+// nobody because the attempts of the crashing request had ended before.
+func TestCrashCountsForRequestsWithoutResponse(t *testing.T) {
+	for name, notice := range map[string]func(g *Guard){
+		"restarted": func(g *Guard) { g.Restarted("b1") },
+		"refused": func(g *Guard) {
+			p, a := send(t, g, suspect+1, "b1")
+			g.Refused(a)
+			p.Release()
+		},
+		"connection of another request lost": func(g *Guard) { crash(t, g, suspect+1, "b1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &recorder{}
+			g := NewSharedGuard(func([]quarantine.Notice) {}, r)
+			p, a := send(t, g, suspect, "b1")
+			g.Unanswered(a)
+			p.Release()
+			verdict, _ := g.Evidence(suspect)
+			require.Equal(t, quarantine.Clear, verdict)
+			notice(g)
+			verdict, _ = g.Evidence(suspect)
+			require.Equal(t, quarantine.Suspect, verdict)
+			require.Len(t, r.crashes, 1)
+			g.Restarted("b1")
+			require.Len(t, r.crashes, 1, "a crash counts once")
+		})
+	}
+}
