quarantine: a suspect whose last attempt got no response is not sent again for 5 s

Cause: copies of a suspect run one at a time at an instance, and an attempt without a response counted as the end of its run. Its crash shows only when the backend server is back. A suspect now waits for that: it is refused at once with the time that is left, 503 if this attempt of the caller has not been sent, 502 otherwise. A request that is no suspect isn't held, so a cut, a freeze or a slow backend server holds nobody who was not in flight in a proven crash before; the hold ends with the proof of the crash, with any completion of the request, or after 5 s.

--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -70,7 +70,10 @@
 func (f *Filter) attempt(ctx context.Context, ex *gateway.Exchange, state *admission.RequestState) (*ingress.Response, attemptEnd) {
 	permit, verdict, err := f.guard.Admit(ctx, ex.Fingerprint)
 	ex.Outcome.Verdict, ex.Outcome.Evidence = f.guard.Evidence(ex.Fingerprint)
+	var unresolved *quarantine.UnresolvedError
 	switch {
+	case errors.As(err, &unresolved):
+		return f.rejectUnresolved(ex, state, unresolved), attemptEnd{}
 	case err != nil:
 		return f.deadlineExceeded(ex, state), attemptEnd{}
 	case verdict == decide.Quarantined:
@@ -116,6 +119,16 @@
 	return gateway.Quarantined(time.Until(ex.Outcome.Evidence.Expiry))
 }
 
+// rejectUnresolved returns the response to a suspect whose last attempt may have crashed
+// its backend server.
+func (f *Filter) rejectUnresolved(ex *gateway.Exchange, state *admission.RequestState, err *quarantine.UnresolvedError) *ingress.Response {
+	ex.Outcome.Reason = gateway.ReasonUnresolved
+	if state.MayHaveRun() {
+		return gateway.ErrorResponse(http.StatusBadGateway, err.Error())
+	}
+	return gateway.UnavailableResponse(err.Left, err.Error())
+}
+
 // Reasons of attempts without a response.
 const (
 	// reasonUnreachable means that the request did not reach the backend server.
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -44,6 +44,10 @@
 // crashed the backend servers that ran them.
 const ReasonQuarantined = "quarantined"
 
+// ReasonUnresolved is the reason of a request that is not sent because an equal request got
+// no response and may have crashed its backend server.
+const ReasonUnresolved = "unresolved"
+
 // Outcome describes how a request was handled, for the log and the metrics.
 type Outcome struct {
 	// Reason names how the request ended.
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -30,6 +30,9 @@
 	// unansweredTime is how long a request without a response counts as possibly running.
 	// A crash shows when the backend server is back, which takes some seconds.
 	unansweredTime = 10 * time.Second
+	// suspectHold is how long a suspect whose last attempt ended without a response is not
+	// sent again, so that a crash that shows as silence is known before the next one.
+	suspectHold = 5 * time.Second
 	// maxUnanswered bounds the requests without a response of one backend server.
 	maxUnanswered = 32
 )
@@ -77,8 +80,8 @@
 
 type unansweredRequest struct {
 	quarantine.SentRequest
-	// expiry is until when a crash counts for the request.
-	expiry time.Time
+	// ended is when the attempt ended.
+	ended time.Time
 }
 
 // Attempt is one attempt of a request at one backend server.
@@ -175,12 +178,12 @@
 	if len(b.unanswered) >= maxUnanswered {
 		b.unanswered = b.unanswered[1:]
 	}
-	b.unanswered = append(b.unanswered, unansweredRequest{SentRequest: r, expiry: now.Add(unansweredTime)})
+	b.unanswered = append(b.unanswered, unansweredRequest{SentRequest: r, ended: now})
 }
 
 // expireUnanswered forgets the requests that are not running any more.
 func (b *backendAttempts) expireUnanswered(now time.Time) {
-	b.unanswered = slices.DeleteFunc(b.unanswered, func(r unansweredRequest) bool { return !r.expiry.After(now) })
+	b.unanswered = slices.DeleteFunc(b.unanswered, func(r unansweredRequest) bool { return now.Sub(r.ended) >= unansweredTime })
 }
 
 // takeRequests returns the requests that a crash counts for: those in flight that were not
--- a/internal/quarantine/permit.go
+++ b/internal/quarantine/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
@@ -18,12 +19,14 @@
 // Admit returns the verdict on a request that is about to be sent, and unless the
 // request is quarantined, a permit, which the caller must release. While another copy
 // of a suspect has a permit, Admit waits for its end, which shows whether the request
-// crashes its backend server. If ctx ends before, Admit returns an error.
+// crashes its backend server. If ctx ends before, Admit returns an error. While it is not
+// known whether the last copy has crashed its backend server, the error is an
+// *UnresolvedError.
 func (g *Guard) Admit(ctx context.Context, fp quarantine.Fingerprint) (*Permit, quarantine.Verdict, error) {
 	for {
-		permit, verdict, busy := g.tryAdmit(fp)
-		if busy == nil {
-			return permit, verdict, nil
+		permit, verdict, busy, err := g.tryAdmit(fp)
+		if err != nil || busy == nil {
+			return permit, verdict, err
 		}
 		select {
 		case <-busy:
@@ -35,23 +38,52 @@
 
 // tryAdmit is Admit without waiting. If another copy has a permit, it returns a
 // channel that is closed when that permit is released.
-func (g *Guard) tryAdmit(fp quarantine.Fingerprint) (*Permit, quarantine.Verdict, <-chan struct{}) {
+func (g *Guard) tryAdmit(fp quarantine.Fingerprint) (*Permit, quarantine.Verdict, <-chan struct{}, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := &Permit{guard: g, request: quarantine.SentRequest{Fingerprint: fp}}
 	verdict := g.machine.Verdict(time.Now(), fp)
 	switch verdict {
 	case quarantine.Quarantined:
-		return nil, verdict, nil
+		return nil, verdict, nil, nil
 	case quarantine.Clear:
-		return p, verdict, nil
+		return p, verdict, nil, nil
 	}
 	if busy := g.isolated[fp]; busy != nil {
-		return nil, verdict, busy
+		return nil, verdict, busy, nil
+	}
+	if left := suspectHold - time.Since(g.lastUnanswered(fp)); left > 0 {
+		return nil, verdict, nil, &UnresolvedError{Left: left}
 	}
 	p.request.Isolated, p.released = true, make(chan struct{})
 	g.isolated[fp] = p.released
-	return p, verdict, nil
+	return p, verdict, nil, nil
+}
+
+// UnresolvedError tells that a suspect is not sent because its last attempt got no
+// response and may have crashed its backend server.
+type UnresolvedError struct {
+	// Left is how long the request is not sent at the most.
+	Left time.Duration
+}
+
+// Error implements error.
+func (e *UnresolvedError) Error() string {
+	return fmt.Sprintf("an equal request may have crashed its backend server; send the request again after %v", e.Left)
+}
+
+// lastUnanswered returns when an attempt of the request last ended without a response
+// that is still unexplained; the zero time if none did. g.mu must be held.
+func (g *Guard) lastUnanswered(fp quarantine.Fingerprint) time.Time {
+	var last time.Time
+	for _, b := range g.backends {
+		for _, r := range b.unanswered {
+			if r.Fingerprint == fp && r.ended.After(last) {
+				last = r.ended
+			}
+		}
+	}
+	return last
 }
 
 // Release ends the permit.
--- a/internal/quarantine/permit_test.go
+++ b/internal/quarantine/permit_test.go
@@ -152,3 +152,24 @@
 		})
 	}
 }
+
+// TestSuspectWaitsForUnexplainedAttempt guards against a request whose crashes show as
+// silence and that is sent to the next backend server before the last crash is known.
+func TestSuspectWaitsForUnexplainedAttempt(t *testing.T) {
+	g, _ := newTestGuard()
+	crash(t, g, suspect, "b1")
+	p, a := send(t, g, suspect, "b2")
+	g.Unanswered(a)
+	p.Release()
+	_, _, err := g.Admit(t.Context(), suspect)
+	var unresolved *UnresolvedError
+	require.ErrorAs(t, err, &unresolved)
+	require.LessOrEqual(t, unresolved.Left, suspectHold)
+	other, _, err := g.Admit(t.Context(), suspect+1)
+	require.NoError(t, err, "a request that is no suspect is not held")
+	other.Release()
+	g.Restarted("b2")
+	p, _, err = g.Admit(t.Context(), suspect)
+	require.NoError(t, err, "the crash is known now")
+	p.Release()
+}
