admission: a suspect goes to the same backend server at all instances

Cause: a suspect's backend server is hashed from its fingerprint, but by weights that depend on the region of the instance, and the second choice was taken where this instance had seen failures or slow responses at the first.

A round costs one backend server for any number of instances.

TestSuspectGoesToOneBackendAtAllInstances failed before.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -370,6 +370,8 @@
 	q := r.query
 	if r.Isolation != nil {
 		q.Object, q.Placement, q.SpreadKey, q.Avoid = "", "", r.Isolation.Key, r.Isolation.Avoid
+		// Weights depend on the region of the instance.
+		q.Weights = nil
 	}
 	return q
 }
--- /dev/null
+++ b/internal/decide/admission/isolation_test.go
@@ -0,0 +1,61 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+)
+
+// TestSuspectGoesToOneBackendAtAllInstances guards against a crashing request that reaches
+// as many backend servers as there are instances before its next crash is known (rule
+// BUDGET): instances of other regions, and those that saw failures, chose others.
+func TestSuspectGoesToOneBackendAtAllInstances(t *testing.T) {
+	regionOf := map[string]string{"a1": "a", "a2": "a", "b1": "b", "c1": "c"}
+	snapshot := newSnapshot(77)
+	snapshot.Backends = map[string][]*traffic.Backend{}
+	for n := range 13 {
+		zone := []string{"a1", "a2", "b1", "c1", "c1"}[n%5]
+		snapshot.Backends["shop"] = append(snapshot.Backends["shop"], &traffic.Backend{ID: fmt.Sprint("i-", n), Service: "shop", Zone: zone, Slots: 3})
+	}
+	for suspect := range 20 {
+		chosen := map[string]bool{}
+		for n := range 77 {
+			m := New(Config{
+				Region: []string{"a", "b", "c"}[n%3], RegionOf: regionOf, Rand: rand.New(rand.NewPCG(1, uint64(n))),
+				Bounds: traffic.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second},
+			})
+			if n%2 == 0 {
+				failFirstChoice(t, m, snapshot, suspect)
+			}
+			r := m.Begin(snapshot, request(time.Second), start)
+			r.Isolation = isolationOf(suspect)
+			choice, reason := m.Next(r, snapshot, start)
+			require.Empty(t, reason)
+			chosen[choice.Backend.ID] = true
+		}
+		require.Len(t, chosen, 1)
+	}
+}
+
+func isolationOf(suspect int) *Isolation {
+	return &Isolation{Key: fmt.Sprint("suspect ", suspect), Avoid: func(*traffic.Backend) bool { return false }}
+}
+
+// failFirstChoice lets attempts at the backend server of a suspect fail and hang.
+func failFirstChoice(t *testing.T, m *Machine, snapshot *Snapshot, suspect int) {
+	for n := range 4 {
+		r := m.Begin(snapshot, request(time.Second), start)
+		r.Isolation = isolationOf(suspect)
+		choice, reason := m.Next(r, snapshot, start)
+		require.Empty(t, reason)
+		if n%2 == 0 {
+			m.RecordEnd(r, choice, affinity.Result{Outcome: affinity.Failed}, true, start)
+		}
+	}
+}
--- a/internal/decide/affinity/affinity.go
+++ b/internal/decide/affinity/affinity.go
@@ -101,7 +101,7 @@
 	// before.
 	Tried map[string]bool
 	// Avoid reports whether a backend server gets the request only if no other may
-	// get it. It may be nil.
+	// get it. If it is set, the request goes to the first in rank. It may be nil.
 	Avoid func(b *traffic.Backend) bool
 	// RegionInstances is the number of instances in the region, which are
 	// assumed to get equally many requests for the object.
@@ -247,7 +247,11 @@
 	bestCost := math.Inf(1)
 	ranked, displaced := b.rank(q, now)
 	most := b.maxBackends(q, ranked, now)
-	if displaced {
+	switch {
+	case q.Avoid != nil:
+		// Further choices depend on what this instance has seen.
+		most = min(most, 1)
+	case displaced:
 		most++
 	}
 	for rank, c := range ranked[:min(len(ranked), most)] {
--- a/internal/emulator/crashing.go
+++ b/internal/emulator/crashing.go
@@ -7,6 +7,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
+	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
 
 const (
@@ -61,7 +62,7 @@
 		return
 	}
 	if verdict == quarantine.Suspect {
-		state.Isolation = &admission.Isolation{Key: c.fingerprint.String()}
+		state.Isolation = &admission.Isolation{Key: c.fingerprint.String(), Avoid: func(*traffic.Backend) bool { return false }}
 	}
 	choice, reason := i.policy.Next(state, i.snapshot, sim.clock())
 	if reason != "" {
