quarantine: one loss of power is one crash for a request, however many backend servers it ends

A request sent on kept connections to backend servers that have lost power, which come back one by one, would have had one successive crash for each, and been quarantined by one loss of power.

A run without a response now counts from the last moment at which its backend server was known to be up by the connection that it was sent on: its opening or its last response. A suspect is sent on a new connection, which shows that the backend server is up, and nothing is sent to one that is down. A request that is not written yet is charged with nothing.

The bound: cuts, freezes, slow and lost responses end no incarnation and so convict nobody, however many; two losses of power of any number of backend servers convict nobody.

--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -62,6 +62,12 @@
 	Header http.Header
 	// Body is the request body.
 	Body []byte
+	// NewConnection is set if the request must not be sent on a connection that has
+	// carried others.
+	NewConnection bool
+	// OnWrite is called before the request is written to a connection, with the time at
+	// which the backend server was last known to be up by that connection. It may be nil.
+	OnWrite func(alive time.Time)
 }
 
 // BackendResponse is a completely read response.
@@ -133,6 +139,8 @@
 	br  *bufio.Reader
 	// used is set once the connection has carried a request.
 	used bool
+	// lastUse is when the connection was opened, or when its last response arrived.
+	lastUse time.Time
 	// expiresAt is when the connection stops being reusable.
 	expiresAt time.Time
 	closeOnce sync.Once
@@ -177,7 +185,10 @@
 func (p *Pool) Do(ctx context.Context, b *traffic.Backend, r *Request) (*BackendResponse, error) {
 	key := ConnectionKey(b)
 	var dialTime time.Duration
-	c := p.takeIdle(key)
+	var c *conn
+	if !r.NewConnection {
+		c = p.takeIdle(key)
+	}
 	if c == nil {
 		began := time.Now()
 		nc, err := p.dialer.DialContext(ctx, "tcp", b.Address)
@@ -186,7 +197,7 @@
 		}
 		p.count(func(s *Stats) { s.Dialed++ })
 		dialTime = time.Since(began)
-		c = &conn{net: nc, br: bufio.NewReaderSize(nc, bufferBytes)}
+		c = &conn{net: nc, br: bufio.NewReaderSize(nc, bufferBytes), lastUse: time.Now()}
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	resp, reusable, err := p.roundTrip(c, r)
@@ -206,6 +217,9 @@
 // roundTrip writes the request to the connection and reads its response. reusable
 // reports whether the connection can carry another request.
 func (p *Pool) roundTrip(c *conn, r *Request) (resp *BackendResponse, reusable bool, err error) {
+	if r.OnWrite != nil {
+		r.OnWrite(c.lastUse)
+	}
 	n, err := c.net.Write(encodeRequest(r))
 	if err != nil {
 		return nil, false, &Error{Sent: n > 0, Reused: c.used, Cause: err}
@@ -227,7 +241,8 @@
 			continue
 		}
 		reusable = !head.Close && c.br.Buffered() == 0 && mismatched == 0
-		c.expiresAt = time.Now().Add(idleTimeout(head.Header))
+		c.lastUse = time.Now()
+		c.expiresAt = c.lastUse.Add(idleTimeout(head.Header))
 		return &BackendResponse{Status: head.StatusCode, Header: head.Header, Body: body}, reusable, nil
 	}
 }
--- a/internal/edge/evidence/evidence_test.go
+++ b/internal/edge/evidence/evidence_test.go
@@ -79,7 +79,9 @@
 	var attempts []*quarantine.Attempt
 	for _, fp := range fps {
 		if p, verdict, _ := i.Guard().Admit(context.Background(), fp); verdict != decide.Quarantined {
-			attempts = append(attempts, p.Start(backend))
+			a := p.Start(backend)
+			i.Guard().Written(a, time.Now())
+			attempts = append(attempts, a)
 			p.Release()
 		}
 	}
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -166,7 +166,11 @@
 func (f *Filter) send(ctx context.Context, ex *gateway.Exchange, state *admission.RequestState, choice affinity.Choice, permit *quarantine.Permit) attemptEnd {
 	tracked := permit.Start(egress.ConnectionKey(choice.Backend))
 	started := time.Now()
-	resp, err := f.pool.Do(ctx, choice.Backend, f.request(ex, choice.Backend))
+	request := f.request(ex, choice.Backend)
+	// A new connection shows that the backend server is up when it gets a suspect.
+	request.NewConnection = permit.Isolated()
+	request.OnWrite = func(alive time.Time) { f.guard.Written(tracked, alive) }
+	resp, err := f.pool.Do(ctx, choice.Backend, request)
 	end, result := f.classify(ctx, resp, err)
 	result.Took = time.Since(started)
 	f.recordEvidence(ctx, tracked, choice.Backend, result.Outcome, &end)
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -49,6 +49,7 @@
 	// block.
 	sendNotices func([]quarantine.Notice)
 	dial        DialFunc
+	now         func() time.Time
 	observer    Observer
 
 	// mu guards the fields below.
@@ -88,6 +89,10 @@
 type Attempt struct {
 	quarantine.SentRequest
 	backend string
+	// written is set once the request is being written to a connection.
+	written bool
+	// alive is when the backend server was last known to be up, at most Sent.
+	alive time.Time
 	// crashCounted is set if the attempt was already in flight in a recorded
 	// crash.
 	crashCounted bool
@@ -101,7 +106,7 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	return &Guard{
-		instance: instance, sendNotices: sendNotices, dial: dial, observer: noObserver{}, machine: quarantine.New(quarantine.Config{}),
+		instance: instance, sendNotices: sendNotices, dial: dial, now: time.Now, observer: noObserver{}, machine: quarantine.New(quarantine.Config{}),
 		backends: map[string]*backendAttempts{}, isolated: map[quarantine.Fingerprint]chan struct{}{},
 	}
 }
@@ -125,7 +130,7 @@
 func (g *Guard) Quarantined(fp quarantine.Fingerprint) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.machine.Verdict(time.Now(), fp) == quarantine.Quarantined
+	return g.machine.Verdict(g.now(), fp) == quarantine.Quarantined
 }
 
 // StartAttempt records that a request is about to be sent to a backend server. ok
@@ -133,7 +138,7 @@
 // true, the caller must end the attempt with Done, Inconclusive or
 // ConnectionLost.
 func (g *Guard) StartAttempt(backend string, fp quarantine.Fingerprint) (a *Attempt, ok bool) {
-	now := time.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.attemptsAt(backend)
@@ -141,7 +146,9 @@
 	if verdict == quarantine.Quarantined || !g.machine.MayRun(now, fp, b.fingerprints()) {
 		return nil, false
 	}
-	return b.start(backend, quarantine.SentRequest{Fingerprint: fp, Isolated: verdict == quarantine.Suspect, Sent: now}), true
+	a = b.start(backend, quarantine.SentRequest{Fingerprint: fp, Isolated: verdict == quarantine.Suspect, Sent: now})
+	a.written, a.alive = true, now
+	return a, true
 }
 
 // attemptsAt returns the attempts at a backend server. g.mu must be held.
@@ -161,6 +168,14 @@
 	return a
 }
 
+// silentRun returns the request as one whose backend server showed no sign that it was up
+// after the connection was last used. It may have crashed since, before the request was sent.
+func (a *Attempt) silentRun() quarantine.SentRequest {
+	r := a.SentRequest
+	r.Sent = a.alive
+	return r
+}
+
 // fingerprints returns the fingerprints of the requests, in no particular order.
 func (b *backendAttempts) fingerprints() []quarantine.Fingerprint {
 	out := make([]quarantine.Fingerprint, 0, len(b.attempts)+len(b.unanswered))
@@ -188,14 +203,18 @@
 
 // takeRequests returns the requests that a crash counts for: those in flight that were not
 // part of an earlier crash, and those without a response, which it forgets.
-func (b *backendAttempts) takeRequests() []quarantine.SentRequest {
+func (b *backendAttempts) takeRequests(cause CrashCause) []quarantine.SentRequest {
 	var requests []quarantine.SentRequest
 	for a := range b.attempts {
-		if a.crashCounted {
+		if a.crashCounted || !a.written {
 			continue
 		}
 		a.crashCounted = true
-		requests = append(requests, a.SentRequest)
+		if cause == CauseRestarted {
+			requests = append(requests, a.silentRun())
+		} else {
+			requests = append(requests, a.SentRequest)
+		}
 	}
 	for _, r := range b.unanswered {
 		requests = append(requests, r.SentRequest)
@@ -228,7 +247,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !a.crashCounted {
-		g.backends[a.backend].keepUnanswered(a.SentRequest, time.Now())
+		g.backends[a.backend].keepUnanswered(a.silentRun(), g.now())
 	}
 	g.removeAttempt(a)
 }
@@ -264,7 +283,7 @@
 		g.recordCrash(a.backend, CauseRefused)
 	case g.sharedBackends:
 		// The backend server may have crashed and be back, or be silent.
-		g.backends[a.backend].keepUnanswered(a.SentRequest, time.Now())
+		g.backends[a.backend].keepUnanswered(a.silentRun(), g.now())
 	}
 	g.removeAttempt(a)
 	return down
@@ -298,8 +317,8 @@
 	if b == nil {
 		return
 	}
-	b.expireUnanswered(time.Now())
-	c := quarantine.Crash{InFlight: b.takeRequests()}
+	b.expireUnanswered(g.now())
+	c := quarantine.Crash{InFlight: b.takeRequests(cause)}
 	g.dropIfIdle(backend)
 	if len(c.InFlight) == 0 {
 		return
@@ -346,7 +365,7 @@
 // held.
 func (g *Guard) step(ev quarantine.Event) {
 	var notices []quarantine.Notice
-	for _, send := range g.machine.Step(time.Now(), ev) {
+	for _, send := range g.machine.Step(g.now(), ev) {
 		notices = append(notices, send.Notice)
 	}
 	if len(notices) > 0 {
@@ -367,7 +386,7 @@
 func (g *Guard) MergeNotices(notices []quarantine.Notice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.machine.Step(time.Now(), quarantine.NoticesReceived{Notices: notices})
+	g.machine.Step(g.now(), quarantine.NoticesReceived{Notices: notices})
 	g.reportChanges()
 }
 
@@ -377,7 +396,7 @@
 func (g *Guard) Notice(fp quarantine.Fingerprint) []quarantine.Notice {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if n, ok := g.machine.Notice(time.Now(), fp); ok {
+	if n, ok := g.machine.Notice(g.now(), fp); ok {
 		return []quarantine.Notice{n}
 	}
 	return nil
@@ -387,7 +406,7 @@
 func (g *Guard) Tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := g.now()
 	for name, b := range g.backends {
 		b.expireUnanswered(now)
 		g.dropIfIdle(name)
--- a/internal/quarantine/permit.go
+++ b/internal/quarantine/permit.go
@@ -42,7 +42,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := &Permit{guard: g, request: quarantine.SentRequest{Fingerprint: fp}}
-	verdict := g.machine.Verdict(time.Now(), fp)
+	verdict := g.machine.Verdict(g.now(), fp)
 	switch verdict {
 	case quarantine.Quarantined:
 		return nil, verdict, nil, nil
@@ -52,7 +52,7 @@
 	if busy := g.isolated[fp]; busy != nil {
 		return nil, verdict, busy, nil
 	}
-	if left := suspectHold - time.Since(g.lastUnanswered(fp)); left > 0 {
+	if left := suspectHold - g.now().Sub(g.lastUnanswered(fp)); left > 0 {
 		return nil, verdict, nil, &UnresolvedError{Left: left}
 	}
 	p.request.Isolated, p.released = true, make(chan struct{})
@@ -99,15 +99,23 @@
 
 // Start records that the request is about to be sent to a backend server, whose name
 // must differ for each of its incarnations. The caller must end the attempt with Done,
-// Inconclusive or ConnectionLost.
+// Inconclusive, Unanswered, Refused or ConnectionLost.
 func (p *Permit) Start(backend string) *Attempt {
 	g := p.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p.request.Sent = time.Now()
 	return g.attemptsAt(backend).start(backend, p.request)
 }
 
+// Written records that the request of an attempt is being written to a connection, on
+// which the backend server was last known to be up at the time alive.
+func (g *Guard) Written(a *Attempt, alive time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.Sent = g.now()
+	a.written, a.alive = true, alive
+}
+
 // Isolated reports whether the permit is for a suspect.
 func (p *Permit) Isolated() bool { return p.request.Isolated }
 
@@ -117,14 +125,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.backends[backend]
-	return b != nil && !g.machine.MayRun(time.Now(), p.request.Fingerprint, b.fingerprints())
+	return b != nil && !g.machine.MayRun(g.now(), p.request.Fingerprint, b.fingerprints())
 }
 
 // Evidence returns the verdict on a request and what it is based on.
 func (g *Guard) Evidence(fp quarantine.Fingerprint) (quarantine.Verdict, quarantine.Evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.machine.Verdict(time.Now(), fp), g.machine.Evidence(fp)
+	return g.machine.Verdict(g.now(), fp), g.machine.Evidence(fp)
 }
 
 // States returns what is known about the given requests. Requests about which
--- a/internal/quarantine/permit_test.go
+++ b/internal/quarantine/permit_test.go
@@ -41,7 +41,9 @@
 func send(t *testing.T, g *Guard, fp quarantine.Fingerprint, backend string) (*Permit, *Attempt) {
 	p, _, err := g.Admit(t.Context(), fp)
 	require.NoError(t, err)
-	return p, p.Start(backend)
+	a := p.Start(backend)
+	g.Written(a, time.Now())
+	return p, a
 }
 
 // crash lets a backend server crash that runs the request.
