--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -8,10 +8,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/standin/registered"
 	"github.com/banyandeal/banyandeal/internal/wait"
 )
 
@@ -21,6 +23,18 @@
 	// crashMarker is the part of the path by which backend servers know requests that
 	// crash them.
 	crashMarker = "/crash-"
+	// crashSilently and crashFromQueue are the ends of such paths if the crash shows as
+	// silence, or comes after crashQueueWait, which is longer than callers wait.
+	crashSilently  = "/silent"
+	crashFromQueue = "/queue"
+	crashQueueWait = callerTimeout + 300*time.Millisecond
+	// unseenCrashSlowdown is how much slower such requests are repeated, so that repeats
+	// go on for longer than crashContact.
+	unseenCrashSlowdown = 3
+	// crashContact is the time after the third crash from which on sends of such requests
+	// count, of which maxLateCrashSends are allowed.
+	crashContact      = 4 * time.Second
+	maxLateCrashSends = 3
 	// crashRepeats is how often such a request is sent, and crashRequests how many
 	// of them are sent in a run, on the mean one in crashRequestInterval.
 	crashRepeats         = 20
@@ -39,6 +53,20 @@
 
 func crashesBackends(path string) bool { return strings.Contains(path, crashMarker) }
 
+// crashAct returns how a backend server treats a request: crashing ones in one of three
+// ways, which their path names.
+func crashAct(a *registered.Arrival) registered.Act {
+	switch {
+	case !crashesBackends(a.Target):
+		return registered.Run
+	case strings.HasSuffix(a.Target, crashSilently):
+		return registered.CrashSilently
+	case strings.HasSuffix(a.Target, crashFromQueue):
+		return registered.CrashFromQueue
+	}
+	return registered.Crash
+}
+
 // sendCrashing sends requests that crash backend servers until ctx is done. Each is
 // repeated at random instances.
 func (c *callerGroup) sendCrashing(ctx context.Context, seed uint64) {
@@ -63,6 +91,10 @@
 		method, path = http.MethodPost, fmt.Sprintf("/write%s%d", crashMarker, n)
 	}
 	every := randomDuration(rng, 300*time.Millisecond)
+	if end := []string{"", crashSilently, crashFromQueue}[n%3]; end != "" {
+		path += end
+		every *= unseenCrashSlowdown
+	}
 	var all sync.WaitGroup
 	for range crashRepeats {
 		if ctx.Err() != nil {
@@ -94,11 +126,11 @@
 // crashViolations returns the guarantees about crashing requests that were violated.
 func crashViolations(e *environment, records []record, faultsBegin time.Time) []string {
 	var violations []string
-	sends, lastRepeat := map[string]int{}, map[string]time.Time{}
+	sends, lastRepeat := map[string][]time.Time{}, map[string]time.Time{}
 	for id, arrivals := range e.arrivals() {
 		for _, a := range arrivals {
 			if crashesBackends(a.Target) && id != "" {
-				sends[a.Target]++
+				sends[a.Target] = append(sends[a.Target], a.At)
 			}
 		}
 	}
@@ -110,10 +142,13 @@
 			violations = append(violations, fmt.Sprintf("%s (%s) was quarantined but crashes no backend server", r.id, r.path))
 		}
 	}
-	for path, n := range sends {
-		limit := maxCrashSendsPerProcess * e.starts
-		if lastRepeat[path].Before(faultsBegin) {
-			limit = maxCrashSends
+	for path, times := range sends {
+		n, limit, limitPerProcess := len(times), maxCrashSends, maxCrashSendsPerProcess
+		if crashIsUnseen(path) {
+			n, limit, limitPerProcess = lateCrashSends(times), maxLateCrashSends, maxLateCrashSends
+		}
+		if !lastRepeat[path].Before(faultsBegin) {
+			limit = limitPerProcess * e.starts
 		}
 		if n > limit {
 			violations = append(violations, fmt.Sprintf("%s reached backend servers %d times, at most %d are allowed", path, n, limit))
@@ -121,3 +156,20 @@
 	}
 	return violations
 }
+
+// crashIsUnseen reports whether the crashes of a request show as silence, or come after its
+// callers have given up.
+func crashIsUnseen(path string) bool {
+	return strings.HasSuffix(path, crashSilently) || strings.HasSuffix(path, crashFromQueue)
+}
+
+// lateCrashSends counts the sends later than crashContact after the third crash. A crash
+// comes crashQueueWait after the send at the latest.
+func lateCrashSends(sends []time.Time) int {
+	if len(sends) < 3 {
+		return 0
+	}
+	slices.SortFunc(sends, time.Time.Compare)
+	counted := sends[2].Add(crashQueueWait + crashContact)
+	return len(slices.DeleteFunc(slices.Clone(sends), func(at time.Time) bool { return !at.After(counted) }))
+}
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -116,8 +116,9 @@
 	QueueWait time.Duration
 	OnCrash   func()
 	OnRestart func() error
-	// Crashes reports whether a request crashes the backend server; it may be nil.
-	Crashes func(a *Arrival) bool
+	// Act, if set, decides how requests are treated instead of SetAct, unless it returns
+	// Run.
+	Act func(a *Arrival) Act
 }
 
 // StartBackend starts a backend server and registers it.
@@ -414,8 +415,10 @@
 	}
 	b.mu.Lock()
 	act, work := b.act(a), b.work
-	if b.start.Crashes != nil && b.start.Crashes(a) {
-		act = Crash
+	if b.start.Act != nil {
+		if special := b.start.Act(a); special != Run {
+			act = special
+		}
 	}
 	a.Ran = act != Shed
 	b.arrivals = append(b.arrivals, a)
