--- a/internal/edge/filter/accesslog/accesslog.go
+++ b/internal/edge/filter/accesslog/accesslog.go
@@ -16,6 +16,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
+	"github.com/banyandeal/banyandeal/platform"
 )
 
 const (
@@ -68,8 +69,8 @@
 	f.countLimits(ex.Outcome.Attempts)
 }
 
-// countLimits counts the attempts whose responses state a request limit, and those with
-// an invalid one.
+// countLimits counts the attempts whose responses state a request limit, a rest or a
+// leaving, and those with an invalid one.
 func (f *Filter) countLimits(attempts []gateway.Attempt) {
 	for _, a := range attempts {
 		switch {
@@ -78,6 +79,15 @@
 		case a.Limit.Invalid:
 			f.metrics.Add("answers_with_invalid_limit", 1)
 		}
+		switch {
+		case a.Rest.Invalid:
+			f.metrics.Add("answers_with_invalid_rest", 1)
+		case a.Rest.For > 0:
+			f.metrics.Add("answers_with_rest", 1)
+		}
+		if a.Leaving {
+			f.metrics.Add("answers_with_leaving", 1)
+		}
 	}
 }
 
@@ -135,6 +145,12 @@
 	if a.Limit.Header != "" {
 		e.Float64("limit", a.Limit.PerSecond).Str("limit_header", a.Limit.Header).Bool("limit_invalid", a.Limit.Invalid)
 	}
+	if a.Rest != (platform.Rest{}) {
+		e.Dur("rest", a.Rest.For).Bool("rest_invalid", a.Rest.Invalid)
+	}
+	if a.Leaving {
+		e.Bool("leaving", true)
+	}
 	e.Msg("")
 }
 
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -160,6 +160,9 @@
 	// limit is what the response states about the rate of requests that the backend
 	// server takes.
 	limit platform.RequestLimit
+	// rest and leaving are what the response asks for besides.
+	rest    platform.Rest
+	leaving bool
 	// stamped is set when the response has the stamp of the backend server.
 	stamped bool
 }
@@ -180,7 +183,7 @@
 	f.observeLimit(choice.Backend, end, result.Outcome, started)
 	a := gateway.Attempt{Choice: choice, Sent: started, Took: result.Took, Reason: end.reason, MayHaveRun: end.mayHaveRun}
 	if resp != nil {
-		a.Status, a.Limit = resp.Status, end.limit
+		a.Status, a.Limit, a.Rest, a.Leaving = resp.Status, end.limit, end.rest, end.leaving
 	}
 	if err != nil {
 		a.Detail = err.Error()
@@ -251,6 +254,7 @@
 	}
 	end, outcome := classifyResponse(resp, v)
 	end.limit, end.stamped, result.Outcome = v.Limit, v.Stamped, outcome
+	end.rest, end.leaving = v.Rest, v.Leaving
 	return end, result
 }
 
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -83,6 +83,10 @@
 	// Limit is what the response states about the rate of requests that the backend
 	// server takes.
 	Limit platform.RequestLimit
+	// Rest is the rest that the response asks for. Leaving is set if it says that the
+	// backend server leaves.
+	Rest    platform.Rest
+	Leaving bool
 }
 
 // Rejection explains why a request was sent to no further backend server.
