--- a/internal/edge/edgetest/limit_test.go
+++ b/internal/edge/edgetest/limit_test.go
@@ -31,6 +31,8 @@
 type sentRequest struct {
 	CallerResponse
 	at time.Time
+	// instance is the number of the instance that got it.
+	instance int
 }
 
 // load sends requests with random ones of so many objects at random instances until stop is
@@ -50,15 +52,15 @@
 			return sent
 		case <-ticker.C:
 		}
-		instance, object := f.instance(rng.IntN(len(f.instances))), rng.IntN(objects)
+		instance, object := rng.IntN(len(f.instances)), rng.IntN(objects)
 		all.Go(func() {
 			request := c
 			request.Object = fmt.Sprint("object-", object)
 			at := time.Now()
-			r := f.Do(instance, request)
+			r := f.Do(f.instance(instance), request)
 			mu.Lock()
 			defer mu.Unlock()
-			sent = append(sent, sentRequest{CallerResponse: r, at: at})
+			sent = append(sent, sentRequest{CallerResponse: r, at: at, instance: instance})
 		})
 	}
 }
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -56,7 +56,13 @@
 	ID, Method, Target, Body, Deadline string
 	// Ran is set unless the request was refused.
 	Ran bool
-	At  time.Time
+	// RetryAfter is the rest that the response asks for, as text; empty if none. Leaving is
+	// set if the response says that the backend server leaves. Answered is when a response
+	// with either was sent.
+	RetryAfter string
+	Leaving    bool
+	Answered   time.Time
+	At         time.Time
 	// Gone is closed when the connection ended while the request ran.
 	Gone chan struct{}
 }
@@ -91,6 +97,11 @@
 	// limitPeriods when they did so.
 	limits       []string
 	limitPeriods []LimitPeriod
+	// retryAfter is the rest that is asked for by turning away one request of restEvery;
+	// 0 turns none away. saysLeaving is set if all responses say that it leaves.
+	retryAfter  string
+	restEvery   int
+	saysLeaving bool
 }
 
 // LimitPeriod is a time in which a backend server stated one request limit.
@@ -186,7 +197,7 @@
 	}
 	b.crashed = true
 	b.crashes = append(b.crashes, time.Now())
-	b.setLimits(nil)
+	b.forgetRequests()
 	address := b.listener.Addr().String()
 	_ = b.listener.Close()
 	if b.start.OnCrash != nil {
@@ -209,7 +220,7 @@
 	}
 	b.silenced = make(chan struct{})
 	b.crashes = append(b.crashes, time.Now())
-	b.setLimits(nil)
+	b.forgetRequests()
 	time.AfterFunc(b.start.Down, b.endSilence)
 }
 
@@ -316,11 +327,47 @@
 	return slices.Clone(b.limitPeriods)
 }
 
-// limitHeaders returns the header lines that state the request limits.
-func (b *Backend) limitHeaders() string {
+// SetRest turns away one request of so many from now on, with the given Retry-After; 0
+// turns none away. A crash ends it.
+func (b *Backend) SetRest(retryAfter string, every int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retryAfter, b.restEvery = retryAfter, every
+}
+
+// SayLeaving makes all responses say that the backend server leaves, whatever its entry
+// says. A crash ends it.
+func (b *Backend) SayLeaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saysLeaving = true
+}
+
+// asksForRest reports whether the newest request is turned away for a rest. The caller
+// holds b.mu.
+func (b *Backend) asksForRest() bool { return b.restEvery > 0 && len(b.arrivals)%b.restEvery == 0 }
+
+// forgetRequests forgets what responses ask of instances. The caller holds b.mu.
+func (b *Backend) forgetRequests() {
+	b.setLimits(nil)
+	b.restEvery, b.saysLeaving = 0, false
+}
+
+// statedHeaders returns the header lines with which a response to a request states what
+// the backend server asks of instances, and notes it with the arrival.
+func (b *Backend) statedHeaders(a *Arrival, turnedAway bool) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	lines := ""
+	if turnedAway && b.restEvery > 0 {
+		a.RetryAfter = b.retryAfter
+		lines += "Retry-After: " + b.retryAfter + "\r\n"
+	}
+	if b.saysLeaving {
+		a.Leaving = true
+		lines += "Server-Leaving: 1\r\n"
+	}
+	a.Answered = time.Now()
 	for _, limit := range b.limits {
 		lines += "Server-Limit: " + limit + "\r\n"
 	}
@@ -420,8 +467,11 @@
 			act = special
 		}
 	}
-	a.Ran = act != Shed
 	b.arrivals = append(b.arrivals, a)
+	if act == Run && b.asksForRest() {
+		act = Shed
+	}
+	a.Ran = act != Shed
 	b.running++
 	running := b.running
 	b.mu.Unlock()
@@ -431,7 +481,7 @@
 		b.mu.Unlock()
 	}()
 	if act == Shed {
-		fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Not-Run: 1\r\n%sContent-Length: 0\r\n\r\n", a.ID, b.limitHeaders())
+		fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Not-Run: 1\r\n%sContent-Length: 0\r\n\r\n", a.ID, b.statedHeaders(a, true))
 		return true
 	}
 	switch act {
@@ -471,9 +521,9 @@
 
 func (b *Backend) reply(nc net.Conn, a *Arrival, act Act, running int) bool {
 	text := "answer to " + a.ID
-	limits := b.limitHeaders()
+	stated := b.statedHeaders(a, false)
 	head := func(status int, id string) string {
-		return fmt.Sprintf("HTTP/1.1 %d OK\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Server-Load: %d,0,3\r\n%s", status, id, running, limits)
+		return fmt.Sprintf("HTTP/1.1 %d OK\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Server-Load: %d,0,3\r\n%s", status, id, running, stated)
 	}
 	stamp := "X-Banyandeal-Server-Stamp: " + b.Name + "." + a.ID + "\r\n"
 	whole := func(status int, id, stamp, text string) {
