rests: an instance keeps what a backend server asks of it in its responses

Class of fault: what a backend server says of itself reaches the instance by two ways, the table and the responses, and beliefs were formed from the table, the load header and Server-Limit only.

internal/decide/rest (pure) keeps for each incarnation the end of its rest and whether it leaves, as told to this instance. All ways of sending go through admission.Next, which passes over such a backend server: first attempts, retries, placements, suspects. A rest only gets longer; each response stands for the time that it named. If no other backend server is left, a resting one may be tried, at times that are half of the longest rest apart, so that at most two are sent in any rest; one that leaves never. If nothing is left the request is refused at once with the time at which the first rest ends. No new objects are assigned to a resting one; those of a leaving one are assigned anew, as at a drain. What runs there ends in peace, and a new incarnation is free of it. Nothing is shared: other instances are not bound. No further request is made, so that the retry budget counts as before.

Log lines rest_learnt, rest_ended, leaving_learnt, passed_over in attempts, reason resting; banyanctl explain prints them.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -23,6 +23,7 @@
 var beliefEvents = []string{
 	"config", "evacuation", "backend", "backend_draining", "backend_removed", "source", "store_lost", "store_regained",
 	"feed_failed", "start", "stopping", "reload", "instance_dead", eventLimitLearnt, eventLimitChanged, eventLimitEnded,
+	"rest_learnt", "rest_ended", "leaving_learnt",
 }
 
 func (a *app) explainCommand() *cli.Command {
@@ -65,7 +66,11 @@
 	Backend      string   `json:"backend"`
 	// LimitedBackend is the backend server because of whose request limit a request was
 	// refused. Limit and Issued are requests per second.
-	LimitedBackend string  `json:"limited_backend"`
+	LimitedBackend string `json:"limited_backend"`
+	// RestingBackend is the backend server because of whose rest a request was refused, and
+	// PassedOver the one that would have got an attempt otherwise.
+	RestingBackend string  `json:"resting_backend"`
+	PassedOver     string  `json:"passed_over"`
 	Limit          float64 `json:"limit"`
 	Issued         float64 `json:"issued"`
 	text           string
@@ -110,7 +115,9 @@
 			r = &requestLines{instance: l.Instance, fingerprint: l.Fingerprint, backends: map[string]bool{}}
 		}
 		r.last = l.Time
-		r.backends[l.Backend], r.backends[l.LimitedBackend] = true, true
+		for _, backend := range []string{l.Backend, l.LimitedBackend, l.RestingBackend, l.PassedOver} {
+			r.backends[backend] = true
+		}
 	}
 	return r
 }
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -108,3 +108,18 @@
 	require.NotZero(t, code)
 	require.Contains(t, errs, "banyanctl limits FILE")
 }
+
+// TestExplainNamesRest guards against a request that went elsewhere, or nowhere, because a
+// backend server had asked for rest, and nothing that shows it.
+func TestExplainNamesRest(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "one.log")
+	learnt := `{"time":1000,"instance":"one","event":"rest_learnt","backend":"i-1","left":3000}
+`
+	other := `{"time":1100,"instance":"one","event":"leaving_learnt","backend":"i-9"}
+`
+	attempt := `{"time":2000,"instance":"one","event":"attempt","id":"x","backend":"i-2","passed_over":"i-1"}
+`
+	require.NoError(t, os.WriteFile(file, []byte(learnt+other+attempt), 0o600))
+	_, out, _ := runTool(t, "explain", "x", file)
+	require.Equal(t, learnt+attempt, out)
+}
--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -18,6 +18,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/assign"
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/decide/pace"
+	"github.com/banyandeal/banyandeal/internal/decide/rest"
 	"github.com/banyandeal/banyandeal/internal/decide/retry"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
@@ -63,6 +64,9 @@
 	NoneUsable Reason = "none_usable"
 	// Limited is like NoneUsable, where request limits of backend servers are a cause.
 	Limited Reason = "limited"
+	// Resting means that no backend server may get the request, and that at least one of
+	// them has asked this instance for rest or leaves.
+	Resting Reason = "resting"
 	// NoTime means that the request is not expected to finish before its
 	// deadline.
 	NoTime Reason = "no_time"
@@ -150,8 +154,10 @@
 	// Patience is the maximum wait for a slot that the last call of Next
 	// allowed.
 	Patience time.Duration
-	// Limitation is set when the last call of Next returned Limited.
-	Limitation *Limitation
+	// Limitation is set when the last call of Next returned Limited, and RestingBackend when
+	// it returned Resting.
+	Limitation     *Limitation
+	RestingBackend *RestingBackend
 
 	route *routeState
 	query affinity.Query
@@ -210,6 +216,8 @@
 	weights map[string]map[string]float64
 	// limits holds the request limits of backend servers.
 	limits *limit.Table
+	// rests holds which backend servers have asked this instance for rest or leave.
+	rests *rest.Table
 	// pacer holds the grants of this instance for backend servers that are cold or have
 	// a limit.
 	pacer *pace.Pacer
@@ -223,7 +231,7 @@
 	return &Machine{
 		cfg: cfg, balancer: balancer, placements: assign.New(), lastPlacementRequest: map[assign.Key]time.Time{},
 		budgets: map[string]*retry.Budget{}, routes: map[routeKey]*routeState{}, shortestRun: map[string]shortestRun{},
-		limits: limit.New(cfg.Instance), pacer: pace.New(cfg.Region, cfg.Instance),
+		limits: limit.New(cfg.Instance), rests: rest.New(), pacer: pace.New(cfg.Region, cfg.Instance),
 	}
 }
 
@@ -270,16 +278,17 @@
 		b.Reconfigure(m.budgetShare())
 	}
 	m.weights = map[string]map[string]float64{}
-	known := map[string]bool{}
+	known, incarnations := map[string]bool{}, map[limit.Backend]bool{}
 	for service, list := range latest.Backends {
 		m.weights[service] = affinity.Shares(m.cfg.Region, m.cfg.RegionOf, list)
 		for _, b := range list {
-			known[b.ID] = true
+			known[b.ID], incarnations[identityOf(b)] = true, true
 		}
 	}
 	exists := func(id string) bool { return known[id] }
 	m.balancer.Retain(exists)
 	m.limits.Retain(exists, now)
+	m.rests.Retain(func(b limit.Backend) bool { return incarnations[b] }, now)
 	m.pacer.Retain(func(key string) bool {
 		_, id, _ := strings.Cut(key, " ")
 		return exists(id)
@@ -335,48 +344,86 @@
 		return choice, QueueFull
 	}
 	m.takeGrants(req.Service, choice.Backend, now)
+	m.rests.Sent(identityOf(choice.Backend), now)
 	m.balancer.RecordSent(choice, query, now)
 	req.Sends++
 	req.query.Tried[choice.Backend.ID] = true
 	return choice, ""
 }
 
-// choose returns the backend server for a request. One whose limit has ended a moment ago
-// gets the requests of objects that have not returned there only if no other may get them.
+// choose returns the backend server for a request. Two kinds get it only if no other may:
+// one whose limit has ended a moment ago and to which the object has not returned, and one
+// that has asked for rest and may be tried.
 func (m *Machine) choose(req *RequestState, query affinity.Query, now time.Time) (affinity.Choice, bool) {
+	available := func(b *traffic.Backend) bool {
+		return m.rests.State(identityOf(b), now).Available() && m.allows(req, b, now)
+	}
+	passes := []func(*traffic.Backend) bool{
+		func(b *traffic.Backend) bool { return m.returned(req, b, now) && available(b) },
+	}
 	if req.Isolation != nil {
 		// Grants differ between instances, which are to choose the same backend server.
-		query.Allows = func(b *traffic.Backend) bool { return !m.isPaced(req.Service, b, now) }
-		if choice, ok := m.balancer.Choose(query, now); ok {
-			return choice, ok
-		}
+		unpaced := func(b *traffic.Backend) bool { return !m.isPaced(req.Service, b, now) && available(b) }
+		passes = slices.Insert(passes, 0, unpaced)
 	}
-	returning := false
-	query.Allows = func(b *traffic.Backend) bool {
-		if !m.returned(req, b, now) {
-			returning = true
-			return false
-		}
-		return m.allows(req, b, now)
+	if !m.limits.Empty() {
+		passes = append(passes, available)
 	}
-	choice, ok := m.balancer.Choose(query, now)
-	if ok || !returning {
-		return choice, ok
+	if !m.rests.Empty() {
+		mayTry := func(b *traffic.Backend) bool { return m.rests.MayTry(identityOf(b), now) && m.allows(req, b, now) }
+		passes = append(passes, mayTry)
 	}
-	query.Allows = func(b *traffic.Backend) bool { return m.allows(req, b, now) }
-	return m.balancer.Choose(query, now)
+	for _, allows := range passes {
+		query.Allows = allows
+		if found, ok := m.balancer.Choose(query, now); ok {
+			return found, ok
+		}
+	}
+	return affinity.Choice{}, false
 }
 
 // noneUsable returns why no backend server can get the request.
 func (m *Machine) noneUsable(req *RequestState, now time.Time) Reason {
-	req.Limitation = m.limitation(req, now)
-	if req.Limitation == nil {
-		return NoneUsable
+	req.Limitation, req.RestingBackend = m.limitation(req, now), m.restingBackend(req, now)
+	switch {
+	case req.RestingBackend != nil && (req.Limitation == nil || req.RestingBackend.Left < req.Limitation.FreeIn):
+		req.slotFreeIn = req.RestingBackend.Left
+		return Resting
+	case req.Limitation != nil:
+		req.slotFreeIn = req.Limitation.FreeIn
+		return Limited
+	}
+	return NoneUsable
+}
+
+// RestingBackend is the backend server whose rest ends first, of those that could get a
+// request otherwise.
+type RestingBackend struct {
+	ID string
+	// Left is what is left of its rest. Leaving is set if all others leave and it does too.
+	Left    time.Duration
+	Leaving bool
+}
+
+// restingBackend returns the rest that ends first for a request, one that leaves if there is
+// no rest, or nil.
+func (m *Machine) restingBackend(req *RequestState, now time.Time) *RestingBackend {
+	var first *RestingBackend
+	for _, b := range req.query.Backends {
+		state := m.rests.State(identityOf(b), now)
+		if state.Available() || req.query.Tried[b.ID] {
+			continue
+		}
+		if first == nil || first.Leaving && !state.Leaving || first.Leaving == state.Leaving && state.Left < first.Left {
+			first = &RestingBackend{ID: b.ID, Left: state.Left, Leaving: state.Leaving}
+		}
 	}
-	req.slotFreeIn = req.Limitation.FreeIn
-	return Limited
+	return first
 }
 
+// Rests returns which backend servers have asked this instance for rest or leave.
+func (m *Machine) Rests() *rest.Table { return m.rests }
+
 // attemptQuery returns the query for the next attempt.
 func (r *RequestState) attemptQuery() affinity.Query {
 	q := r.query
--- a/internal/decide/admission/placement.go
+++ b/internal/decide/admission/placement.go
@@ -104,9 +104,13 @@
 	backends := m.candidates(service, homeRegions)
 	candidates := make([]assign.Candidate, 0, len(backends))
 	for _, b := range backends {
+		state := m.rests.State(identityOf(b), now)
+		if state.Leaving {
+			continue
+		}
 		candidates = append(candidates, assign.Candidate{
 			ID: b.ID, Region: m.cfg.RegionOf[b.Zone], Weight: m.weights[service][b.ID],
-			Cold: now.Before(b.ColdUntil) || m.limits.State(identityOf(b), now).Limited,
+			Cold: now.Before(b.ColdUntil) || m.limits.State(identityOf(b), now).Limited || state.Left > 0,
 		})
 	}
 	return candidates
--- a/internal/decide/affinity/affinity.go
+++ b/internal/decide/affinity/affinity.go
@@ -127,6 +127,9 @@
 	// the backend server before. Placed reports whether the object was
 	// assigned to it.
 	Warm, Placed bool
+	// PassedOver is the ID of the backend server that Query.Allows excluded and that ranks
+	// before the chosen one; empty if there is none.
+	PassedOver string
 	// LoadAge is the age of the load report from which Wait was computed;
 	// negative if there was none.
 	LoadAge time.Duration
@@ -245,13 +248,13 @@
 func (b *Balancer) chooseBest(q Query, now time.Time) (Choice, bool) {
 	var best Choice
 	bestCost := math.Inf(1)
-	ranked, displaced := b.rank(q, now)
+	ranked, passedOver := b.rank(q, now)
 	most := b.maxBackends(q, ranked, now)
 	switch {
 	case q.Avoid != nil:
 		// Further choices depend on what this instance has seen.
 		most = min(most, 1)
-	case displaced:
+	case passedOver != "":
 		most++
 	}
 	for rank, c := range ranked[:min(len(ranked), most)] {
@@ -260,6 +263,7 @@
 			best, bestCost = choice, cost
 		}
 	}
+	best.PassedOver = passedOver
 	return best, best.Backend != nil
 }
 
@@ -272,8 +276,8 @@
 
 // rank returns the candidates that may get the request, the best first. The
 // order depends on the object only and is the same at every instance of the
-// region. displaced reports that Query.Allows excludes the one that would be the first.
-func (b *Balancer) rank(q Query, now time.Time) (ranked []candidate, displaced bool) {
+// region. passedOver is the ID of the one that would be the first but for Query.Allows.
+func (b *Balancer) rank(q Query, now time.Time) (ranked []candidate, passedOver string) {
 	list := make([]candidate, 0, len(q.Backends))
 	var excluded candidate
 	key := cmp.Or(q.Object, q.SpreadKey)
@@ -294,8 +298,10 @@
 		}
 	}
 	slices.SortFunc(list, func(x, y candidate) int { return compareCandidates(q.Placement, x, y) })
-	displaced = excluded.backend != nil && len(list) > 0 && compareCandidates(q.Placement, excluded, list[0]) < 0
-	return list, displaced
+	if excluded.backend != nil && len(list) > 0 && compareCandidates(q.Placement, excluded, list[0]) < 0 {
+		passedOver = excluded.backend.ID
+	}
+	return list, passedOver
 }
 
 // compareCandidates orders candidates, the better one first.
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -46,6 +46,8 @@
 	exitMargin = 400 * time.Millisecond
 	// sweepInterval is the time between checks for idle connections.
 	sweepInterval = 2 * time.Second
+	// restCheckInterval is the time between checks for rests that are over.
+	restCheckInterval = 200 * time.Millisecond
 	// maxCallerConns bounds the number of concurrent connections of callers.
 	maxCallerConns = 2000
 	// httpHeaderTimeout bounds the time in which the headers of a lookup or a
@@ -75,6 +77,7 @@
 	pool           *egress.Pool
 	evidence       *evidence.Sharer
 	limitSharer    *limits.Sharer
+	decider        *dispatch.Decider
 }
 
 // peerAddress returns the address on which the instance listens for other instances.
@@ -93,7 +96,8 @@
 	d.replica = feeds.NewReplica()
 	d.sourceSelector = feeds.NewSourceSelector(s.Instance, s.Region, d.store, client, log)
 	limitChanges := &limitReporter{log: boundedLog(log, m, maxLimitLines), metrics: m}
-	decider := dispatch.NewDecider(s, d.control, d.store.ClockZero, limitChanges.change)
+	decider := dispatch.NewDecider(s, d.control, d.store.ClockZero, limitChanges)
+	d.decider = decider
 	d.limitSharer = limits.New(decider, d.store, d.sourceSelector.Reads, log)
 	d.metrics.RegisterGauge("limited_backends", func() float64 { return float64(decider.LimitedBackends()) })
 	d.places = places.New(s.Instance, s.Region, decider, client, d.store, log)
@@ -191,6 +195,7 @@
 		go f.Run(ctx)
 	}
 	go d.sweep(ctx)
+	go d.expireRests(ctx)
 	go d.places.Run(ctx)
 	go d.evidence.Run(ctx)
 	go d.limitSharer.Run(ctx)
@@ -217,6 +222,20 @@
 	}
 }
 
+// expireRests ends the rests of backend servers until ctx is done.
+func (d *Daemon) expireRests(ctx context.Context) {
+	ticker := time.NewTicker(restCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.decider.ExpireRests()
+		}
+	}
+}
+
 // serveRelay serves the instances that read the store's tables or the placements from
 // this instance. A failure of the listener is sent to failed.
 func (d *Daemon) serveRelay(ctx context.Context, failed chan<- error) error {
--- a/internal/edge/daemon/limits.go
+++ b/internal/edge/daemon/limits.go
@@ -8,20 +8,36 @@
 
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
+	"github.com/banyandeal/banyandeal/internal/decide/rest"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
 )
 
 // maxLimitLines bounds the lines per second about request limits.
 const maxLimitLines = 20
 
-// limitReporter logs and counts changes of the request limits of backend servers.
+// limitReporter logs and counts what backend servers say of themselves: their request
+// limits, their rests, and that they leave.
 type limitReporter struct {
 	log     zerolog.Logger
 	metrics *metrics.Metrics
 }
 
-// change reports a change of a limit, which the given number of instances share.
-func (r *limitReporter) change(c limit.Change, instances int) {
+// RestChanged implements dispatch.Observer.
+func (r *limitReporter) RestChanged(c rest.Change) {
+	event := "rest_learnt"
+	switch {
+	case c.State.Leaving && c.State.Left == 0:
+		event = "leaving_learnt"
+	case c.State.Left == 0:
+		event = "rest_ended"
+	}
+	r.metrics.Add(event, 1)
+	r.log.Info().Str("event", event).Str("backend", c.Backend.ID).Dur("left", c.State.Left).Bool("leaving", c.State.Leaving).
+		Dur("since", time.Since(c.Since)).Dur("last_told", time.Since(c.LastTold)).Msg("")
+}
+
+// LimitChanged implements dispatch.Observer.
+func (r *limitReporter) LimitChanged(c limit.Change, instances int) {
 	what := limitChangeName(c)
 	r.metrics.Add(fmt.Sprintf("limits_%s_%s", what, c.Cause), 1)
 	e := r.log.Info().Str("event", "limit_"+what).Str("backend", c.Backend.ID).Str("cause", string(c.Cause)).Int("instances", instances)
--- a/internal/edge/filter/accesslog/accesslog.go
+++ b/internal/edge/filter/accesslog/accesslog.go
@@ -165,6 +165,9 @@
 		e.Str("limited_backend", l.Backend).Float64("limit", l.State.PerSecond).Dur("limit_age", time.Since(l.State.Since)).
 			Float64("issued", l.Issued).Int("instances", l.Instances).Dur("free_in", l.FreeIn)
 	}
+	if b := r.RestingBackend; b != nil {
+		e.Str("resting_backend", b.ID).Dur("rest_left", b.Left).Bool("leaving", b.Leaving)
+	}
 	e.Msg("")
 }
 
@@ -201,6 +204,9 @@
 func addChoice(e *zerolog.Event, c affinity.Choice) {
 	e.Str("backend", c.Backend.ID).Str("backend_zone", c.Backend.Zone).Int("rank", c.Rank).Bool("warm", c.Warm).Bool("placed", c.Placed).
 		Dur("expected", c.Expected).Dur("wait", c.Wait)
+	if c.PassedOver != "" {
+		e.Str("passed_over", c.PassedOver)
+	}
 	if c.LoadAge >= 0 {
 		e.Dur("load_age", c.LoadAge)
 	}
--- a/internal/edge/filter/dispatch/decider.go
+++ b/internal/edge/filter/dispatch/decider.go
@@ -9,6 +9,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/decide/assign"
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
+	"github.com/banyandeal/banyandeal/internal/decide/rest"
 	"github.com/banyandeal/banyandeal/internal/edge/control"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
@@ -21,8 +22,7 @@
 	control  *control.Control
 	// clockZero returns when the clock was zero that all instances share.
 	clockZero func() time.Time
-	// onLimitChange is called for each change of a backend server's request limit.
-	onLimitChange OnLimitChange
+	observer  Observer
 
 	mu      sync.Mutex
 	machine *admission.Machine
@@ -32,14 +32,19 @@
 	snapshot *admission.Snapshot
 }
 
-// OnLimitChange is called when the request limit of a backend server has changed, with the
-// number of instances that share it. It must not block.
-type OnLimitChange func(c limit.Change, instances int)
+// Observer is told what backend servers have said of themselves. Its methods must not block.
+type Observer interface {
+	// LimitChanged reports a change of a request limit, which so many instances share.
+	LimitChanged(c limit.Change, instances int)
+	// RestChanged reports the beginning or the end of a rest, or that a backend server
+	// leaves.
+	RestChanged(c rest.Change)
+}
 
 // NewDecider returns a Decider without load observations or placements. clockZero returns
 // when the clock was zero that all instances share, or the zero time if it is unknown.
-func NewDecider(s *traffic.Settings, c *control.Control, clockZero func() time.Time, onLimitChange OnLimitChange) *Decider {
-	return &Decider{settings: s, control: c, clockZero: clockZero, onLimitChange: onLimitChange, machine: admission.New(admission.Config{
+func NewDecider(s *traffic.Settings, c *control.Control, clockZero func() time.Time, observer Observer) *Decider {
+	return &Decider{settings: s, control: c, clockZero: clockZero, observer: observer, machine: admission.New(admission.Config{
 		Instance: s.Instance, Region: s.Region, RegionOf: s.RegionOf, Bounds: s.Bounds,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})}
@@ -89,10 +94,34 @@
 // server.
 func (d *Decider) observeLimit(b *traffic.Backend, s limit.Statement, sent time.Time) {
 	d.withLimits(func(t *limit.Table, now time.Time) {
-		t.Observe(limit.Backend{ID: b.ID, Born: b.Born}, s, sent, now)
+		t.Observe(identityOf(b), s, sent, now)
 	})
 }
 
+// observeRest records what a response says of a rest or a leaving of its backend server.
+func (d *Decider) observeRest(b *traffic.Backend, s rest.Statement) {
+	d.withRests(func(t *rest.Table, now time.Time) { t.Observe(identityOf(b), s, now) })
+}
+
+// withRests calls f with the table of rests, and then reports its changes.
+func (d *Decider) withRests(f func(t *rest.Table, now time.Time)) {
+	d.mu.Lock()
+	f(d.machine.Rests(), time.Now())
+	changes := d.machine.Rests().TakeChanges()
+	d.mu.Unlock()
+	for _, c := range changes {
+		d.observer.RestChanged(c)
+	}
+}
+
+// ExpireRests ends the rests of backend servers that are over.
+func (d *Decider) ExpireRests() {
+	d.withRests(func(t *rest.Table, now time.Time) { t.Expire(now) })
+}
+
+// identityOf returns the incarnation of a backend server.
+func identityOf(b *traffic.Backend) limit.Backend { return limit.Backend{ID: b.ID, Born: b.Born} }
+
 // withLimits calls f with the table of request limits, and then reports its changes.
 func (d *Decider) withLimits(f func(t *limit.Table, now time.Time)) {
 	d.mu.Lock()
@@ -101,7 +130,7 @@
 	d.mu.Unlock()
 	instances := len(d.control.View().Members)
 	for _, c := range changes {
-		d.onLimitChange(c, instances)
+		d.observer.LimitChanged(c, instances)
 	}
 }
 
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	decide "github.com/banyandeal/banyandeal/internal/decide/quarantine"
+	"github.com/banyandeal/banyandeal/internal/decide/rest"
 	"github.com/banyandeal/banyandeal/internal/edge/egress"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
@@ -83,7 +84,7 @@
 	state.Isolation = isolation(permit, ex.Fingerprint, ex.Outcome.Evidence)
 	choice, rejection := f.decider.next(state)
 	if rejection != "" {
-		ex.Outcome.Rejected = &gateway.Rejection{Choice: choice, Patience: state.Patience, Limitation: state.Limitation}
+		ex.Outcome.Rejected = &gateway.Rejection{Choice: choice, Patience: state.Patience, Limitation: state.Limitation, RestingBackend: state.RestingBackend}
 		return f.reject(ex, state, string(rejection)), attemptEnd{}
 	}
 	if permit.Isolated() {
@@ -181,6 +182,9 @@
 	f.recordEvidence(ctx, tracked, choice.Backend, result.Outcome, &end)
 	f.decider.recordEnd(state, choice, result, end.mayHaveRun)
 	f.observeLimit(choice.Backend, end, result.Outcome, started)
+	if result.Outcome != affinity.Unreachable {
+		f.decider.observeRest(choice.Backend, rest.Statement{Rest: end.rest.For, Leaving: end.leaving})
+	}
 	a := gateway.Attempt{Choice: choice, Sent: started, Took: result.Took, Reason: end.reason, MayHaveRun: end.mayHaveRun}
 	if resp != nil {
 		a.Status, a.Limit, a.Rest, a.Leaving = resp.Status, end.limit, end.rest, end.leaving
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -97,6 +97,9 @@
 	Patience time.Duration
 	// Limitation is the request limit because of which the request was rejected, if any.
 	Limitation *admission.Limitation
+	// RestingBackend is the backend server because of whose rest the request was rejected, if
+	// any.
+	RestingBackend *admission.RestingBackend
 }
 
 // Zone returns the availability zone of the last attempt, empty if there is
