--- a/internal/quarantine/permit.go
+++ b/internal/quarantine/permit.go
@@ -8,6 +8,10 @@
 	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
 )
 
+// suspectHold is how long a suspect whose last attempt ended without a response is not sent
+// again, so that a crash that shows as silence is known before the next one.
+const suspectHold = 5 * time.Second
+
 // Permit allows one attempt of a request. Of a suspect, an instance gives out one
 // permit at a time.
 type Permit struct {
