soak: backend servers that ask for rest, and that say that they leave

One backend server after the other turns requests away with a Retry-After, or says Server-Leaving while its entry says ready and starts again later; beside all other steps, checked for each instance and incarnation until the faults begin, which may keep responses from instances.

--- a/internal/restcheck/restcheck.go
+++ b/internal/restcheck/restcheck.go
@@ -22,9 +22,6 @@
 	// response was sent.
 	Rest     time.Duration
 	Answered time.Time
-	// Excused is set if the instance was stopped, paused or restarted since the rest was
-	// asked for, so that the arrival doesn't count.
-	Excused bool
 }
 
 // Rest returns the duration that a Retry-After of seconds asks for, 0 if it is not one.
@@ -45,7 +42,7 @@
 		}
 		from, to, count := asked.Answered.Add(settleTime), asked.Answered.Add(asked.Rest), 0
 		for _, a := range arrivals {
-			if !a.Excused && a.At.After(from) && a.At.Before(to) {
+			if a.At.After(from) && a.At.Before(to) {
 				count++
 			}
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,7 +6,8 @@
 // All random choices derive from a seed. A run has three phases: planned
 // operations only, which overlap; then faults and planned operations; then neither,
 // and the system has to recover. In the first two, callers also repeat requests that
-// crash backend servers, and backend servers name request limits; in the second, the
+// crash backend servers, and backend servers name request limits, ask for rest or say that
+// they leave; in the second, the
 // store comes back from older copies. Traffic between instances is disturbed only by
 // pausing and ending processes.
 package soak
@@ -114,6 +115,8 @@
 	defer endBackground()
 	r.stepsWG.Go(func() { c.sendCrashing(background, r.opts.Seed) })
 	r.stepsWG.Go(func() { r.environment.nameLimits(background, r.opts.Seed) })
+	r.stepsWG.Go(func() { r.environment.askForRest(background, r.opts.Seed) })
+	r.stepsWG.Go(func() { r.environment.sayLeaving(background, r.opts.Seed) })
 	faultsBegin := time.Now().Add(time.Duration(plannedShare * float64(r.opts.RunTime)))
 	r.runSteps(ctx, rng, plannedSteps, faultsBegin)
 	r.stepsWG.Go(func() { r.environment.rollBackStore(background, r.opts.Seed) })
@@ -127,6 +130,7 @@
 	violations := append(r.violations, check(r.environment, c.records, faultsBegin, end)...)
 	violations = append(violations, crashViolations(r.environment, c.records, faultsBegin)...)
 	violations = append(violations, limitViolations(r.environment, c.records)...)
+	violations = append(violations, restViolations(r.environment, c.records, faultsBegin)...)
 	report := &Report{Seed: r.opts.Seed, WorkDir: r.environment.workDir, Requests: len(c.records), Violations: violations}
 	for _, x := range c.records {
 		if x.err == nil && x.status == 200 {
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -54,6 +54,8 @@
 // Arrival is one request that reached a backend server.
 type Arrival struct {
 	ID, Method, Target, Body, Deadline string
+	// Born is the incarnation that it has reached.
+	Born int64
 	// Ran is set unless the request was refused.
 	Ran bool
 	// RetryAfter is the rest that the response asks for, as text; empty if none. Leaving is
@@ -461,6 +463,7 @@
 		return false
 	}
 	b.mu.Lock()
+	a.Born = b.born
 	act, work := b.act(a), b.work
 	if b.start.Act != nil {
 		if special := b.start.Act(a); special != Run {
