--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -26,6 +26,11 @@
 	queue   []*run
 	// limit is the request limit that responses state; nil if there is none.
 	limit *namedLimit
+	// rest is the rest that it asks for when it turns a request away, and leaving is set
+	// while its responses say that it leaves. told holds what instances got since.
+	rest    time.Duration
+	leaving bool
+	told    map[*instance]*toldInstance
 	// lastRuns maps each cached object to the time of its last run.
 	lastRuns map[string]time.Duration
 }
@@ -58,7 +63,7 @@
 func newBackend(s *Service, id, zone string) *backend {
 	return &backend{
 		Backend: traffic.Backend{ID: id, Service: s.Name, Address: id, Zone: zone, Slots: s.Slots},
-		service: s, slowness: 1, lastRuns: map[string]time.Duration{},
+		service: s, slowness: 1, lastRuns: map[string]time.Duration{}, told: map[*instance]*toldInstance{},
 	}
 }
 
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -52,6 +52,11 @@
 	// RepeatCrashingSilently is RepeatCrashing with crashes that show only when the
 	// backend server is back: until then nothing responds.
 	RepeatCrashingSilently
+	// AskForRest lets the Share of backend servers turn away the share Factor of their
+	// requests, with a rest of restLength.
+	AskForRest
+	// SayLeaving lets the Share of backend servers say in their responses that they leave.
+	SayLeaving
 	// NameLimits lets Share of the backend servers of a service state a request limit of
 	// Factor requests per second.
 	NameLimits
--- a/internal/emulator/disturbance.go
+++ b/internal/emulator/disturbance.go
@@ -33,6 +33,10 @@
 		sim.restart(newPolicy)
 	case RepeatCrashing, RepeatCrashingSilently:
 		sim.repeatCrashing(t)
+	case AskForRest:
+		sim.impair(t, func(b *backend) { b.shedShare, b.rest = t.Factor, restLength }, func(b *backend) { b.shedShare, b.rest = 0, 0 })
+	case SayLeaving:
+		sim.impair(t, func(b *backend) { b.leaving = true }, func(b *backend) { b.leaving = false })
 	case NameLimits:
 		sim.nameLimits(t)
 	}
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
+	"github.com/banyandeal/banyandeal/internal/restcheck"
 )
 
 // shortDay is a day with one disturbance of each kind.
@@ -119,6 +120,30 @@
 	}
 }
 
+// TestRestsAtAnySize guards against requests in the rests of backend servers, or to those that
+// have said that they leave, at any number of instances, and against callers who are refused
+// although others have room.
+func TestRestsAtAnySize(t *testing.T) {
+	day := Day{Length: 20 * time.Second, Disturbances: []Disturbance{
+		{Kind: AskForRest, At: 3 * time.Second, ActiveFor: 6 * time.Second, Share: 0.2, Factor: 0.5},
+		{Kind: SayLeaving, At: 11 * time.Second, ActiveFor: 6 * time.Second, Share: 0.2},
+	}}
+	for _, d := range Deployments {
+		t.Run(d.Name, func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(d, day, 1)
+			sim.run(newMachine)
+			calm := Simulate(d, Day{Length: 20 * time.Second}, newMachine, 1)
+			inRest, afterLeaving := sim.worstRest()
+			served := sim.score.score().Served
+			t.Logf("%d in a rest, %d after a leaving, %.3f served, %.3f without", inRest, afterLeaving, served, calm.Served)
+			require.LessOrEqual(t, inRest, restcheck.Allowed)
+			require.Zero(t, afterLeaving)
+			require.Greater(t, served, calm.Served-0.05)
+		})
+	}
+}
+
 // TestNamedLimitsAtAnySize guards against limits of backend servers that are passed the
 // further the more instances there are, also through a restart of all of them, and against
 // callers who are refused because of them.
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -117,10 +117,12 @@
 		finish(affinity.Result{Outcome: affinity.Abandoned}, true, func() { sim.score.recordFailed(x.request) })
 	})
 	sim.after(rtt/2, func() {
+		arrived := sim.clock()
 		b.accept(sim, &run{kind: x.request.kind, object: x.request.kind.Name + x.request.object, deadline: end, done: func(end runOutcome) {
 			load := &affinity.Load{Running: b.running, Waiting: len(b.queue), Slots: b.service.Slots}
-			stated := b.statedLimit()
+			stated, said := b.statedLimit(), sim.sayRest(b, x.instance, arrived, end)
 			sim.after(rtt/2, func() {
+				sim.observeRest(x, b, said)
 				sim.handleResult(x, end, load, finish)
 				if end == runCompleted || stated.Limited {
 					sim.observeLimit(x, b, stated, sent)
