banyanctl status: a drain is done when no instance steers to the zone any more

Operators saw: a drain with the time that it took while another instance still had a weight of 0.062 for the zone.

Cause: the drain of a zone is tracked by the zone's own instances, which may end their ramp a step before the others. The view now shows it as not yet empty while an instance that answers has a weight for a zone whose target is 0. TestDrainIsDoneWhenNobodySteersThere failed before; the daemons are unchanged.

--- a/internal/cli/view.go
+++ b/internal/cli/view.go
@@ -103,9 +103,23 @@
 	v.Links = viewLinks(told)
 	v.Backends = viewBackends(told)
 	v.Drains = viewDrains(told)
+	for i, d := range v.Drains {
+		if v.stillSteersTo(d.What) {
+			v.Drains[i].TookSeconds = 0
+		}
+	}
 	return v
 }
 
+// stillSteersTo reports whether an instance has not ended its ramp away from a zone that
+// drains, which the drain names as "zone NAME". The zone's own instances may have.
+func (v view) stillSteersTo(drain string) bool {
+	zone, isZone := strings.CutPrefix(drain, "zone ")
+	return isZone && slices.ContainsFunc(v.Services, func(s serviceView) bool {
+		return s.Zone == zone && s.Target == 0 && s.WeightMax > 0
+	})
+}
+
 func viewInstance(a client.Result) instanceView {
 	i := instanceView{
 		Zone: a.Zone(), Instance: a.ID(), Operator: a.Addr, State: stateNotReady,
