--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -27,16 +27,19 @@
 // limitValues are the limits that backend servers name, in requests a second.
 var limitValues = []float64{0, 0.5, 1, 3.5, 10}
 
+// sleepRandomly sleeps for a random time with the given mean. It returns false if ctx ends
+// before.
+func sleepRandomly(ctx context.Context, rng *rand.Rand, mean time.Duration) bool {
+	wait.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(mean)))
+	return ctx.Err() == nil
+}
+
 // nameLimits lets backend servers name request limits until ctx is done: one, a few, or those
 // of a whole zone. Some change their limits meanwhile.
 func (e *environment) nameLimits(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, uint64(len(limitValues))))
 	var named []*backendServer
-	for ctx.Err() == nil {
-		wait.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(limitInterval)))
-		if ctx.Err() != nil {
-			break
-		}
+	for sleepRandomly(ctx, rng, limitInterval) {
 		n, length, value := e.anyBackend(rng), minLimitTime+randomDuration(rng, maxLimitTime-minLimitTime), limitValues[rng.IntN(len(limitValues))]
 		wholeZone := rng.IntN(3) == 0
 		for _, other := range e.backendsOf(n.Zone) {
--- a/internal/soak/rest.go
+++ b/internal/soak/rest.go
@@ -30,11 +30,7 @@
 // askForRest lets backend servers turn requests away and ask for rest until ctx is done.
 func (e *environment) askForRest(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, uint64(len(restLengths))<<8))
-	for ctx.Err() == nil {
-		wait.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(restInterval)))
-		if ctx.Err() != nil {
-			return
-		}
+	for sleepRandomly(ctx, rng, restInterval) {
 		n := e.anyBackend(rng)
 		n.SetRest(strconv.FormatFloat(restLengths[rng.IntN(len(restLengths))], 'f', -1, 64), 1+rng.IntN(4))
 		time.AfterFunc(randomDuration(rng, maxRestTime), func() { n.SetRest("", 0) })
@@ -45,11 +41,7 @@
 // while its entry says that it is ready. Then it starts again.
 func (e *environment) sayLeaving(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, uint64(len(restLengths))<<16))
-	for ctx.Err() == nil {
-		wait.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(leavingInterval)))
-		if ctx.Err() != nil {
-			return
-		}
+	for sleepRandomly(ctx, rng, leavingInterval) {
 		n := e.anyBackend(rng)
 		n.SayLeaving()
 		wait.Sleep(ctx, leavingTime)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,8 +6,8 @@
 // All random choices derive from a seed. A run has three phases: planned
 // operations only, which overlap; then faults and planned operations; then neither,
 // and the system has to recover. In the first two, callers also repeat requests that
-// crash backend servers, and backend servers name request limits, ask for rest or say that
-// they leave; in the second, the
+// crash backend servers, and backend servers name request limits, ask for rest or say
+// that they leave; in the second, the
 // store comes back from older copies. Traffic between instances is disturbed only by
 // pausing and ending processes.
 package soak
