stand-ins: a server that refuses connections keeps its port

It refuses by closing its listener, and another test process got the port. The port stays bound now, without listening, until the server opens again; Refuse returns an error if it cannot.

The daemons are unchanged.

--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -130,8 +130,7 @@
 func (s *Server) SetFaults(f Faults) error {
 	s.fault.set(f)
 	if f.Refuse {
-		s.net.Refuse()
-		return nil
+		return errors.Trace(s.net.Refuse())
 	}
 	if f.Silent {
 		s.net.Silence()
@@ -343,7 +342,9 @@
 	if s.crash != nil {
 		s.crash()
 	}
-	s.net.Refuse()
+	if err := s.net.Refuse(); err != nil {
+		panic(err)
+	}
 	if s.cfg.RestartAfter > 0 {
 		time.AfterFunc(s.cfg.RestartAfter, func() { _ = s.net.Open() })
 	}
--- a/internal/standin/faultnet/server.go
+++ b/internal/standin/faultnet/server.go
@@ -27,6 +27,8 @@
 	srv *http.Server
 	// served is closed when srv has stopped to accept.
 	served chan struct{}
+	// held keeps the port while the server refuses connections; nil otherwise.
+	held *heldPort
 }
 
 // New returns a server that is not yet open. A port of 0 in addr is chosen by
@@ -46,6 +48,8 @@
 	if err != nil {
 		return errors.Annotatef(err, "listening on %s", s.addr)
 	}
+	s.held.release()
+	s.held = nil
 	s.addr = raw.Addr().String()
 	s.ln = newListener(raw)
 	s.srv = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
@@ -65,19 +69,39 @@
 }
 
 // Refuse closes the listener and every connection; new ones are refused until
-// the next Open.
-func (s *Server) Refuse() {
+// the next Open. An error means that another process may get the port meanwhile.
+func (s *Server) Refuse() error {
+	if !s.stop() {
+		return nil
+	}
+	held, err := holdPort(s.Addr())
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ln != nil {
+		held.release()
+		return nil
+	}
+	s.held = held
+	return nil
+}
+
+// stop closes the listener and every connection. It reports whether there was a listener.
+func (s *Server) stop() bool {
 	s.mu.Lock()
 	ln, srv, served := s.ln, s.srv, s.served
 	s.ln, s.srv = nil, nil
 	s.mu.Unlock()
 	if ln == nil {
-		return
+		return false
 	}
 	_ = srv.Close()
 	// The system goes on taking connections until the pending accept returns.
 	<-served
 	ln.closeOpen()
+	return true
 }
 
 // Silence makes the connections that are open now silent for good and returns
@@ -92,4 +116,10 @@
 }
 
 // Close stops the server.
-func (s *Server) Close() { s.Refuse() }
+func (s *Server) Close() {
+	s.stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held.release()
+	s.held = nil
+}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -109,8 +109,7 @@
 	s.faults.set(f)
 	s.list.freeze(f.FreezeList)
 	if f.Down == DownRefuse {
-		s.api.Refuse()
-		return nil
+		return errors.Trace(s.api.Refuse())
 	}
 	return errors.Trace(s.api.Open())
 }
