tests: ports of instances and stand-ins are held

Cause: tests chose unused ports, closed them and let the instance listen later; meanwhile another test process got one. The instance ended with "address already in use", which the test dropped; its readiness check could be answered by the other process.

Now a port stays bound without listening from its choice to the end of the test (internal/standin/heldport, which faultnet had for refused ports only), also that of a crashed backend server, of the walk's processes and of addresses that must refuse. An instance that ends with an error fails its test.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/banyandeal/banyandeal/internal/outcome"
+	"github.com/banyandeal/banyandeal/internal/standin/heldport"
 )
 
 // handler serves one request on a raw connection. n is the number of the request
@@ -247,10 +248,10 @@
 }
 
 func TestNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	refusing, err := heldport.Hold("127.0.0.1:0")
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	c := New(Config{Address: l.Addr().String()})
+	defer refusing.Release()
+	c := New(Config{Address: refusing.Address()})
 	reply := c.Do(testContext(t), &Request{Method: "POST", Path: "/"})
 	require.Equal(t, outcome.NotRun, reply.Outcome)
 	require.Equal(t, outcome.KindBackendLost, reply.Err.Kind)
--- a/internal/cli/walk_test.go
+++ b/internal/cli/walk_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -17,6 +16,7 @@
 	"github.com/banyandeal/banyandeal/internal/filter"
 	api "github.com/banyandeal/banyandeal/internal/platform"
 	"github.com/banyandeal/banyandeal/internal/standin/backend"
+	"github.com/banyandeal/banyandeal/internal/standin/heldport"
 	"github.com/banyandeal/banyandeal/internal/standin/platform"
 )
 
@@ -44,14 +44,14 @@
 	}
 }
 
-// setPorts sets each variable to a loopback address that was free a moment
-// ago.
+// setPorts sets each variable to a loopback address that nobody else gets before the
+// script has ended.
 func setPorts(ts *testscript.TestScript, neg bool, args []string) {
 	for _, name := range args {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := heldport.Hold("127.0.0.1:0")
 		ts.Check(err)
-		defer func() { _ = ln.Close() }()
-		ts.Setenv(name, ln.Addr().String())
+		ts.Defer(port.Release)
+		ts.Setenv(name, port.Address())
 	}
 }
 
--- a/internal/edge/edgetest/environment.go
+++ b/internal/edge/edgetest/environment.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/daemon"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
+	"github.com/banyandeal/banyandeal/internal/standin/heldport"
 	"github.com/banyandeal/banyandeal/internal/standin/registered"
 	"github.com/banyandeal/banyandeal/internal/standin/store"
 )
@@ -133,11 +135,11 @@
 // startInstance starts an entry instance without waiting until it is ready. The
 // test's cleanup stops it.
 func (e *Environment) startInstance(name, zone string) *Instance {
-	ports := freePorts(e.t, 4)
-	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", ports[n]) }
+	ports := holdPorts(e.t, 4)
+	peer := netip.MustParseAddrPort(ports[3].Address())
 	s := &traffic.Settings{
-		Instance: name, Zone: zone, Region: RegionOf[zone], RegionOf: RegionOf, IP: "127.0.0.1", PeerPort: ports[3],
-		Listen: traffic.Listen{Callers: address(0), Ready: address(1), Directory: address(2)},
+		Instance: name, Zone: zone, Region: RegionOf[zone], RegionOf: RegionOf, IP: peer.Addr().String(), PeerPort: int(peer.Port()),
+		Listen: traffic.Listen{Callers: ports[0].Address(), Ready: ports[1].Address(), Directory: ports[2].Address()},
 		Store:  traffic.Store{Address: e.Store.Address()},
 		Bounds: traffic.Bounds{
 			DeadInstanceListing: 4 * time.Second, GracePeriod: 4 * time.Second, MaxTTL: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 60,
@@ -150,7 +152,10 @@
 	d := daemon.New(s, log, metrics.New())
 	go func() {
 		defer close(i.Done)
-		_ = d.Run(ctx)
+		// An error means a listener that cannot be opened or has failed.
+		if err := d.Run(ctx); err != nil {
+			e.t.Errorf("instance %s has ended: %v", name, err)
+		}
 	}()
 	e.t.Cleanup(func() {
 		cancel()
@@ -167,18 +172,14 @@
 func (discardLogs) Logf(string, ...any) {}
 func (discardLogs) Helper()             {}
 
-// freePorts returns n distinct TCP ports that are unused at the time of the call.
-func freePorts(t *testing.T, n int) []int {
-	var ports []int
-	var open []net.Listener
+// holdPorts returns n distinct ports that nobody else gets before the end of the test.
+func holdPorts(t *testing.T, n int) []*heldport.Port {
+	var ports []*heldport.Port
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		p, err := heldport.Hold("127.0.0.1:0")
 		require.NoError(t, err)
-		open = append(open, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	for _, l := range open {
-		_ = l.Close()
+		t.Cleanup(p.Release)
+		ports = append(ports, p)
 	}
 	return ports
 }
--- a/internal/edge/evidence/evidence_test.go
+++ b/internal/edge/evidence/evidence_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -17,6 +16,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/feeds"
 	"github.com/banyandeal/banyandeal/internal/peer/peerpb"
 	"github.com/banyandeal/banyandeal/internal/quarantine"
+	"github.com/banyandeal/banyandeal/internal/standin/heldport"
 	"github.com/banyandeal/banyandeal/internal/standin/store"
 	"github.com/banyandeal/banyandeal/platform"
 )
@@ -51,11 +51,11 @@
 }
 
 func startInstance(t *testing.T, s *store.Store) *instance {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	refusing, err := heldport.Hold("127.0.0.1:0")
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
+	t.Cleanup(refusing.Release)
 	counting := &countingStore{Store: platform.NewStore(s.Address())}
-	i := &instance{store: counting, address: l.Addr().String()}
+	i := &instance{store: counting, address: refusing.Address()}
 	i.Sharer = New(counting, func() bool { return true }, silent{}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/quarantine/permit_test.go
+++ b/internal/quarantine/permit_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
+	"github.com/banyandeal/banyandeal/internal/standin/heldport"
 )
 
 const suspect = quarantine.Fingerprint(7)
@@ -31,10 +32,10 @@
 
 // refusingAddress returns an address that refuses connections.
 func refusingAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	refusing, err := heldport.Hold("127.0.0.1:0")
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	return l.Addr().String()
+	t.Cleanup(refusing.Release)
+	return refusing.Address()
 }
 
 // send admits a request and starts an attempt.
--- a/internal/standin/faultnet/server.go
+++ b/internal/standin/faultnet/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/banyandeal/banyandeal/internal/standin/heldport"
 )
 
 const headerTimeout = 10 * time.Second
@@ -28,7 +30,7 @@
 	// served is closed when srv has stopped to accept.
 	served chan struct{}
 	// held keeps the port while the server refuses connections; nil otherwise.
-	held *heldPort
+	held *heldport.Port
 }
 
 // New returns a server that is not yet open. A port of 0 in addr is chosen by
@@ -48,7 +50,7 @@
 	if err != nil {
 		return errors.Annotatef(err, "listening on %s", s.addr)
 	}
-	s.held.release()
+	s.held.Release()
 	s.held = nil
 	s.addr = raw.Addr().String()
 	s.ln = newListener(raw)
@@ -74,14 +76,14 @@
 	if !s.stop() {
 		return nil
 	}
-	held, err := holdPort(s.Addr())
+	held, err := heldport.Hold(s.Addr())
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ln != nil {
-		held.release()
+		held.Release()
 		return nil
 	}
 	s.held = held
@@ -120,6 +122,6 @@
 	s.stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.held.release()
+	s.held.Release()
 	s.held = nil
 }
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/standin/heldport"
 	"github.com/banyandeal/banyandeal/internal/standin/store"
 )
 
@@ -77,6 +78,10 @@
 	seq                 atomic.Int64
 	start               Start
 
+	// port is held from the start to Stop, so that nobody else gets it while the backend
+	// server is down.
+	port *heldport.Port
+
 	mu       sync.Mutex
 	listener net.Listener
 	born     int64
@@ -136,16 +141,16 @@
 
 // StartBackend starts a backend server and registers it.
 func StartBackend(s *store.Store, start Start) *Backend {
-	address := start.Address
-	if address == "" {
-		address = "127.0.0.1:0"
+	port, err := heldport.Hold(cmp.Or(start.Address, "127.0.0.1:0"))
+	if err != nil {
+		panic(err)
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", port.Address())
 	if err != nil {
 		panic(err)
 	}
 	b := &Backend{
-		Name: start.Name, Zone: start.Zone, Service: start.Service, advertise: start.Advertise, store: s, listener: l, born: time.Now().UnixMilli(),
+		Name: start.Name, Zone: start.Zone, Service: start.Service, advertise: start.Advertise, store: s, port: port, listener: l, born: time.Now().UnixMilli(),
 		act: func(*Arrival) Act { return Run }, work: start.Work, start: start, open: map[net.Conn]bool{},
 	}
 	b.Report("ready", start.ColdLeft)
@@ -155,19 +160,17 @@
 
 // Address returns host:port.
 func (b *Backend) Address() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.listener.Addr().String()
+	return b.port.Address()
 }
 
 // Report writes the entry of the backend server.
 func (b *Backend) Report(state string, coldLeft float64) {
 	b.mu.Lock()
 	b.leaving = b.leaving || state == "draining"
-	address, born := b.listener.Addr().String(), b.born
+	born := b.born
 	b.mu.Unlock()
 	b.store.Put("servers", b.Name, map[string]any{
-		"address": cmp.Or(b.advertise, address), "born": born,
+		"address": cmp.Or(b.advertise, b.port.Address()), "born": born,
 		"info":   map[string]any{"service": b.Service, "version": "v1", "zone": b.Zone, "slots": 3},
 		"status": map[string]any{"state": state, "seq": b.seq.Add(1), "cold_left_s": coldLeft},
 	})
@@ -185,8 +188,12 @@
 func (b *Backend) Stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.stopped {
+		return
+	}
 	b.stopped = true
 	_ = b.listener.Close()
+	b.port.Release()
 }
 
 // Crash ends the process as the act Crash does. It does nothing while the backend
@@ -200,7 +207,6 @@
 	b.crashed = true
 	b.crashes = append(b.crashes, time.Now())
 	b.forgetRequests()
-	address := b.listener.Addr().String()
 	_ = b.listener.Close()
 	if b.start.OnCrash != nil {
 		b.start.OnCrash()
@@ -210,7 +216,7 @@
 		_ = nc.(*net.TCPConn).SetLinger(0)
 		_ = nc.Close()
 	}
-	time.AfterFunc(b.start.Down, func() { b.restart(address) })
+	time.AfterFunc(b.start.Down, b.restart)
 }
 
 // crashSilently ends the process as the act CrashSilently does.
@@ -261,15 +267,15 @@
 const restartRetry = 20 * time.Millisecond
 
 // restart listens again after a crash and reports a new incarnation.
-func (b *Backend) restart(address string) {
+func (b *Backend) restart() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.stopped || b.leaving {
 		return
 	}
-	l, err := b.listenAgain(address)
+	l, err := b.listenAgain()
 	if err != nil {
-		time.AfterFunc(restartRetry, func() { b.restart(address) })
+		time.AfterFunc(restartRetry, b.restart)
 		return
 	}
 	b.listener, b.born, b.crashed = l, time.Now().UnixMilli(), false
@@ -279,8 +285,8 @@
 }
 
 // listenAgain opens the listener and calls OnRestart.
-func (b *Backend) listenAgain(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+func (b *Backend) listenAgain() (net.Listener, error) {
+	l, err := net.Listen("tcp", b.port.Address())
 	if err != nil || b.start.OnRestart == nil {
 		return l, err
 	}
