quarantine: suspects are confined while many requests crash backend servers

Cause: a suspect goes to the backend server that its own hash chooses, so that each of many crashing requests ends another one, and again when these are back. What one request may break was bounded, what all of them together may break was not.

Now machines count how many requests it takes, greedily, to explain the unexplained crashes of the last minute. From three on suspects are confined to a sixth of the service's backend servers, at least two, the same ones at all instances and spread over zones; while these are down suspects are refused with the reason "confined". Others go on everywhere.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -62,6 +62,9 @@
 	// after refused connections, or may get no further request during its cold
 	// start.
 	NoneUsable Reason = "none_usable"
+	// Confined is like NoneUsable, for a request that only the few backend servers for
+	// suspects may get.
+	Confined Reason = "confined"
 	// Limited is like NoneUsable, where request limits of backend servers are a cause.
 	Limited Reason = "limited"
 	// Resting means that no backend server may get the request, and that at least one of
@@ -178,6 +181,9 @@
 	Key string
 	// Avoid reports whether a backend server gets the attempt only if no other may.
 	Avoid func(*traffic.Backend) bool
+	// Confined is set if the attempt may only go to the few backend servers of its service
+	// that get suspects, because many requests seem to crash backend servers.
+	Confined bool
 }
 
 // StartedAfter reports whether a backend server has started after a time. Suspects avoid
--- a/internal/decide/admission/isolation_test.go
+++ b/internal/decide/admission/isolation_test.go
@@ -59,3 +59,38 @@
 		}
 	}
 }
+
+// TestSuspectsAreConfined guards against many crashing requests that end all backend servers
+// of a service one after another: they go to a few, and nowhere while these are down.
+func TestSuspectsAreConfined(t *testing.T) {
+	const most = 4 // a sixth of 24
+	snapshot := newSnapshot(5)
+	snapshot.Backends = map[string][]*traffic.Backend{}
+	for n := range 24 {
+		b := &traffic.Backend{ID: fmt.Sprint("i-", n), Service: "shop", Zone: []string{"a1", "a2", "b1"}[n%3], Slots: 3}
+		snapshot.Backends["shop"] = append(snapshot.Backends["shop"], b)
+	}
+	m := New(Config{
+		Region: "a", RegionOf: map[string]string{"a1": "a", "a2": "a", "b1": "b"}, Rand: rand.New(rand.NewPCG(1, 2)),
+		Bounds: traffic.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second},
+	})
+	chosen, zones := map[string]bool{}, map[string]bool{}
+	for suspect := range 200 {
+		r := m.Begin(snapshot, request(time.Second), start)
+		r.Isolation = isolationOf(suspect)
+		r.Isolation.Confined = true
+		choice, reason := m.Next(r, snapshot, start)
+		if reason == Confined {
+			require.Len(t, chosen, most, "no backend server although one of the few is up")
+			continue
+		}
+		require.Empty(t, reason)
+		chosen[choice.Backend.ID], zones[choice.Backend.Zone] = true, true
+		m.RecordEnd(r, choice, affinity.Result{Outcome: affinity.Unreachable}, true, start)
+	}
+	require.Len(t, chosen, most)
+	require.Len(t, zones, 3)
+	other := m.Begin(snapshot, request(time.Second), start)
+	_, reason := m.Next(other, snapshot, start)
+	require.Empty(t, reason)
+}
--- a/internal/decide/quarantine/judge.go
+++ b/internal/decide/quarantine/judge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -94,3 +95,61 @@
 	}
 	return alone
 }
+
+const (
+	// manyCauses is the number of requests that must be needed to explain the unexplained
+	// crashes of the last causesPeriod for suspects to be confined. Crashes by one request,
+	// which is quarantined soon, don't need that many.
+	manyCauses = 3
+	// causesPeriod is long enough for confined suspects to be quarantined in turn.
+	causesPeriod = time.Minute
+)
+
+// ConfinesSuspects reports whether suspects may only be sent to few backend servers, because
+// many requests seem to crash them.
+func (m *Machine) ConfinesSuspects(now time.Time) bool {
+	return m.causes(now, manyCauses) == manyCauses
+}
+
+// causes returns how many requests it takes to explain the crashes of the last causesPeriod
+// that no quarantined request explains, found by taking the one that was in flight in most
+// of them first. It returns at most limit.
+func (m *Machine) causes(now time.Time, limit int) int {
+	unexplained := map[Incident]bool{}
+	for fp, e := range m.entries {
+		if e.quarantined {
+			continue
+		}
+		for _, r := range m.unexplainedRuns(fp) {
+			if now.Sub(r.Crashed) < causesPeriod {
+				unexplained[r.Incident] = true
+			}
+		}
+	}
+	causes := 0
+	for causes < limit && len(unexplained) > 0 {
+		for _, r := range m.mostPresent(unexplained) {
+			delete(unexplained, r.Incident)
+		}
+		causes++
+	}
+	return causes
+}
+
+// mostPresent returns the runs of the request that was in flight in most of the incidents.
+func (m *Machine) mostPresent(incidents map[Incident]bool) []Run {
+	var most []Run
+	mostIncidents := 0
+	for _, fp := range slices.Sorted(maps.Keys(m.entries)) {
+		runs, present := m.entries[fp].runs, 0
+		for _, r := range runs {
+			if incidents[r.Incident] {
+				present++
+			}
+		}
+		if present > mostIncidents {
+			most, mostIncidents = runs, present
+		}
+	}
+	return most
+}
--- a/internal/decide/quarantine/shared_test.go
+++ b/internal/decide/quarantine/shared_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -254,3 +255,30 @@
 		now = now.Add(2 * time.Second)
 	}
 }
+
+// TestSuspectsAreConfinedBesideManyCauses guards against suspects that go to any backend
+// server while many requests crash them, and against confining those of one crashing request,
+// of one that runs everywhere, and of crashes long ago.
+func TestSuspectsAreConfinedBesideManyCauses(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	crash := func(m *Machine, backend string, requests ...Fingerprint) {
+		c := Crash{Incident: IncidentOf("", backend, 0)}
+		for _, fp := range requests {
+			c.InFlight = append(c.InFlight, SentRequest{Fingerprint: fp, Sent: now})
+		}
+		m.Step(now, c)
+	}
+	many := New(Config{SharedBackends: true})
+	for n := range Fingerprint(3) {
+		require.False(t, many.ConfinesSuspects(now))
+		crash(many, fmt.Sprint("i-", n), n, n+100)
+	}
+	require.True(t, many.ConfinesSuspects(now))
+	require.False(t, many.ConfinesSuspects(now.Add(causesPeriod)))
+
+	popular := New(Config{SharedBackends: true})
+	for n := range Fingerprint(6) {
+		crash(popular, fmt.Sprint("i-", n), 7, n+100)
+	}
+	require.False(t, popular.ConfinesSuspects(now))
+}
--- a/internal/edge/daemon/verdicts.go
+++ b/internal/edge/daemon/verdicts.go
@@ -52,9 +52,9 @@
 
 // isolated reports that a suspect is sent to a backend server that has no other
 // suspect of this instance in flight, if there is one.
-func (r *verdictReporter) isolated(id, backend string, fp decide.Fingerprint, ev decide.Evidence) {
+func (r *verdictReporter) isolated(id, backend string, fp decide.Fingerprint, confined bool, ev decide.Evidence) {
 	r.metrics.Add("isolated_attempts", 1)
-	e := r.log.Info().Str("event", "isolated").Stringer("fingerprint", fp).Str("id", id).Str("backend", backend)
+	e := r.log.Info().Str("event", "isolated").Stringer("fingerprint", fp).Str("id", id).Str("backend", backend).Bool("confined", confined)
 	addEvidence(e, ev)
 	e.Msg("")
 }
--- a/internal/edge/edgetest/quarantine_test.go
+++ b/internal/edge/edgetest/quarantine_test.go
@@ -98,10 +98,16 @@
 	for _, b := range e.backends {
 		crashes = append(crashes, b.Crashes()...)
 	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	return lateAfterThird(crashes, sends)
+}
+
+// lateAfterThird returns how many of the sends came later than contact after the third of the
+// crashes.
+func lateAfterThird(crashes, sends []time.Time) int {
 	if len(crashes) < 3 {
 		return 0
 	}
-	slices.SortFunc(crashes, time.Time.Compare)
 	late := 0
 	for _, at := range sends {
 		if at.After(crashes[2].Add(contact)) {
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -33,8 +33,8 @@
 }
 
 // OnIsolated is called when a suspect is sent to a backend server in isolation from
-// other suspects.
-type OnIsolated func(id, backend string, fp decide.Fingerprint, ev decide.Evidence)
+// other suspects. confined is set if only the few backend servers for suspects may get it.
+type OnIsolated func(id, backend string, fp decide.Fingerprint, confined bool, ev decide.Evidence)
 
 // PlacementResolver obtains the placement of an object and merges it into the
 // Decider.
@@ -88,7 +88,7 @@
 		return f.reject(ex, state, string(rejection)), attemptEnd{}
 	}
 	if permit.Isolated() {
-		f.onIsolated(ex.ID, choice.Backend.ID, ex.Fingerprint, ex.Outcome.Evidence)
+		f.onIsolated(ex.ID, choice.Backend.ID, ex.Fingerprint, permit.Confined(), ex.Outcome.Evidence)
 	}
 	end := f.send(ctx, ex, state, choice, permit)
 	if end.response != nil && !end.retryable {
@@ -105,7 +105,7 @@
 		return nil
 	}
 	return &admission.Isolation{
-		Key: fp.String(),
+		Key: fp.String(), Confined: permit.Confined(),
 		Avoid: func(b *traffic.Backend) bool {
 			return admission.StartedAfter(b, ev.FirstSent) || permit.Avoid(egress.ConnectionKey(b))
 		},
--- a/internal/emulator/crashing.go
+++ b/internal/emulator/crashing.go
@@ -77,8 +77,9 @@
 	if verdict == quarantine.Suspect {
 		first := i.quarantine.Evidence(c.fingerprint).FirstSent
 		state.Isolation = &admission.Isolation{
-			Key:   c.fingerprint.String(),
-			Avoid: func(b *traffic.Backend) bool { return admission.StartedAfter(b, first) },
+			Key:      c.fingerprint.String(),
+			Avoid:    func(b *traffic.Backend) bool { return admission.StartedAfter(b, first) },
+			Confined: i.quarantine.ConfinesSuspects(sim.clock()),
 		}
 	}
 	choice, reason := i.policy.Next(state, i.snapshot, sim.clock())
--- a/internal/quarantine/permit.go
+++ b/internal/quarantine/permit.go
@@ -18,6 +18,7 @@
 	guard    *Guard
 	released chan struct{}
 	request  quarantine.SentRequest
+	confined bool
 }
 
 // Admit returns the verdict on a request that is about to be sent, and unless the
@@ -60,6 +61,7 @@
 		return nil, verdict, nil, &UnresolvedError{Left: left}
 	}
 	p.request.Isolated, p.released = true, make(chan struct{})
+	p.confined = g.machine.ConfinesSuspects(g.now())
 	g.isolated[fp] = p.released
 	return p, verdict, nil, nil
 }
@@ -123,6 +125,10 @@
 // Isolated reports whether the permit is for a suspect.
 func (p *Permit) Isolated() bool { return p.request.Isolated }
 
+// Confined reports whether the request may only be sent to the few backend servers for
+// suspects, because many requests seem to crash backend servers.
+func (p *Permit) Confined() bool { return p.confined }
+
 // Avoid reports whether a backend server has another suspect in flight.
 func (p *Permit) Avoid(backend string) bool {
 	g := p.guard
