--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -87,6 +87,7 @@
 // before Run.
 func New(s *traffic.Settings, log zerolog.Logger, m *metrics.Metrics) *Daemon {
 	d := &Daemon{settings: s, log: log, metrics: m, store: platform.NewStore(s.Store.Address)}
+	d.store.CountCalls(func(op platform.Operation, table string) { m.Add("store_calls_"+string(op)+"_"+table, 1) })
 	d.control = control.New(endObserver{d}, log)
 	d.directory = directory.New(d.control, s)
 	pool := egress.NewPool(platform.HeaderRequestID)
--- a/internal/edge/edgetest/environment.go
+++ b/internal/edge/edgetest/environment.go
@@ -10,7 +10,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -119,9 +122,25 @@
 	// Stop begins the planned shutdown.
 	Stop context.CancelFunc
 	// Done is closed when the instance has stopped.
-	Done chan struct{}
+	Done    chan struct{}
+	metrics *metrics.Metrics
 }
 
+// StoreCalls returns how many calls the instance has made to the store, by operation and
+// table, such as "changes_servers".
+func (i *Instance) StoreCalls() map[string]int {
+	recorder := httptest.NewRecorder()
+	i.metrics.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+	calls := map[string]int{}
+	for _, m := range storeCallMetric.FindAllStringSubmatch(recorder.Body.String(), -1) {
+		calls[m[1]], _ = strconv.Atoi(m[2])
+	}
+	return calls
+}
+
+// storeCallMetric matches the metric of one operation and table.
+var storeCallMetric = regexp.MustCompile(`(?m)^banyandeal_store_calls_(\w+)_total (\d+)$`)
+
 // RegionOf maps the availability zones of every Environment to their regions.
 var RegionOf = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
 
@@ -148,8 +167,8 @@
 	}
 	log := zerolog.New(zerolog.TestWriter{T: discardLogs{}})
 	ctx, cancel := context.WithCancel(context.Background())
-	i := &Instance{Settings: s, Stop: cancel, Done: make(chan struct{})}
-	d := daemon.New(s, log, metrics.New())
+	i := &Instance{Settings: s, Stop: cancel, Done: make(chan struct{}), metrics: metrics.New()}
+	d := daemon.New(s, log, i.metrics)
 	go func() {
 		defer close(i.Done)
 		// An error means a listener that cannot be opened or has failed.
