feeds: during an outage of the store one feed finds out when it is back

What it cost: while the store is away, each instance of a region turns to it itself, and each of its four feeds tried again every 0.6 s on its own: 42 calls of one instance in 6 s.

Cause: the operator's feed already detected outages for all feeds, but only their beginning.

Now it tells their end too. A feed whose call has failed calls the store again when the operator's feed has read it, or a reader, or after 3 s; readers are asked as before. The operator's feed tries as often as it did, so that the end of an outage is found as soon.

A first try, a pause after each failed call, was not enough: a failed reader led back to the store at once (4 calls in 6 s).

--- a/internal/edge/edgetest/storecalls_test.go
+++ b/internal/edge/edgetest/storecalls_test.go
@@ -1,10 +1,13 @@
 package edgetest
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/banyandeal/banyandeal/internal/standin/store"
 )
 
 // restCallsPerSecond is the most calls of a region's reader for each operation and table
@@ -52,3 +55,35 @@
 	}
 	return calls
 }
+
+// TestStoreCallsDuringOutage guards against calls to a store that is away for each table and
+// instance: one feed finds out when it is back, and the others are current soon after.
+func TestStoreCallsDuringOutage(t *testing.T) {
+	t.Parallel()
+	const outage = 6 * time.Second
+	f := startFleet(t, 6, Start{}, "a1", "a1", "a2", "b1", "b1")
+	time.Sleep(4 * time.Second)
+	f.Store.SetTrouble(func(*http.Request) store.Trouble { return store.Refuse })
+	time.Sleep(time.Second)
+	before := make([]map[string]int, len(f.instances))
+	for n, i := range f.instances {
+		before[n] = i.StoreCalls()
+	}
+	time.Sleep(outage)
+	for n, i := range f.instances {
+		calls := callsSince(before[n], i.StoreCalls())
+		t.Logf("%s: %v", i.Settings.Instance, calls)
+		for name, count := range calls {
+			if name != "changes_op" && name != "read_op" {
+				// One each outageRetryInterval of 3 s.
+				require.LessOrEqual(t, count, 3, name)
+			}
+		}
+	}
+	f.Store.SetTrouble(func(*http.Request) store.Trouble { return store.None })
+	added := f.Backend(Start{Name: "added", Zone: "a1", Service: "shop"})
+	require.Eventually(t, func() bool {
+		f.Do(f.instance(0), CallerRequest{Path: "/read/x", Object: time.Now().String()})
+		return len(added.Arrivals()) > 0
+	}, 2*time.Second, 20*time.Millisecond)
+}
--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -88,6 +88,8 @@
 	batchInterval time.Duration
 	// lostAt is the time since which the store cannot be read; zero while it can.
 	lostAt time.Time
+	// lastStoreCall is when the feed last called the store.
+	lastStoreCall time.Time
 }
 
 // RowReceiver takes rows of a table. full means that they are all its rows. It must not
@@ -138,11 +140,14 @@
 	backoff := minBackoff
 	position, synced := platform.Position{}, false
 	for ctx.Err() == nil {
-		sel := f.selector.choose()
+		sel := f.awaitSource(ctx)
 		next, err := f.poll(ctx, sel, position, synced)
 		switch {
 		case err == nil:
 			position, synced, backoff = next, true, minBackoff
+			if f.detectsOutage {
+				f.selector.outage.end()
+			}
 			continue
 		case ctx.Err() != nil:
 			return
@@ -264,6 +269,7 @@
 func (f *Feed) handleFailure(ctx context.Context, sel selection, err error) {
 	if sel.fromStore() && f.detectsOutage {
 		// The other feeds may be waiting for a response that will not arrive.
+		f.selector.outage.begin()
 		f.replica.LostAll()
 		f.selector.cancelCalls(sel)
 	}
--- /dev/null
+++ b/internal/edge/feeds/outage.go
@@ -0,0 +1,67 @@
+package feeds
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// outageRetryInterval is the longest time for which such a feed makes no call during an outage.
+const outageRetryInterval = 3 * time.Second
+
+// outage is an outage of the store, as the feed that detects outages finds it. While it
+// lasts, other feeds whose calls have failed make none. It is safe for concurrent use.
+type outage struct {
+	mu sync.Mutex
+	// over is closed when the outage ends; nil if there is none.
+	over chan struct{}
+}
+
+// begin records that the store cannot be read.
+func (o *outage) begin() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.over == nil {
+		o.over = make(chan struct{})
+	}
+}
+
+// end records that the store, or a reader of it, can be read.
+func (o *outage) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.over != nil {
+		close(o.over)
+		o.over = nil
+	}
+}
+
+// current returns a channel that is closed when the current outage ends, or nil if there is
+// none.
+func (o *outage) current() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.over
+}
+
+// awaitSource returns the source for the next call. A feed that cannot read the store does
+// not call it again before the outage ends or outageRetryInterval is over, only readers.
+func (f *Feed) awaitSource(ctx context.Context) selection {
+	retryCtx, cancel := context.WithDeadline(ctx, f.lastStoreCall.Add(outageRetryInterval))
+	defer cancel()
+	for {
+		sel, over := f.selector.choose(), f.selector.outage.current()
+		if !sel.fromStore() {
+			return sel
+		}
+		if f.detectsOutage || f.lostAt.IsZero() || over == nil || retryCtx.Err() != nil {
+			f.lastStoreCall = time.Now()
+			return sel
+		}
+		select {
+		case <-over:
+		case <-sel.ctx.Done():
+		case <-retryCtx.Done():
+		}
+	}
+}
--- a/internal/edge/feeds/source.go
+++ b/internal/edge/feeds/source.go
@@ -38,6 +38,7 @@
 	store   Source
 	readers ReaderClient
 	log     zerolog.Logger
+	outage  outage
 
 	mu       sync.Mutex
 	selector *source.Selector
