--- a/internal/edge/edgetest/backend.go
+++ b/internal/edge/edgetest/backend.go
@@ -40,4 +40,8 @@
 	CrashSilently = registered.CrashSilently
 	// CrashFromQueue is Crash after a wait, also if the connection was closed meanwhile.
 	CrashFromQueue = registered.CrashFromQueue
+	// EndAnswer answers without a length and ends the connection behind the body.
+	EndAnswer = registered.EndAnswer
+	// ResetAnswer answers without a length and resets the connection amid the body.
+	ResetAnswer = registered.ResetAnswer
 )
--- a/internal/edge/edgetest/storecalls_test.go
+++ b/internal/edge/edgetest/storecalls_test.go
@@ -85,5 +85,5 @@
 	require.Eventually(t, func() bool {
 		f.Do(f.instance(0), CallerRequest{Path: "/read/x", Object: time.Now().String()})
 		return len(added.Arrivals()) > 0
-	}, 2*time.Second, 20*time.Millisecond)
+	}, contact, 20*time.Millisecond)
 }
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -50,6 +50,10 @@
 	// CrashFromQueue is Crash after the request has waited for Start.QueueWait, also if its
 	// connection has been closed meanwhile.
 	CrashFromQueue
+	// EndAnswer answers without a length and ends the connection behind the body. ResetAnswer
+	// does the same, but resets the connection amid the body.
+	EndAnswer
+	ResetAnswer
 )
 
 // Arrival is one request that reached a backend server.
@@ -130,6 +134,8 @@
 	// when it ends, and OnRestart before it reports that it is back; while OnRestart
 	// fails it stays away. Both may be nil.
 	Down time.Duration
+	// AnswersEarly is set if requests with a body are answered before the body is read.
+	AnswersEarly bool
 	// QueueWait is how long a request waits before the act CrashFromQueue.
 	QueueWait time.Duration
 	OnCrash   func()
@@ -448,6 +454,12 @@
 		if err != nil {
 			return
 		}
+		if b.start.AnswersEarly && r.ContentLength > 0 {
+			if !b.answerEarly(nc, br, r) {
+				return
+			}
+			continue
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !b.handle(nc, br, r, string(body)) {
 			return
@@ -455,6 +467,19 @@
 	}
 }
 
+// answerEarly answers a request before it reads its body, and reports whether the connection
+// stays. The body of the arrival is what is read where the body is due.
+func (b *Backend) answerEarly(nc net.Conn, br *bufio.Reader, r *http.Request) bool {
+	if !b.handle(nc, br, r, "") {
+		return false
+	}
+	body, err := io.ReadAll(r.Body)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals[len(b.arrivals)-1].Body = string(body)
+	return err == nil
+}
+
 // handle treats one request and reports whether the connection stays.
 func (b *Backend) handle(nc net.Conn, br *bufio.Reader, r *http.Request, body string) bool {
 	a := &Arrival{
@@ -544,6 +569,14 @@
 	case CutAnswer:
 		fmt.Fprintf(nc, "%s%sContent-Length: %d\r\n\r\n%s", head(200, a.ID), stamp, len(text)+100, text)
 		return false
+	case EndAnswer:
+		fmt.Fprintf(nc, "%s%sConnection: close\r\n\r\n%s", head(200, a.ID), stamp, text)
+		return false
+	case ResetAnswer:
+		fmt.Fprintf(nc, "%s%sConnection: close\r\n\r\n%s", head(200, a.ID), stamp, text[:len(text)/2])
+		// Without lingering, closing resets the connection.
+		_ = nc.(*net.TCPConn).SetLinger(0)
+		return false
 	case Fail:
 		whole(500, a.ID, stamp, text)
 	case Unstamped:
