edge: log and measure by what an instance goes that evacuates a zone

`evacuation` lines now say why the zone's state changed (row, whole_read, hold_ended), from which source, era and version, how old the store's response was and how long the update took from its arrival until it was in force; they are also written for a zone that a whole read drops, which was silent before. Replies between instances carry the time from the receipt of the request until the store's newest response, so that the age of a table adds up along a chain without comparing clocks: gauges table_age_seconds_*, table_age in the lines of attempts. Histograms update_delay_seconds_* show a control goroutine that has no processor time.

A view is published before its lines are written; nothing else is decided differently.

--- a/internal/edge/control/control.go
+++ b/internal/edge/control/control.go
@@ -25,6 +25,9 @@
 	current atomic.Pointer[View]
 	log     zerolog.Logger
 	ends    EndObserver
+	// OnInForce is called with the time from the arrival of an update until it is in force.
+	// It may be nil, must be set before Run and must not block.
+	OnInForce func(k Kind, delay time.Duration)
 }
 
 // EndObserver is told of backend servers that end without having announced it. Its methods
@@ -63,21 +66,47 @@
 	ticker := time.NewTicker(missingCheckInterval)
 	defer ticker.Stop()
 	for {
-		changed := false
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			missing, evacuations := s.expireMissing(now), s.expireEvacuations(now)
-			changed = missing || evacuations
+			c.publish(s, missing || evacuations)
+			c.logEvacuations(s.takeEvacuationChanges(), Origin{})
 		case u := <-c.updates:
 			c.reportEnds(s, u, time.Now())
-			changed = s.apply(u, time.Now())
+			c.publish(s, s.apply(u, time.Now()))
+			c.reportDelay(u)
 			c.logUpdate(u, s.config)
+			c.logEvacuations(s.takeEvacuationChanges(), u.Origin)
 		}
-		if changed {
-			c.current.Store(s.view())
+	}
+}
+
+// publish publishes a new view if the state has changed.
+func (c *Control) publish(s *state, changed bool) {
+	if changed {
+		c.current.Store(s.view())
+	}
+}
+
+// reportDelay tells how long after its arrival an update is in force.
+func (c *Control) reportDelay(u Update) {
+	if c.OnInForce != nil && !u.Origin.Arrived.IsZero() {
+		c.OnInForce(u.Kind, time.Since(u.Origin.Arrived))
+	}
+}
+
+// logEvacuations logs evacuations that began or ended by an update of the given origin,
+// which is empty if they ended by themselves.
+func (c *Control) logEvacuations(changes []evacuationChange, o Origin) {
+	for _, change := range changes {
+		e := c.log.Info().Str("event", "evacuation").Str("zone", change.zone).Bool("on", change.on).Str("cause", string(change.cause))
+		if !o.Arrived.IsZero() {
+			e.Str("source", o.Source).Uint64("era", o.Era).Uint64("version", o.Version).
+				Dur("age", time.Since(o.StoreReadAt)).Dur("delay", time.Since(o.Arrived))
 		}
+		e.Msg("")
 	}
 }
 
@@ -107,9 +136,6 @@
 	default:
 		c.log.Info().Str("event", "config_ignored").Uint64("version", u.Config.Version).Uint64("in_force", inForce.Version).Msg("the configuration is not newer than the one in force")
 	}
-	for zone, on := range u.Evacuated {
-		c.log.Info().Str("event", "evacuation").Str("zone", zone).Bool("on", on).Msg("")
-	}
 	for id, b := range u.Backends {
 		switch {
 		case b == nil:
--- a/internal/edge/control/state.go
+++ b/internal/edge/control/state.go
@@ -32,11 +32,24 @@
 	// Lost reports that the feed has lost its connection to the store. Regained
 	// reports that it has regained the connection.
 	Lost, Regained bool
+	// Origin tells where the update comes from.
+	Origin Origin
 	// OutageDuration is how long the store was unreachable. It is set together
 	// with Regained.
 	OutageDuration time.Duration
 }
 
+// Origin tells where an update comes from and how old it is.
+type Origin struct {
+	// Source is the name of the instance that it was read from, empty for the store.
+	Source string
+	// Era and Version are the position of the table.
+	Era, Version uint64
+	// StoreReadAt is when the store's response arrived that the update goes by, at the
+	// instance that read it. Arrived is when the update was read here.
+	StoreReadAt, Arrived time.Time
+}
+
 // Kind is the kind of entries that an Update carries.
 type Kind uint8
 
@@ -88,6 +101,48 @@
 	heldEvacuations map[string]time.Time
 	// storeLost is set while the feed of backend servers cannot reach the store.
 	storeLost bool
+	// evacuationChanges holds the changes of evacuated since they were last taken.
+	evacuationChanges []evacuationChange
+}
+
+// evacuationChange is the beginning or the end of an evacuation.
+type evacuationChange struct {
+	zone  string
+	on    bool
+	cause evacuationCause
+}
+
+// evacuationCause is why an evacuation began or ended.
+type evacuationCause string
+
+const (
+	// causeRow is a row of the operator, which was written or removed.
+	causeRow evacuationCause = "row"
+	// causeWholeRead is a read of the whole table, with or without the row.
+	causeWholeRead evacuationCause = "whole_read"
+	// causeHoldEnded means that the row was missing for evacuationHold after the store had
+	// come back from an older copy.
+	causeHoldEnded evacuationCause = "hold_ended"
+)
+
+// setEvacuated records whether a zone is evacuated. It does nothing if that is known.
+func (s *state) setEvacuated(zone string, on bool, cause evacuationCause) {
+	if s.evacuated[zone] == on {
+		return
+	}
+	if on {
+		s.evacuated[zone] = true
+	} else {
+		delete(s.evacuated, zone)
+	}
+	s.evacuationChanges = append(s.evacuationChanges, evacuationChange{zone: zone, on: on, cause: cause})
+}
+
+// takeEvacuationChanges returns the changes of the evacuated zones since the last call.
+func (s *state) takeEvacuationChanges() []evacuationChange {
+	changes := s.evacuationChanges
+	s.evacuationChanges = nil
+	return changes
 }
 
 func newState() *state {
@@ -115,18 +170,15 @@
 		s.config = u.Config
 		changed = true
 	}
+	cause := causeRow
 	if u.Full {
 		s.resetEvacuations(u, now)
-		changed = true
+		changed, cause = true, causeWholeRead
 	}
 	for zone, on := range u.Evacuated {
 		changed = true
 		delete(s.heldEvacuations, zone)
-		if on {
-			s.evacuated[zone] = true
-		} else {
-			delete(s.evacuated, zone)
-		}
+		s.setEvacuated(zone, on, cause)
 	}
 	return changed
 }
@@ -135,7 +187,10 @@
 // In a new era of the store they stay for evacuationHold.
 func (s *state) resetEvacuations(u Update, now time.Time) {
 	if !u.NewEra {
-		s.evacuated, s.heldEvacuations = map[string]bool{}, map[string]time.Time{}
+		s.heldEvacuations = map[string]time.Time{}
+		for zone := range s.evacuated {
+			s.setEvacuated(zone, u.Evacuated[zone], causeWholeRead)
+		}
 		return
 	}
 	for zone := range s.evacuated {
@@ -150,7 +205,7 @@
 	for zone, until := range s.heldEvacuations {
 		if !now.Before(until) {
 			delete(s.heldEvacuations, zone)
-			delete(s.evacuated, zone)
+			s.setEvacuated(zone, false, causeHoldEnded)
 			changed = true
 		}
 	}
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -94,6 +94,9 @@
 	d := &Daemon{settings: s, log: log, metrics: m, store: platform.NewStore(s.Store.Address)}
 	d.store.CountCalls(func(op platform.Operation, table string) { m.Add("store_calls_"+string(op)+"_"+table, 1) })
 	d.control = control.New(endObserver{d}, log)
+	d.control.OnInForce = func(k control.Kind, delay time.Duration) {
+		m.Observe("update_delay_seconds_"+k.String(), delay.Seconds())
+	}
 	d.directory = directory.New(d.control, s, func(instance string) bool { return d.membership.IsDead(instance) })
 	pool := egress.NewPool(platform.HeaderRequestID)
 	d.pool = pool
@@ -102,6 +105,9 @@
 	d.client = client
 	d.replica = feeds.NewReplica()
 	d.metrics.RegisterGauge("config_age_seconds", d.configAge)
+	for table, name := range map[string]string{platform.TableOperator: "operator", platform.TableBackends: "backends", feeds.TableMembers: "members"} {
+		d.metrics.RegisterGauge("table_age_seconds_"+name, func() float64 { return age(d.replica.StoreReadAt(table)) })
+	}
 	limitChanges := &limitReporter{log: boundedLog(log, m, maxLimitLines), metrics: m}
 	decider := dispatch.NewDecider(s, d.control, d.store.ClockZero, limitChanges)
 	d.decider = decider
@@ -125,7 +131,7 @@
 	guard := d.evidence.Guard()
 	handler := gateway.New(d.control,
 		accesslog.New(log, m), identify.Filter{}, match.Filter{ConfigReadAt: d.sourceSelector.ConfigReadAt}, quarantine.Filter{Guard: guard}, expire.Filter{},
-		dispatch.New(pool, decider, d.places, guard, verdicts.isolated))
+		dispatch.New(pool, decider, d.places, guard, dispatch.Hooks{OnIsolated: verdicts.isolated, TableReadAt: d.operatorReadAt}))
 	d.ingress = ingress.New(handler, d.rejectUnreadable, d.limits, maxCallerConns)
 	return d
 }
@@ -164,14 +170,20 @@
 
 // configAge returns the seconds since the configuration was last found to be in force, -1
 // before the first time.
-func (d *Daemon) configAge() float64 {
-	at := d.sourceSelector.ConfigReadAt()
+func (d *Daemon) configAge() float64 { return age(d.sourceSelector.ConfigReadAt()) }
+
+// age returns the seconds since at, -1 for the zero time.
+func age(at time.Time) float64 {
 	if at.IsZero() {
 		return -1
 	}
 	return time.Since(at).Seconds()
 }
 
+// operatorReadAt returns when the store's response arrived by which the operator's table is
+// known.
+func (d *Daemon) operatorReadAt() time.Time { return d.replica.StoreReadAt(platform.TableOperator) }
+
 // limits returns the limits of the current configuration.
 func (d *Daemon) limits() traffic.Limits {
 	if c := d.control.View().Config; c != nil {
--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -205,9 +205,10 @@
 	}
 	next.Version = max(position.Version, next.Version)
 	f.replica.Apply(f.table, rows, next)
+	f.replica.RecordRead(f.table, sel.storeReadAt(f.table))
 	changed := len(rows) > 0 || !f.lostAt.IsZero()
 	if changed {
-		f.deliver(ctx, delivery{rows: rows})
+		f.deliver(ctx, delivery{rows: rows, origin: f.origin(sel, next)})
 	}
 	f.selector.recordRead(f.table)
 	if changed && sel.fromStore() {
@@ -237,7 +238,8 @@
 			Uint64("era_before", before.Era).Uint64("version_before", before.Version).
 			Msg("the store came back from an older copy; what is known to be newer stays in use until it is written again")
 	}
-	f.deliver(ctx, delivery{rows: rows, full: true, newEra: newEra})
+	f.replica.RecordRead(f.table, sel.storeReadAt(f.table))
+	f.deliver(ctx, delivery{rows: rows, full: true, newEra: newEra, origin: f.origin(sel, position)})
 	f.selector.recordRead(f.table)
 	return position, nil
 }
@@ -262,6 +264,15 @@
 	// full means that they are all rows of the table, newEra that they are of a later
 	// era than what was delivered before, and may be older.
 	full, newEra bool
+	origin       control.Origin
+}
+
+// origin returns where rows of the given position come from that have just been read.
+func (f *Feed) origin(sel selection, p platform.Position) control.Origin {
+	return control.Origin{
+		Source: sel.name, Era: p.Era, Version: p.Version,
+		StoreReadAt: f.replica.StoreReadAt(f.table), Arrived: time.Now(),
+	}
 }
 
 // deliver passes rows to their receiver, or an update to the control goroutine together
@@ -273,7 +284,7 @@
 		return
 	}
 	u := f.decode(d.rows)
-	u.Kind, u.Full, u.NewEra = f.kind, d.full, d.newEra
+	u.Kind, u.Full, u.NewEra, u.Origin = f.kind, d.full, d.newEra, d.origin
 	if !f.lostAt.IsZero() {
 		u.Regained, u.OutageDuration = true, time.Since(f.lostAt)
 		f.lostAt = time.Time{}
--- a/internal/edge/feeds/replica.go
+++ b/internal/edge/feeds/replica.go
@@ -54,6 +54,9 @@
 	// cannot be read.
 	lostAt    time.Time
 	storeLost bool
+	// storeReadAt is when the newest response of the store arrived by which the table is
+	// known, here or at the instance that read it; zero before the first one.
+	storeReadAt time.Time
 	// changed is closed when the rows or current change.
 	changed chan struct{}
 }
@@ -133,6 +136,24 @@
 	}
 }
 
+// RecordRead records when the response of the store arrived by which the table is known.
+func (r *Replica) RecordRead(name string, storeReadAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.table(name); storeReadAt.After(t.storeReadAt) {
+		t.storeReadAt = storeReadAt
+	}
+}
+
+// StoreReadAt returns when the newest response of the store arrived by which a table is
+// known, at this instance or at the one that read the store. It is the zero time before the
+// first one.
+func (r *Replica) StoreReadAt(name string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table(name).storeReadAt
+}
+
 // Lost records that this instance has lost the source of a table and may soon have
 // another one.
 func (r *Replica) Lost(name string) {
--- a/internal/edge/feeds/source.go
+++ b/internal/edge/feeds/source.go
@@ -22,6 +22,13 @@
 	Changes(ctx context.Context, table string, after platform.Position, wait time.Duration) ([]platform.Row, platform.Position, error)
 }
 
+// AgeReporter is a Source that passes on what others have read, and knows when that was.
+type AgeReporter interface {
+	// StoreReadAt returns when the store's response arrived that the last successful call for
+	// a table goes by.
+	StoreReadAt(table string) time.Time
+}
+
 // ReaderClient provides the tables of other instances.
 type ReaderClient interface {
 	// Source returns a source that reads from the instance with the given peer
@@ -104,6 +111,15 @@
 	}
 }
 
+// storeReadAt returns when the store's response arrived by which a table was last read from
+// sel. The store itself has just responded.
+func (s selection) storeReadAt(table string) time.Time {
+	if r, ok := s.source.(AgeReporter); ok {
+		return r.StoreReadAt(table)
+	}
+	return time.Now()
+}
+
 // choose returns the source to use now and switches to it if it has changed.
 func (s *SourceSelector) choose() selection {
 	s.mu.Lock()
--- a/internal/edge/filter/accesslog/accesslog.go
+++ b/internal/edge/filter/accesslog/accesslog.go
@@ -146,6 +146,9 @@
 	if a.Status > 0 {
 		e.Int("status", a.Status)
 	}
+	if a.TableAge >= 0 {
+		e.Dur("table_age", a.TableAge)
+	}
 	if a.Detail != "" {
 		e.Str("detail", a.Detail)
 	}
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -29,7 +29,28 @@
 	decider    *Decider
 	placements PlacementResolver
 	guard      *quarantine.Guard
-	onIsolated OnIsolated
+	hooks      Hooks
+}
+
+// Hooks connects the filter to what its log needs. All of them may be nil.
+type Hooks struct {
+	// OnIsolated is told of suspects that are sent in isolation.
+	OnIsolated OnIsolated
+	// TableReadAt returns when the store's response arrived by which the operator's table is
+	// known.
+	TableReadAt func() time.Time
+}
+
+// tableAge returns the age of the operator's table, -1 if it is unknown.
+func (h Hooks) tableAge() time.Duration {
+	if h.TableReadAt == nil {
+		return -1
+	}
+	at := h.TableReadAt()
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at)
 }
 
 // OnIsolated is called when a suspect is sent to a backend server in isolation from
@@ -43,8 +64,8 @@
 }
 
 // New returns the filter. guard decides which requests may be sent.
-func New(pool *egress.Pool, decider *Decider, placements PlacementResolver, guard *quarantine.Guard, onIsolated OnIsolated) *Filter {
-	return &Filter{pool: pool, decider: decider, placements: placements, guard: guard, onIsolated: onIsolated}
+func New(pool *egress.Pool, decider *Decider, placements PlacementResolver, guard *quarantine.Guard, hooks Hooks) *Filter {
+	return &Filter{pool: pool, decider: decider, placements: placements, guard: guard, hooks: hooks}
 }
 
 // Serve implements gateway.Filter.
@@ -90,8 +111,8 @@
 		ex.Outcome.Rejected = &gateway.Rejection{Choice: choice, Patience: state.Patience, Limitation: state.Limitation, RestingBackend: state.RestingBackend}
 		return f.reject(ex, state, string(rejection)), attemptEnd{}
 	}
-	if permit.Isolated() {
-		f.onIsolated(ex.ID, choice.Backend.ID, ex.Fingerprint, permit.Confined(), ex.Outcome.Evidence)
+	if permit.Isolated() && f.hooks.OnIsolated != nil {
+		f.hooks.OnIsolated(ex.ID, choice.Backend.ID, ex.Fingerprint, permit.Confined(), ex.Outcome.Evidence)
 	}
 	// A newer route may have a shorter timeout than the one that ctx was made for.
 	sendCtx, cancel := context.WithDeadline(ctx, ex.Deadline)
@@ -177,7 +198,7 @@
 // send makes one attempt and records its end.
 func (f *Filter) send(ctx context.Context, ex *gateway.Exchange, state *admission.RequestState, choice affinity.Choice, permit *quarantine.Permit) attemptEnd {
 	tracked := permit.Start(egress.ConnectionKey(choice.Backend))
-	started := time.Now()
+	started, tableAge := time.Now(), f.hooks.tableAge()
 	request := f.request(ex, choice.Backend)
 	// A new connection shows that the backend server is up when it gets a suspect.
 	request.NewConnection = permit.Isolated()
@@ -191,7 +212,7 @@
 	if result.Outcome != affinity.Unreachable {
 		f.decider.observeRest(choice.Backend, rest.Statement{Rest: end.rest.For, Leaving: end.leaving})
 	}
-	a := gateway.Attempt{Choice: choice, Sent: started, Took: result.Took, Reason: end.reason, MayHaveRun: end.mayHaveRun}
+	a := gateway.Attempt{Choice: choice, Sent: started, Took: result.Took, Reason: end.reason, MayHaveRun: end.mayHaveRun, TableAge: tableAge}
 	if resp != nil {
 		a.Status, a.Limit, a.Rest, a.Leaving = resp.Status, end.limit, end.rest, end.leaving
 	}
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -85,6 +85,9 @@
 	Sent time.Time
 	// Took is the duration of the attempt.
 	Took time.Duration
+	// TableAge is how old the operator's table was when the attempt started, by the response
+	// of the store; -1 if that is unknown.
+	TableAge time.Duration
 	// Reason names how the attempt ended.
 	Reason string
 	// Status is the HTTP status of the response, 0 if there was none.
--- a/internal/edge/relay/client.go
+++ b/internal/edge/relay/client.go
@@ -53,7 +53,7 @@
 
 // Source returns a source that reads from the instance with the given peer address.
 func (c *Client) Source(address string) feeds.Source {
-	return &remoteSource{client: c, address: address}
+	return &remoteSource{client: c, address: address, storeReadAt: map[string]time.Time{}}
 }
 
 // Close closes the session to an address, if there is one.
@@ -153,6 +153,24 @@
 type remoteSource struct {
 	client  *Client
 	address string
+
+	mu sync.Mutex
+	// storeReadAt maps a table to the result of StoreReadAt.
+	storeReadAt map[string]time.Time
+}
+
+// StoreReadAt implements feeds.AgeReporter. Since the clocks of instances differ, the time
+// is that at which the request was sent, plus the difference that the reply states.
+func (r *remoteSource) StoreReadAt(table string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.storeReadAt[table]
+}
+
+func (r *remoteSource) setStoreReadAt(table string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeReadAt[table] = at
 }
 
 // Rows implements feeds.Source.
@@ -177,6 +195,7 @@
 	if err != nil {
 		return nil, platform.Position{}, err
 	}
+	sent := time.Now()
 	reply, err := s.roundTrip(ctx, request, wait)
 	s.release()
 	if err != nil {
@@ -196,5 +215,6 @@
 		}
 		rows = append(rows, row)
 	}
+	r.setStoreReadAt(request.Table, sent.Add(time.Duration(reply.ReadAfterMs)*time.Millisecond))
 	return rows, platform.Position{Era: reply.Era, Version: reply.Version}, nil
 }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -121,6 +121,7 @@
 	if err := protodelim.UnmarshalFrom(bufio.NewReaderSize(stream, 256), request); err != nil {
 		return
 	}
+	received := time.Now()
 	s.onContact(request.Instance)
 	reply := &relaypb.Reply{}
 	switch {
@@ -130,6 +131,7 @@
 		reply.Status = status(s.replica.AwaitCurrent(ctx, requestedWait(request)))
 	default:
 		s.rows(ctx, request, reply)
+		reply.ReadAfterMs = s.replica.StoreReadAt(request.Table).Sub(received).Milliseconds()
 	}
 	_ = send(stream, reply)
 }
