--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -75,6 +75,10 @@
 	era atomic.Uint64
 	// log holds all writes, the oldest first.
 	log []Row
+	// writes holds when each version was written, the oldest first.
+	writes []versionTime
+	// readLag is how far whole reads are behind.
+	readLag time.Duration
 	// rollbackVersion is the version to which the store came back last.
 	rollbackVersion uint64
 	// floor is the version below which the history is gone.
@@ -88,6 +92,12 @@
 	lastWriter string
 }
 
+// versionTime is when a version was written.
+type versionTime struct {
+	version uint64
+	at      time.Time
+}
+
 // New starts a store on loopback.
 func New() *Store {
 	s := Unserved()
@@ -134,6 +144,35 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// SetReadLag makes whole reads see the store as it was so long ago, at the version of then,
+// until it is called with 0. Feeds are not behind.
+func (s *Store) SetReadLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readLag = lag
+}
+
+// versionBefore returns the newest version that was there before a time. The caller must hold
+// s.mu.
+func (s *Store) versionBefore(t time.Time) uint64 {
+	i, _ := slices.BinarySearchFunc(s.writes, t, func(w versionTime, t time.Time) int { return w.at.Compare(t) })
+	if i == 0 {
+		return 0
+	}
+	return s.writes[i-1].version
+}
+
+// tableAt returns the rows of a table as they were at a version. The caller must hold s.mu.
+func (s *Store) tableAt(name string, version uint64) []Row {
+	at := map[string]Row{}
+	for _, r := range s.log {
+		if r.Table == name && r.Version <= version {
+			at[r.Key] = r
+		}
+	}
+	return sorted(at)
+}
+
 // Version returns the newest version.
 func (s *Store) Version() uint64 {
 	s.mu.Lock()
@@ -163,6 +202,7 @@
 		s.place(r)
 	}
 	s.version, s.rollbackVersion, s.floor = to, to, min(s.floor, to)
+	s.writes = slices.DeleteFunc(s.writes, func(w versionTime) bool { return w.version > to })
 	s.era.Add(1)
 	s.wake()
 	return slices.Collect(maps.Values(lost))
@@ -278,6 +318,7 @@
 // write puts rows at the next version, which they share.
 func (s *Store) write(rows ...Row) {
 	s.version++
+	s.writes = append(s.writes, versionTime{version: s.version, at: time.Now()})
 	for _, r := range rows {
 		s.place(r)
 	}
@@ -302,9 +343,20 @@
 }
 
 func (s *Store) table(name string) []Row {
+	of := map[string]Row{}
+	for key, r := range s.rows {
+		if r.Table == name {
+			of[key] = r
+		}
+	}
+	return sorted(of)
+}
+
+// sorted returns the rows that are not deleted, by key.
+func sorted(of map[string]Row) []Row {
 	var rows []Row
-	for _, r := range s.rows {
-		if r.Table == name && !r.Deleted {
+	for _, r := range of {
+		if !r.Deleted {
 			rows = append(rows, r)
 		}
 	}
@@ -382,7 +434,12 @@
 	}
 	s.mu.Lock()
 	rep := reply{Rows: []Row{}, Version: s.version, era: s.era.Load()}
-	for _, x := range s.table(q.Get("table")) {
+	table := s.table(q.Get("table"))
+	if s.readLag > 0 {
+		rep.Version = s.versionBefore(time.Now().Add(-s.readLag))
+		table = s.tableAt(q.Get("table"), rep.Version)
+	}
+	for _, x := range table {
 		if x.Key < q.Get("from") || q.Has("target") && x.Key >= q.Get("target") {
 			continue
 		}
