feeds: a whole read that is older than what is known replaces nothing

Callers saw requests run in a zone that the operator was emptying (rule EVAC). Cause: after the store had dropped its history, a feed reads its table whole. Where such reads are some seconds behind, the older table was taken for the newest truth: the position was compared only if it came from another instance. The evacuation was forgotten, since only the configuration carries an order of its own; backend servers and members went back too. Replica.Reset took older rows as well, dropped tombstones, and told followers that were ahead that nothing had changed.

The position of a table now has one place, the replica, and never goes back: in an era to no older version, and to no earlier era.

Before: TestOlderWholeReadEndsNoEvacuation, TestReplicaGoesNotBack and TestEvacuationSurvivesOlderReads failed (a request in the evacuated zone; whole reads without a pause). After: pass, also with the race detector. Why it works: positions of an era only rise at the store, so an older one is never news.

--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -173,8 +173,13 @@
 		case errors.Is(err, platform.ErrCompacted):
 			synced = false
 			continue
+		case errors.Is(err, ErrStoreBehind):
+			// The store responds, and no other instance can know more.
+			f.replica.Confirm(f.table)
+			f.succeeded(sel)
+		default:
+			f.handleFailure(ctx, sel, err)
 		}
-		f.handleFailure(ctx, sel, err)
 		if f.refusedBy == sel.ctx {
 			wait.Sleep(sel.ctx, refusalInterval)
 		}
@@ -221,6 +226,22 @@
 // another era.
 const ErrReaderBehind = errors.ConstError("the reader has an older table; read from the store or from another instance")
 
+// ErrStoreBehind means that the store has responded with an older table than this feed has
+// read before.
+const ErrStoreBehind = errors.ConstError("the store responds with an older table than it did before; what is known stays in use, and the table is read again")
+
+// rejectOlder logs a whole read that is older than what is known, and returns its error.
+func (f *Feed) rejectOlder(sel selection, read platform.Position) error {
+	known := f.replica.position(f.table)
+	f.log.Warn().Str("event", "older_read").Str("table", f.table).Str("source", sel.name).
+		Uint64("era", read.Era).Uint64("version", read.Version).Uint64("known_era", known.Era).Uint64("known_version", known.Version).
+		Dur("age", time.Since(f.replica.StoreReadAt(f.table))).Msg("the whole table was read at an older position than it is known at; what is known stays in use")
+	if sel.fromStore() {
+		return ErrStoreBehind
+	}
+	return ErrReaderBehind
+}
+
 // readTable reads the whole table by a call with callCtx and returns its position.
 // before is the newest position that the feed has delivered.
 func (f *Feed) readTable(ctx, callCtx context.Context, sel selection, before platform.Position) (platform.Position, error) {
@@ -228,10 +249,9 @@
 	if err != nil {
 		return platform.Position{}, errors.Trace(err)
 	}
-	if !sel.fromStore() && position.Compare(before) < 0 {
-		return platform.Position{}, ErrReaderBehind
+	if !f.replica.Reset(f.table, rows, position) {
+		return platform.Position{}, f.rejectOlder(sel, position)
 	}
-	f.replica.Reset(f.table, rows, position)
 	newEra := before != platform.Position{} && position.Era != before.Era
 	if newEra {
 		f.log.Warn().Str("event", "store_era").Str("table", f.table).Uint64("era", position.Era).Uint64("version", position.Version).
--- a/internal/edge/feeds/replica.go
+++ b/internal/edge/feeds/replica.go
@@ -76,12 +76,17 @@
 }
 
 // Reset replaces the content of a table with all its rows, as read at the given
-// position. In the era of the table, what has changed since its position stays known.
-func (r *Replica) Reset(name string, rows []platform.Row, position platform.Position) {
+// position. In the era of the table, what has changed since its position stays known. The
+// position of a table never goes back: Reset changes nothing and returns false if the rows
+// are older than what is known.
+func (r *Replica) Reset(name string, rows []platform.Row, position platform.Position) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.table(name)
-	former, sameEra := t.rows, t.position.Era == position.Era && t.position.Version <= position.Version
+	if t.known && position.Compare(t.position) < 0 {
+		return false
+	}
+	former, sameEra := t.rows, t.position.Era == position.Era
 	t.rows = map[string]platform.Row{}
 	for _, row := range rows {
 		t.rows[row.Key] = row
@@ -94,6 +99,29 @@
 	t.position, t.known = position, true
 	t.setCurrent()
 	t.notify()
+	return true
+}
+
+// Confirm records that the source of a table responds and has nothing newer.
+func (r *Replica) Confirm(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.table(name)
+	if !t.known {
+		return
+	}
+	woken := !t.current
+	t.setCurrent()
+	if woken {
+		t.notify()
+	}
+}
+
+// position returns the position at which a table is known.
+func (r *Replica) position(name string) platform.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table(name).position
 }
 
 // keepDeletions adds tombstones for the rows that the table had and has no more. Those of
