control: a held evacuation outlasts whole reads

Callers saw requests run in a zone that the operator was emptying (rule EVAC), after the store had come back from an older copy. An evacuation that is missing there is held for 5 s, so that the operator can write it again; but the next whole read in the same era (a dropped history, a change of source) dropped the hold and the evacuation with it: after one of them instead of 5 s.

A whole read ends an evacuation only if it is not held; a hold ends by its time or by what the operator writes. Further reads of the era do not make it longer.

Before: TestHeldEvacuationSurvivesWholeReads (control) failed at the first such read, TestEvacuationSurvivesReturnOfOlderStore (whole instances) with a request in the evacuated zone.

--- a/internal/edge/control/state.go
+++ b/internal/edge/control/state.go
@@ -183,18 +183,19 @@
 	return changed
 }
 
-// resetEvacuations forgets the evacuations before those of a full update are applied.
-// In a new era of the store they stay for evacuationHold.
+// resetEvacuations ends the evacuations that a whole read lacks, which an update shows. In a
+// new era of the store they stay for evacuationHold, however often the table is read
+// meanwhile.
 func (s *state) resetEvacuations(u Update, now time.Time) {
-	if !u.NewEra {
-		s.heldEvacuations = map[string]time.Time{}
-		for zone := range s.evacuated {
-			s.setEvacuated(zone, u.Evacuated[zone], causeWholeRead)
-		}
-		return
-	}
 	for zone := range s.evacuated {
-		s.heldEvacuations[zone] = now.Add(evacuationHold)
+		_, held := s.heldEvacuations[zone]
+		switch {
+		case u.Evacuated[zone]:
+		case u.NewEra:
+			s.heldEvacuations[zone] = now.Add(evacuationHold)
+		case !held:
+			s.setEvacuated(zone, false, causeWholeRead)
+		}
 	}
 }
 
