control: all whole reads of a new era are compared with what is known

A second one within the 2.2 s in which they write their entries again (a dropped history, a change of source) brought back the older entries: a backend server that leaves, or is gone, got requests again (rule DRAIN), and older owners of an address counted as ended, which is evidence against the requests that they ran.

Whole reads in that time are all compared; what is written in the new era arrives as a change and is in use at once, as before.

--- a/internal/edge/control/control.go
+++ b/internal/edge/control/control.go
@@ -115,7 +115,7 @@
 	for _, former := range s.lapsed(u, now) {
 		c.ends.Lapsed(former)
 	}
-	for _, former := range s.replaced(u) {
+	for _, former := range s.replaced(u, now) {
 		c.ends.Restarted(former)
 	}
 }
--- a/internal/edge/control/state.go
+++ b/internal/edge/control/state.go
@@ -93,6 +93,9 @@
 	// keepMissingUntil is the end of the reregistrationWindow of the last
 	// outage.
 	keepMissingUntil time.Time
+	// ignoreOlderUntil is the end of the reregistrationWindow of the last new era. Until then
+	// entries of whole reads may be older than what is known.
+	ignoreOlderUntil time.Time
 	// removed holds the entries of backend servers that were removed, so that an older
 	// copy of the store does not bring them back.
 	removed map[string]*traffic.Backend
@@ -240,6 +243,7 @@
 	}
 	if u.NewEra {
 		s.keepMissingUntil = now.Add(reregistrationWindow)
+		s.ignoreOlderUntil = s.keepMissingUntil
 	}
 	if u.Full {
 		for id := range s.backends {
@@ -253,7 +257,7 @@
 			s.remove(id, now)
 			continue
 		}
-		if u.NewEra && s.knowsNewer(b) {
+		if s.mayBeOlder(u, now) && s.knowsNewer(b) {
 			continue
 		}
 		delete(s.missing, id)
@@ -265,8 +269,8 @@
 
 // replaced returns the backend servers that an update shows to have ended unannounced:
 // their entry names a later incarnation, or their address another backend server.
-func (s *state) replaced(u Update) []*traffic.Backend {
-	if u.NewEra {
+func (s *state) replaced(u Update, now time.Time) []*traffic.Backend {
+	if s.mayBeOlder(u, now) {
 		return nil
 	}
 	byAddress := map[string]*traffic.Backend{}
@@ -335,6 +339,12 @@
 	delete(s.backends, id)
 }
 
+// mayBeOlder reports whether entries of an update may be older than what is known, since the
+// store came back from an older copy and there was no time to write them again.
+func (s *state) mayBeOlder(u Update, now time.Time) bool {
+	return u.NewEra || u.Full && now.Before(s.ignoreOlderUntil)
+}
+
 // knowsNewer reports whether an entry that an older copy of the store holds is not
 // newer than what is known of the same incarnation: it is superseded, or the
 // incarnation has been removed since.
--- a/internal/edge/control/state_test.go
+++ b/internal/edge/control/state_test.go
@@ -103,7 +103,7 @@
 				require.Equal(t, c.lapsed, len(s.lapsed(removal, now)) == 1)
 				s.apply(removal, now)
 			}
-			former := s.replaced(Update{Kind: KindBackends, Backends: backends(c.next)})
+			former := s.replaced(Update{Kind: KindBackends, Backends: backends(c.next)}, now)
 			if !c.ended {
 				require.Empty(t, former)
 				return
