feeds: a table that is not read any more is not offered either

An instance told those that read from it that nothing had changed for as long as its own call to its source did not return, since `current` ended only when a call failed.

A table now counts as current until 1.5 s after the longest wait for its changes (2.5 s for the operator's): the belief has an end. Instances that wait for changes are told at that moment and read elsewhere. Each instance answers for its own source only, so that the limit does not grow with the depth of the tree, and a freeze of the process counts too.

Time that a large change takes to arrive is not a standstill: 1 MB passes a hop of 10 Mbit/s in under 1 s.

--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -56,6 +56,9 @@
 	// there within about a second.
 	refusalInterval = 100 * time.Millisecond
 	maxRefusal      = 3 * time.Second
+	// maxIdleMargin is how long beyond the longest wait for changes a table is offered to other
+	// instances without a response of its source. A large change takes some tenths of it.
+	maxIdleMargin = 1500 * time.Millisecond
 	// minBackoff is the delay after the first failed call to the store.
 	minBackoff = 50 * time.Millisecond
 	// maxBackoff bounds the delay after repeated failed calls to the store of the
@@ -127,6 +130,7 @@
 	all := []*Feed{operator, backends, members, notices}
 	for _, f := range all {
 		f.selector, f.replica, f.push, f.log = s, r, push, log
+		r.limitIdle(f.table, max(f.storeWait, f.readerWait)+maxIdleMargin)
 	}
 	return all
 }
--- a/internal/edge/feeds/replica.go
+++ b/internal/edge/feeds/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -48,8 +49,11 @@
 	// which all changes are known.
 	position         platform.Position
 	compactedVersion uint64
-	// current is set while this instance follows the table at a source that has it.
+	// current is set while this instance follows the table at a source that has it. It counts
+	// until maxIdle after readAt, the time at which the source last responded; 0 is no limit.
 	current bool
+	readAt  time.Time
+	maxIdle time.Duration
 	// lostAt is the time at which current was cleared. storeLost is set if the store
 	// cannot be read.
 	lostAt    time.Time
@@ -110,13 +114,20 @@
 	if !t.known {
 		return
 	}
-	woken := !t.current
+	woken := !t.isCurrent()
 	t.setCurrent()
 	if woken {
 		t.notify()
 	}
 }
 
+// limitIdle sets how long a table is current after its source last responded.
+func (r *Replica) limitIdle(name string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table(name).maxIdle = d
+}
+
 // position returns the position at which a table is known.
 func (r *Replica) position(name string) platform.Position {
 	r.mu.Lock()
@@ -154,7 +165,7 @@
 	if t.tombstones > maxTombstones {
 		t.purgeTombstones()
 	}
-	changed := len(rows) > 0 || !t.current
+	changed := len(rows) > 0 || !t.isCurrent()
 	if position.Compare(t.position) > 0 {
 		t.position = position
 	}
@@ -200,8 +211,19 @@
 	}
 }
 
-// setCurrent records that the table has a source.
-func (t *table) setCurrent() { t.current, t.storeLost = true, false }
+// setCurrent records that the source of the table has responded.
+func (t *table) setCurrent() { t.current, t.storeLost, t.readAt = true, false, time.Now() }
+
+// isCurrent reports whether the table is current now.
+func (t *table) isCurrent() bool { return t.current && t.idleLeft() > 0 }
+
+// idleLeft returns how much longer a table that is current stays so without a response.
+func (t *table) idleLeft() time.Duration {
+	if t.maxIdle == 0 {
+		return math.MaxInt64
+	}
+	return t.maxIdle - time.Since(t.readAt)
+}
 
 // setLost clears current and wakes the callers that wait for changes.
 func (t *table) setLost(storeLost bool) {
@@ -216,11 +238,11 @@
 // that callers receive, and until when they should wait for the table.
 func (t *table) availability() (time.Time, error) {
 	switch {
-	case t.current:
+	case t.isCurrent():
 		return time.Time{}, nil
 	case t.storeLost:
 		return time.Time{}, ErrStoreLost
-	case t.lostAt.IsZero():
+	case t.current, t.lostAt.IsZero():
 		return time.Time{}, ErrNotReading
 	}
 	return t.lostAt.Add(regainWait), ErrNotReading
@@ -260,7 +282,7 @@
 func (r *Replica) IsCurrent(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table(name).current
+	return r.table(name).isCurrent()
 }
 
 // AwaitCurrent waits at most wait until the operator's table is current, which the other
@@ -319,26 +341,39 @@
 // continue. Errors: ErrNotReading, ErrStoreLost, platform.ErrCompacted and the error of
 // ctx.
 func (r *Replica) Changes(ctx context.Context, name string, after platform.Position, wait time.Duration) ([]platform.Row, platform.Position, error) {
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
+	end := time.Now().Add(wait)
 	for {
 		if err := r.awaitTable(ctx, name, 0); err != nil {
 			return nil, platform.Position{}, err
 		}
 		rows, position, changed, err := r.changesSince(name, after)
-		if err != nil || len(rows) > 0 {
+		left := time.Until(end)
+		if err != nil || len(rows) > 0 || left <= 0 {
 			return rows, position, err
 		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			return nil, position, nil
-		case <-ctx.Done():
-			return nil, platform.Position{}, errors.Trace(ctx.Err())
+		if err := r.awaitChange(ctx, name, changed, left); err != nil {
+			return nil, platform.Position{}, err
 		}
 	}
 }
 
+// awaitChange waits until changed is closed, wait is over, the table may not be current any
+// more, or ctx is done. Errors: that of ctx.
+func (r *Replica) awaitChange(ctx context.Context, name string, changed <-chan struct{}, wait time.Duration) error {
+	r.mu.Lock()
+	wait = min(wait, max(0, r.table(name).idleLeft()))
+	r.mu.Unlock()
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	select {
+	case <-changed:
+	case <-timeout.C:
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+	return nil
+}
+
 // changesSince returns the rows that changed after the given position, the position
 // from which the next call must continue, and a channel that is closed at the next
 // change. Errors: ErrNotReading, also if this instance has not yet heard of the era of
