dispatch: a request looks again whether it may be sent once it has a connection

Nothing looked again.

The request is withdrawn before its first byte, which is no send and no failure of the backend server, takes nothing of the retry budget, and goes to another one.

Before: the request had no such question (the test does not compile on the parent). After: TestRequestDecidedBeforeEvacuationIsNotSent, on a new and on a used connection, which goes back to the pool.

--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -65,6 +65,9 @@
 	// NewConnection is set if the request must not be sent on a connection that has
 	// carried others.
 	NewConnection bool
+	// Allowed reports, once there is a connection, whether the request may still be sent. It
+	// may be nil.
+	Allowed func() bool
 	// OnWrite is called before the request is written to a connection, with the time at
 	// which the backend server was last known to be up by that connection. It may be nil.
 	OnWrite func(alive time.Time)
@@ -89,6 +92,8 @@
 	Sent bool
 	// ResponseStarted is set when a response header had been read.
 	ResponseStarted bool
+	// Withdrawn is set when the request was not sent because it was not allowed any more.
+	Withdrawn bool
 	// ConnectionRefused is set when the address refused the connection.
 	ConnectionRefused bool
 	// Reused is set when the connection had carried requests before.
@@ -199,6 +204,10 @@
 		dialTime = time.Since(began)
 		c = &conn{net: nc, br: bufio.NewReaderSize(nc, bufferBytes), lastUse: time.Now()}
 	}
+	if r.Allowed != nil && !r.Allowed() {
+		p.putBack(key, c)
+		return nil, &Error{Withdrawn: true, Cause: errWithdrawn}
+	}
 	stop := context.AfterFunc(ctx, c.close)
 	resp, reusable, err := p.roundTrip(c, r)
 	if !stop() || err != nil || !reusable {
@@ -214,6 +223,20 @@
 	return resp, err
 }
 
+// errWithdrawn is the cause of a request that was not sent because it was not allowed.
+const errWithdrawn = errors.ConstError("the backend server may not get requests any more")
+
+// putBack returns a connection that was not used to the pool, or closes it if it has carried
+// no request: only a response tells how long it may be idle.
+func (p *Pool) putBack(key string, c *conn) {
+	if c.used {
+		p.putIdle(key, c)
+		return
+	}
+	c.close()
+	p.count(func(s *Stats) { s.Closed++ })
+}
+
 // roundTrip writes the request to the connection and reads its response. reusable
 // reports whether the connection can carry another request.
 func (p *Pool) roundTrip(c *conn, r *Request) (resp *BackendResponse, reusable bool, err error) {
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -163,6 +163,9 @@
 const (
 	// reasonUnreachable means that the request did not reach the backend server.
 	reasonUnreachable = "unreachable"
+	// reasonWithdrawn means that the backend server was to get no requests any more before
+	// the request was sent.
+	reasonWithdrawn = "withdrawn"
 	// reasonConnectionLost means that the connection ended after the request had
 	// been sent.
 	reasonConnectionLost = "connection_lost"
@@ -202,6 +205,8 @@
 	request := f.request(ex, choice.Backend)
 	// A new connection shows that the backend server is up when it gets a suspect.
 	request.NewConnection = permit.Isolated()
+	// The zone may have been evacuated, or the backend server have left, during the connect.
+	request.Allowed = func() bool { return f.decider.usable(choice.Backend) }
 	request.OnWrite = func(alive time.Time) { f.guard.Written(tracked, alive) }
 	resp, err := f.pool.Do(ctx, choice.Backend, request)
 	end, result := f.classify(ctx, resp, err)
@@ -318,6 +323,9 @@
 	case ctx.Err() != nil:
 		end.reason = "abandoned"
 		return end, affinity.Result{Outcome: affinity.Abandoned}
+	case egressErr.Withdrawn:
+		end.reason = reasonWithdrawn
+		return end, affinity.Result{Outcome: affinity.Abandoned}
 	case !egressErr.Sent:
 		end.reason = reasonUnreachable
 		return end, affinity.Result{Outcome: affinity.Unreachable}
@@ -335,7 +343,7 @@
 	if ctx.Err() != nil {
 		return admission.Expired
 	}
-	return f.decider.checkRetry(state, end.mayHaveRun, end.reason != reasonUnreachable)
+	return f.decider.checkRetry(state, end.mayHaveRun, end.reason != reasonUnreachable && end.reason != reasonWithdrawn)
 }
 
 // stop returns the response to a request that is not sent again, for the reason
