--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -73,6 +73,9 @@
 	routes            map[string]*route
 	prefixes, removed []string
 	backendCount      int
+	// evacuations holds all evacuations, unstable the times in which the store was unstable.
+	evacuations []*evacuation
+	unstable    []*span
 	// starts counts the starts of processes.
 	starts int
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,11 @@
 	// storeIsCalm is set if no step and nothing else disturbs the store, so that instances
 	// are in touch beside faults of others.
 	storeIsCalm bool
+	// storeResponds is set if the store is never down or slow and loses no response, so that
+	// instances that are undisturbed themselves must follow evacuations.
+	storeResponds bool
+	// storeRollsBack is set if the store comes back from older copies all the time.
+	storeRollsBack bool
 	// hasSizes is set if the machines of the instances have sizes. Their links have these
 	// rates; their processors are only stated.
 	hasSizes bool
@@ -44,16 +49,22 @@
 	Mixed PlanName = "mixed"
 	// Roles has faults of instances with a role in their region and large configurations.
 	Roles PlanName = "roles"
+	// Evacuations has evacuated zones beside faults of instances with a role, and a store
+	// that drops its history, is read behind or comes back from an older copy.
+	Evacuations PlanName = "evacuations"
 )
 
 // Valid reports whether a plan has the name.
-func (n PlanName) Valid() bool { return n == Mixed || n == Roles }
+func (n PlanName) Valid() bool { return n == Mixed || n == Roles || n == Evacuations }
 
 func (n PlanName) plan() *plan {
-	if n == Roles {
-		return &plan{planned: append(slices.Clone(plannedSteps), rolePlannedSteps...), faults: roleSteps, storeIsCalm: true, hasSizes: true}
+	switch n {
+	case Roles:
+		return &plan{planned: append(slices.Clone(plannedSteps), rolePlannedSteps...), faults: roleSteps, storeIsCalm: true, storeResponds: true, hasSizes: true}
+	case Evacuations:
+		return &plan{planned: evacuationPlannedSteps, faults: evacuationSteps, storeResponds: true, hasSizes: true}
 	}
-	return &plan{planned: plannedSteps, faults: faultSteps}
+	return &plan{planned: plannedSteps, faults: faultSteps, storeRollsBack: true}
 }
 
 var (
@@ -80,6 +91,23 @@
 		{"drain a backend server", drainBackend},
 		{"restart an instance", restart},
 	}
+	evacuationPlannedSteps = []step{
+		{"evacuate a zone", evacuate},
+		{"evacuate a zone", evacuate},
+		{"restart an instance", restart},
+		{"change the configuration", changeConfig},
+	}
+	evacuationSteps = []step{
+		{"evacuate a zone", evacuate},
+		{"evacuate a zone", evacuate},
+		{"drop the history while reads are behind", lagWholeReads},
+		{"drop the history while reads are behind", lagWholeReads},
+		{"let the store come back from an older copy", rollBackOnce},
+		{"inject a fault at a role", injectRoleFault},
+		{"inject a fault between instances", injectPeerLinkFault},
+		{"drain a backend server", drainBackend},
+		{"restart an instance", restart},
+	}
 	faultSteps = []step{
 		{"kill an instance", kill},
 		{"kill all instances", killAll},
@@ -189,14 +217,6 @@
 	return e.drainBackend(e.anyBackend(rng))
 }
 
-func evacuate(ctx context.Context, e *environment, rng *rand.Rand) error {
-	key := "evacuate/" + zones[rng.IntN(len(zones))]
-	e.store.Put("op", key, map[string]any{})
-	wait.Sleep(ctx, randomDuration(rng, 4*time.Second))
-	e.store.Remove("op", key)
-	return nil
-}
-
 var linkFaults = []faultproxy.Harm{faultproxy.Refuse, faultproxy.Delay, faultproxy.OneWay, faultproxy.Hold, faultproxy.Silent}
 
 func injectLinkFault(ctx context.Context, rng *rand.Rand, proxies ...*faultproxy.Proxy) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,7 +12,9 @@
 // A plan chooses the steps. That of mixed faults lets the store come back from older
 // copies in the second phase. That of faults at roles leaves the store calm, so that the
 // bounds on configurations and look-ups hold for all instances that are undisturbed
-// themselves, and gives the links of the instances the rates of real ones.
+// themselves, and gives the links of the instances the rates of real ones. That of
+// evacuations has a store that always responds, though not always with its newest state, so
+// that evacuations bind all instances that are undisturbed themselves.
 package soak
 
 import (
@@ -130,7 +132,7 @@
 	}()
 	faultsBegin := time.Now().Add(time.Duration(plannedShare * float64(r.opts.RunTime)))
 	r.runSteps(ctx, rng, r.environment.plan.planned, faultsBegin)
-	if !r.environment.plan.storeIsCalm {
+	if r.environment.plan.storeRollsBack {
 		r.stepsWG.Go(func() { r.environment.rollBackStore(background, r.opts.Seed) })
 	}
 	r.runSteps(ctx, rng, r.environment.plan.faults, faultsBegin.Add(time.Duration(faultShare*float64(r.opts.RunTime))))
@@ -145,6 +147,7 @@
 	violations = append(violations, crashViolations(r.environment, c.records, faultsBegin)...)
 	violations = append(violations, limitViolations(r.environment, c.records)...)
 	violations = append(violations, restViolations(r.environment, c.records, faultsBegin)...)
+	violations = append(violations, evacuationViolations(r.environment, c.records)...)
 	violations = append(violations, watch.violations(r.environment)...)
 	report := &Report{Seed: r.opts.Seed, WorkDir: r.environment.workDir, Requests: len(c.records), Violations: violations}
 	for _, x := range c.records {
