evidence: a whole read is compared with a write whose response is on its way

A whole read that lacked the row came between the write and the handling of its response; the response then counted the row as present.

Receivers of rows get the position of the read. A write whose position is not newer than the last whole read changes nothing of what that read has shown; what it lacks is due again. A read of a later era counts as newer than a write that began before.

Before: TestEvidenceLostBeforeItsResponseIsWrittenAgain, which lets the read come in between, fails without the comparison.

--- a/internal/edge/evidence/evidence.go
+++ b/internal/edge/evidence/evidence.go
@@ -73,6 +73,8 @@
 	due map[decide.Fingerprint]time.Time
 	// rows holds the rows of the table as last read or written.
 	rows map[decide.Fingerprint]row
+	// wholeRead is the position of the last read of all rows.
+	wholeRead platform.Position
 	// written holds the requests whose rows have evidence of this instance.
 	written map[decide.Fingerprint]bool
 	// lastRemoval is when expired rows were last removed.
@@ -128,14 +130,21 @@
 	}
 }
 
-// Receive merges rows of the table. full means that they are all rows of the table;
-// evidence of this instance that is missing there is written again.
-func (s *Sharer) Receive(rows []platform.Row, full bool) {
-	var notices []decide.Notice
-	s.mu.Lock()
+// Receive merges rows of the table, which was read at a position. full means that they are
+// all rows of the table; evidence of this instance that is missing there is written again.
+func (s *Sharer) Receive(rows []platform.Row, full bool, at platform.Position) {
 	if full {
-		s.rows = map[decide.Fingerprint]row{}
+		s.mu.Lock()
+		s.rows, s.wholeRead = map[decide.Fingerprint]row{}, at
+		s.mu.Unlock()
 	}
+	s.merge(rows, full)
+}
+
+// merge merges rows of the table. If full is set, they are all rows of the table.
+func (s *Sharer) merge(rows []platform.Row, full bool) {
+	var notices []decide.Notice
+	s.mu.Lock()
 	for _, r := range rows {
 		notices = append(notices, s.applyRow(r)...)
 	}
@@ -205,11 +214,12 @@
 		if len(tx.Puts) == 0 {
 			return
 		}
+		era := s.era()
 		version, err := s.store.Commit(ctx, tx)
 		var conflict *platform.Conflict
 		switch {
 		case err == nil:
-			s.recordWritten(notices, version)
+			s.recordWritten(notices, platform.Position{Era: era, Version: version})
 			s.lastWrite = time.Now()
 			s.backoff.Reset()
 			return
@@ -282,14 +292,30 @@
 	return fps
 }
 
-// recordWritten records rows that were written at the given version. What the guard
-// has learned meanwhile stays due.
-func (s *Sharer) recordWritten(notices []decide.Notice, version uint64) {
+// era returns the era in which the table was last read whole.
+func (s *Sharer) era() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.wholeRead.Era
+}
+
+// recordWritten records rows that were written at the given position, whose era is that of
+// the table before the write. What the guard has learned meanwhile stays due. A read of all
+// rows that came between the write and its response may be newer than the write: what it
+// lacks stays due too.
+func (s *Sharer) recordWritten(notices []decide.Notice, at platform.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	readSince := s.wholeRead.Compare(at) >= 0
 	for _, n := range notices {
-		s.rows[n.Fingerprint] = row{version: version, notice: n}
 		s.written[n.Fingerprint] = true
+		_, present := s.rows[n.Fingerprint]
+		switch {
+		case !readSince:
+			s.rows[n.Fingerprint] = row{version: at.Version, notice: n}
+		case !present:
+			s.markDue(n.Fingerprint, time.Now())
+		}
 	}
 }
 
@@ -303,7 +329,7 @@
 		}
 	}
 	s.mu.Unlock()
-	s.Receive(current, false)
+	s.merge(current, false)
 }
 
 // removeExpired removes expired rows, and the oldest ones above maxRows, if this
@@ -318,7 +344,7 @@
 	switch {
 	case err == nil:
 	case errors.As(err, &conflict):
-		s.Receive(conflict.Rows, false)
+		s.merge(conflict.Rows, false)
 	default:
 		s.log.Warn().Str("event", "evidence_unremoved").Int("requests", len(tx.Removes)).Err(err).Msg("expired evidence stays in the store until the next removal")
 	}
--- a/internal/edge/evidence/evidence_test.go
+++ b/internal/edge/evidence/evidence_test.go
@@ -25,6 +25,8 @@
 type countingStore struct {
 	*platform.Store
 	calls, rows, bytes atomic.Int64
+	// afterCommit is called once, before the response of the next transaction is returned.
+	afterCommit atomic.Pointer[func()]
 }
 
 func (s *countingStore) Commit(ctx context.Context, tx platform.Transaction) (uint64, error) {
@@ -33,7 +35,11 @@
 		s.rows.Add(1)
 		s.bytes.Add(int64(len(row.Key) + len(row.Value)))
 	}
-	return s.Store.Commit(ctx, tx)
+	version, err := s.Store.Commit(ctx, tx)
+	if f := s.afterCommit.Swap(nil); f != nil {
+		(*f)()
+	}
+	return version, err
 }
 
 // silent is an Observer that ignores what it is told.
@@ -69,9 +75,9 @@
 
 // readTable passes the whole table to the instance, as its feed does at its start.
 func (i *instance) readTable(t *testing.T) {
-	rows, _, err := i.store.Rows(t.Context(), feeds.TableNotices)
+	rows, at, err := i.store.Rows(t.Context(), feeds.TableNotices)
 	require.NoError(t, err)
-	i.Receive(rows, true)
+	i.Receive(rows, true, at)
 }
 
 // crash lets a backend server crash that runs the requests.
@@ -168,6 +174,24 @@
 	require.Eventually(t, func() bool { return rowCount(s) == 1 }, 2*time.Second, 10*time.Millisecond)
 }
 
+// TestEvidenceLostBeforeItsResponseIsWrittenAgain guards against evidence that the store loses
+// after it was written, where the whole table is read before the response to the write is taken
+// in: the row counted as present though a newer read lacked it.
+func TestEvidenceLostBeforeItsResponseIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	s := store.New()
+	defer s.Close()
+	i := startInstance(t, s)
+	lose := func() {
+		s.Remove(feeds.TableNotices, decide.Fingerprint(7).String())
+		i.readTable(t)
+	}
+	i.store.afterCommit.Store(&lose)
+	i.crash("backend", 7)
+	require.Eventually(t, func() bool { return i.store.afterCommit.Load() == nil }, 2*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return rowCount(s) == 1 }, 2*time.Second, 10*time.Millisecond)
+}
+
 // TestExpiredEvidenceIsRemoved guards against a table that grows for ever, and against
 // rows of another writer that end the instance or stay.
 func TestExpiredEvidenceIsRemoved(t *testing.T) {
--- a/internal/edge/feeds/feeds.go
+++ b/internal/edge/feeds/feeds.go
@@ -112,9 +112,9 @@
 	refusedSince         time.Time
 }
 
-// RowReceiver takes rows of a table. full means that they are all its rows. It must not
-// block.
-type RowReceiver func(rows []platform.Row, full bool)
+// RowReceiver takes rows of a table, which was read at a position. full means that they are
+// all its rows. It must not block.
+type RowReceiver func(rows []platform.Row, full bool, at platform.Position)
 
 // New returns the feeds of the operator's table, of the backend servers' table, of the
 // members' table and of the table of notices. The first three pass their updates to push,
@@ -138,7 +138,7 @@
 // splitNotices returns a receiver that passes the rows of limits to one receiver and the others
 // to another.
 func splitNotices(quarantine, limits RowReceiver) RowReceiver {
-	return func(rows []platform.Row, full bool) {
+	return func(rows []platform.Row, full bool, at platform.Position) {
 		var limited, other []platform.Row
 		for _, r := range rows {
 			if strings.HasPrefix(r.Key, LimitKeyPrefix) {
@@ -148,10 +148,10 @@
 			}
 		}
 		if full || len(limited) > 0 {
-			limits(limited, full)
+			limits(limited, full, at)
 		}
 		if full || len(other) > 0 {
-			quarantine(other, full)
+			quarantine(other, full, at)
 		}
 	}
 }
@@ -304,7 +304,7 @@
 func (f *Feed) deliver(ctx context.Context, d delivery) {
 	if f.receive != nil {
 		f.lostAt = time.Time{}
-		f.receive(d.rows, d.full)
+		f.receive(d.rows, d.full, platform.Position{Era: d.origin.Era, Version: d.origin.Version})
 		return
 	}
 	u := f.decode(d.rows)
--- a/internal/edge/feeds/feeds_test.go
+++ b/internal/edge/feeds/feeds_test.go
@@ -433,14 +433,14 @@
 	}
 }
 
-func ignoreRows([]platform.Row, bool) {}
+func ignoreRows([]platform.Row, bool, platform.Position) {}
 
 // TestNoticesAreSplitByKey guards against rows of limits that the quarantine reads as
 // fingerprints, and against a whole reading that one of the two receivers does not hear of.
 func TestNoticesAreSplitByKey(t *testing.T) {
 	var quarantine, limits []string
 	collect := func(keys *[]string) RowReceiver {
-		return func(rows []platform.Row, full bool) {
+		return func(rows []platform.Row, full bool, _ platform.Position) {
 			*keys = append(*keys, fmt.Sprint(len(rows), full))
 			for _, r := range rows {
 				*keys = append(*keys, r.Key)
@@ -448,9 +448,9 @@
 		}
 	}
 	receive := splitNotices(collect(&quarantine), collect(&limits))
-	receive([]platform.Row{{Key: LimitKeyPrefix + "i-1"}, {Key: "0a"}, {Key: LimitKeyPrefix + "i-2", Deleted: true}}, false)
-	receive([]platform.Row{{Key: "0b"}}, false)
-	receive([]platform.Row{{Key: "0c"}}, true)
+	receive([]platform.Row{{Key: LimitKeyPrefix + "i-1"}, {Key: "0a"}, {Key: LimitKeyPrefix + "i-2", Deleted: true}}, false, platform.Position{})
+	receive([]platform.Row{{Key: "0b"}}, false, platform.Position{})
+	receive([]platform.Row{{Key: "0c"}}, true, platform.Position{})
 	require.Equal(t, []string{"1 false", "0a", "1 false", "0b", "1 true", "0c"}, quarantine)
 	require.Equal(t, []string{"2 false", "limit/i-1", "limit/i-2", "0 true"}, limits)
 }
--- a/internal/edge/feeds/outage_test.go
+++ b/internal/edge/feeds/outage_test.go
@@ -58,7 +58,7 @@
 	store := &lateStore{fakeStore: newFakeStore()}
 	selector := NewSourceSelector(store, noReaders{}, onlyRoot{}, zerolog.Nop())
 	replica := NewReplica()
-	ignore := func([]platform.Row, bool) {}
+	ignore := func([]platform.Row, bool, platform.Position) {}
 	for _, f := range New(selector, replica, func(context.Context, control.Update) {}, ignore, ignore, zerolog.Nop()) {
 		go f.Run(t.Context())
 	}
--- a/internal/edge/limits/limits.go
+++ b/internal/edge/limits/limits.go
@@ -81,7 +81,7 @@
 }
 
 // Receive records rows of limits. full means that they are all there are in the store.
-func (s *Sharer) Receive(rows []platform.Row, full bool) {
+func (s *Sharer) Receive(rows []platform.Row, full bool, _ platform.Position) {
 	reading := limit.Changes
 	if full {
 		reading = limit.Whole
--- a/internal/edge/limits/limits_test.go
+++ b/internal/edge/limits/limits_test.go
@@ -72,9 +72,9 @@
 
 // read passes all rows of the store to the instance.
 func (m *member) read(t *testing.T, s *store.Store) {
-	rows, _, err := platform.NewStore(s.Address()).Rows(t.Context(), feeds.TableNotices)
+	rows, at, err := platform.NewStore(s.Address()).Rows(t.Context(), feeds.TableNotices)
 	require.NoError(t, err)
-	m.sharer.Receive(rows, true)
+	m.sharer.Receive(rows, true, at)
 }
 
 // retryUntil lets the instance write until a condition holds.
--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -15,13 +15,14 @@
 	minEvacuation = time.Second
 	maxEvacuation = 15 * time.Second
 	// maxEvacuationDelay is how long requests may reach a zone after its evacuation was
-	// acknowledged, and unstableDelay how much longer if the store was unstable.
+	// acknowledged, and unstableDelay how much longer if the store was unstable in that time.
+	// What happens to the store afterwards excuses nothing here, though the rules allow it.
 	maxEvacuationDelay = 5 * time.Second
 	unstableDelay      = 6 * time.Second
-	// minReadLag and maxReadLag bound how far the whole reads of the store are behind, and
-	// readLagTime how long they are.
+	// minReadLag and maxReadLag bound how far the whole reads of the store are behind, and how
+	// old a copy is from which it comes back. readLagTime is how long reads are behind.
 	minReadLag  = time.Second
-	maxReadLag  = 6 * time.Second
+	maxReadLag  = 10 * time.Second
 	readLagTime = 8 * time.Second
 	// historyDrops is how often the history is dropped meanwhile.
 	historyDrops = 4
@@ -74,7 +75,7 @@
 // lagWholeReads drops the history of the store several times while its whole reads are behind.
 func lagWholeReads(ctx context.Context, e *environment, rng *rand.Rand) error {
 	defer e.beginUnstable()()
-	e.store.SetReadLag(minReadLag + time.Duration(rng.Float64()*float64(maxReadLag-minReadLag)))
+	e.store.SetReadLag(randomLag(rng))
 	defer e.store.SetReadLag(0)
 	for range historyDrops {
 		e.store.PutRaw("other", "row", nil)
@@ -84,11 +85,15 @@
 	return nil
 }
 
+func randomLag(rng *rand.Rand) time.Duration {
+	return minReadLag + time.Duration(rng.Float64()*float64(maxReadLag-minReadLag))
+}
+
 // rollBackOnce lets the store come back from an older copy, drops its history, so that it is
 // read whole again, and writes again what was lost.
 func rollBackOnce(_ context.Context, e *environment, rng *rand.Rand) error {
 	defer e.beginUnstable()()
-	lost := e.store.Rollback(rng.Uint64N(maxRollback))
+	lost := e.store.RollbackTo(time.Now().Add(-randomLag(rng)))
 	time.Sleep(randomDuration(rng, rewriteDelay/2))
 	e.store.PutRaw("other", "row", nil)
 	e.store.Compact()
@@ -147,7 +152,7 @@
 func (e *environment) evacuationInForce(zone string, at time.Time) *evacuation {
 	for _, v := range e.evacuations {
 		delay := maxEvacuationDelay
-		if e.wasUnstable(v.from.Add(-contact), at) {
+		if e.wasUnstable(v.from.Add(-contact), v.from.Add(maxEvacuationDelay)) {
 			delay += unstableDelay
 		}
 		if v.zone == zone && at.After(v.from.Add(delay)) && (v.to.IsZero() || at.Before(v.to)) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -186,7 +186,18 @@
 func (s *Store) Rollback(versions uint64) []Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	to := s.version - min(versions, s.version)
+	return s.rollback(s.version - min(versions, s.version))
+}
+
+// RollbackTo is Rollback to the copy of a time.
+func (s *Store) RollbackTo(t time.Time) []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rollback(s.versionBefore(t))
+}
+
+// rollback makes the store come back at a version. The caller must hold s.mu.
+func (s *Store) rollback(to uint64) []Row {
 	kept, lost := []Row{}, map[string]Row{}
 	for _, r := range s.log {
 		switch {
