--- a/platform/clock.go
+++ b/internal/decide/storeclock/storeclock.go
@@ -1,9 +1,8 @@
-package platform
+// Package storeclock estimates when the steady clock of the platform's store was zero, by the
+// times that its responses state. All instances have a clock in common by it.
+package storeclock
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 const (
 	// clockJump is the difference from which on the store's clock may have been set back.
@@ -13,10 +12,10 @@
 	clockJumpResponses = 4
 )
 
-// clock estimates when the store's steady clock was zero. A response is late by the time
-// that it was on its way, so that the earliest estimate is the best one.
-type clock struct {
-	mu   sync.Mutex
+// Estimator estimates when the store's steady clock was zero. A response is late by the time
+// that it was on its way, so that the earliest estimate is the best one. It is not safe for
+// concurrent use.
+type Estimator struct {
 	zero time.Time
 	// later is the earliest of the estimates since the last one that was not later than
 	// zero by clockJump or more, and count their number.
@@ -24,14 +23,12 @@
 	count int
 }
 
-// observe records the time that a response states, which is 0 if it states none.
-func (c *clock) observe(seconds float64, received time.Time) {
+// Observe records the time in seconds that a response states, which is 0 if it states none.
+func (c *Estimator) Observe(seconds float64, received time.Time) {
 	if seconds <= 0 {
 		return
 	}
 	estimate := received.Add(-time.Duration(seconds * float64(time.Second)))
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.zero.IsZero() || estimate.Sub(c.zero) < clockJump {
 		c.count = 0
 		if c.zero.IsZero() || estimate.Before(c.zero) {
@@ -48,8 +45,6 @@
 	}
 }
 
-func (c *clock) zeroTime() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.zero
-}
+// Zero returns the time at which the store's clock was zero, or the zero time before the first
+// response.
+func (c *Estimator) Zero() time.Time { return c.zero }
--- a/platform/clock_test.go
+++ b/internal/decide/storeclock/storeclock_test.go
@@ -1,4 +1,4 @@
-package platform
+package storeclock
 
 import (
 	"testing"
@@ -15,27 +15,27 @@
 	at := func(seconds float64, delay time.Duration) time.Time {
 		return zero.Add(time.Duration(seconds*float64(time.Second)) + delay)
 	}
-	var c clock
-	require.True(t, c.zeroTime().IsZero())
-	c.observe(0, at(1, 0))
-	require.True(t, c.zeroTime().IsZero())
-	c.observe(10, at(10, 1900*time.Millisecond))
-	c.observe(11, at(11, 4*time.Millisecond))
-	c.observe(12, at(12, 30*time.Millisecond))
+	var c Estimator
+	require.True(t, c.Zero().IsZero())
+	c.Observe(0, at(1, 0))
+	require.True(t, c.Zero().IsZero())
+	c.Observe(10, at(10, 1900*time.Millisecond))
+	c.Observe(11, at(11, 4*time.Millisecond))
+	c.Observe(12, at(12, 30*time.Millisecond))
 	for n := range clockJumpResponses - 1 {
-		c.observe(13+float64(n), at(13+float64(n), 1500*time.Millisecond))
+		c.Observe(13+float64(n), at(13+float64(n), 1500*time.Millisecond))
 	}
-	require.Equal(t, zero.Add(4*time.Millisecond), c.zeroTime())
+	require.Equal(t, zero.Add(4*time.Millisecond), c.Zero())
 
-	c.observe(16, at(16, 10*time.Millisecond))
+	c.Observe(16, at(16, 10*time.Millisecond))
 
 	// The store's clock begins again from 0 at second 20.
 	for n := range clockJumpResponses {
-		c.observe(1+float64(n), at(21+float64(n), time.Duration(10-n)*time.Millisecond))
+		c.Observe(1+float64(n), at(21+float64(n), time.Duration(10-n)*time.Millisecond))
 	}
-	require.Equal(t, zero.Add(20*time.Second+7*time.Millisecond), c.zeroTime())
+	require.Equal(t, zero.Add(20*time.Second+7*time.Millisecond), c.Zero())
 
 	// While this machine is suspended for 5 s, its own clock stands.
-	c.observe(30, at(45, 0))
-	require.Equal(t, zero.Add(15*time.Second), c.zeroTime())
+	c.Observe(30, at(45, 0))
+	require.Equal(t, zero.Add(15*time.Second), c.Zero())
 }
