limits: a whole read is compared with a write whose response is on its way

Both sharers use feeds.WholeRead now, so that the rule stands once: a write that a whole read shows already, by its position and by the era in which it was sent, tells nothing new.

Before: TestLimitLostBeforeItsResponseIsWrittenAgain failed (no row after 5 s). After: passes with the race detector, with the tests of evidence.

--- a/internal/edge/evidence/evidence.go
+++ b/internal/edge/evidence/evidence.go
@@ -72,9 +72,8 @@
 	// due holds the requests to write, with the time from which on.
 	due map[decide.Fingerprint]time.Time
 	// rows holds the rows of the table as last read or written.
-	rows map[decide.Fingerprint]row
-	// wholeRead is the position of the last read of all rows.
-	wholeRead platform.Position
+	rows      map[decide.Fingerprint]row
+	wholeRead feeds.WholeRead
 	// written holds the requests whose rows have evidence of this instance.
 	written map[decide.Fingerprint]bool
 	// lastRemoval is when expired rows were last removed.
@@ -135,7 +134,8 @@
 func (s *Sharer) Receive(rows []platform.Row, full bool, at platform.Position) {
 	if full {
 		s.mu.Lock()
-		s.rows, s.wholeRead = map[decide.Fingerprint]row{}, at
+		s.rows = map[decide.Fingerprint]row{}
+		s.wholeRead.Record(at)
 		s.mu.Unlock()
 	}
 	s.merge(rows, full)
@@ -219,7 +219,7 @@
 		var conflict *platform.Conflict
 		switch {
 		case err == nil:
-			s.recordWritten(notices, platform.Position{Era: era, Version: version})
+			s.recordWritten(notices, era, version)
 			s.lastWrite = time.Now()
 			s.backoff.Reset()
 			return
@@ -296,23 +296,23 @@
 func (s *Sharer) era() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.wholeRead.Era
+	return s.wholeRead.Era()
 }
 
-// recordWritten records rows that were written at the given position, whose era is that of
-// the table before the write. What the guard has learned meanwhile stays due. A read of all
-// rows that came between the write and its response may be newer than the write: what it
-// lacks stays due too.
-func (s *Sharer) recordWritten(notices []decide.Notice, at platform.Position) {
+// recordWritten records rows that were written at the given version, and sent when the table
+// was of the given era. What the guard has learned meanwhile stays due. A read of all rows that
+// came between the write and its response may be newer than the write: what it lacks stays due
+// too.
+func (s *Sharer) recordWritten(notices []decide.Notice, era, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	readSince := s.wholeRead.Compare(at) >= 0
+	readSince := s.wholeRead.ShowsWrite(era, version)
 	for _, n := range notices {
 		s.written[n.Fingerprint] = true
 		_, present := s.rows[n.Fingerprint]
 		switch {
 		case !readSince:
-			s.rows[n.Fingerprint] = row{version: at.Version, notice: n}
+			s.rows[n.Fingerprint] = row{version: version, notice: n}
 		case !present:
 			s.markDue(n.Fingerprint, time.Now())
 		}
--- a/internal/edge/limits/limits.go
+++ b/internal/edge/limits/limits.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -58,6 +59,9 @@
 	cleans  func() bool
 	log     zerolog.Logger
 	backoff *backoff.ExponentialBackOff
+
+	mu        sync.Mutex
+	wholeRead feeds.WholeRead
 }
 
 // New returns a Sharer. cleans is called to find out whether this instance removes rows of
@@ -80,13 +84,36 @@
 	PerSecond float64 `json:"per_second"`
 }
 
-// Receive records rows of limits. full means that they are all there are in the store.
-func (s *Sharer) Receive(rows []platform.Row, full bool, _ platform.Position) {
+// Receive records rows of limits, which were read at a position. full means that they are all
+// there are in the store.
+func (s *Sharer) Receive(rows []platform.Row, full bool, at platform.Position) {
+	shared := s.decode(rows)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	reading := limit.Changes
 	if full {
 		reading = limit.Whole
+		s.wholeRead.Record(at)
+	}
+	s.table.MergeLimits(shared, reading)
+}
+
+// era returns the era in which the table was last read whole.
+func (s *Sharer) era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wholeRead.Era()
+}
+
+// recordWritten records rows that were written at the given version, and sent when the table
+// was of the given era. If all rows were read since, that read goes first: what it lacks is
+// due again.
+func (s *Sharer) recordWritten(writes []limit.Write, era, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.wholeRead.ShowsWrite(era, version) {
+		s.table.LimitsWritten(writes, version)
 	}
-	s.table.MergeLimits(s.decode(rows), reading)
 }
 
 // decode returns the rows as the table takes them.
@@ -130,11 +157,12 @@
 		return
 	}
 	due = due[:min(len(due), maxRowsPerWrite)]
+	era := s.era()
 	version, err := s.store.Commit(ctx, s.transaction(due))
 	var conflict *platform.Conflict
 	switch {
 	case err == nil:
-		s.table.LimitsWritten(due, version)
+		s.recordWritten(due, era, version)
 		s.backoff.Reset()
 		wait.Sleep(ctx, writeInterval)
 	case errors.As(err, &conflict):
--- a/internal/edge/limits/limits_test.go
+++ b/internal/edge/limits/limits_test.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -115,6 +116,39 @@
 	two.retryUntil(t, func() bool { one.read(t, s); return one.limit() == 2 })
 }
 
+// readingStore lets an instance read the whole table, without its row, before the response to a
+// write is taken in.
+type readingStore struct {
+	*platform.Store
+	between func()
+}
+
+// Commit implements Store.
+func (s *readingStore) Commit(ctx context.Context, tx platform.Transaction) (uint64, error) {
+	version, err := s.Store.Commit(ctx, tx)
+	if between := s.between; between != nil {
+		s.between = nil
+		between()
+	}
+	return version, err
+}
+
+// TestLimitLostBeforeItsResponseIsWrittenAgain guards against a limit that the store loses after
+// it was written, where the whole table is read before the response to the write is taken in:
+// the row counted as present though a newer read lacked it.
+func TestLimitLostBeforeItsResponseIsWrittenAgain(t *testing.T) {
+	s := store.New()
+	defer s.Close()
+	one := newMember(s, "one")
+	one.sharer.store = &readingStore{Store: platform.NewStore(s.Address()), between: func() {
+		s.Remove(feeds.TableNotices, rowKey(stated.ID))
+		one.read(t, s)
+	}}
+	one.hear(limit.Statement{Limited: true, PerSecond: 3})
+	one.retryUntil(t, func() bool { return len(s.Keys(feeds.TableNotices)) == 1 })
+	require.Equal(t, 3.0, one.limit())
+}
+
 // TestLostResponseOfWriteIsSettled guards against a limit that is written again and again
 // because the store's response to the first write was lost.
 func TestLostResponseOfWriteIsSettled(t *testing.T) {
