--- a/review/programs/largebody/main.go
+++ b/review/programs/largebody/main.go
@@ -45,7 +45,7 @@
 var uploaders = 1
 
 type request struct {
-	id, address string
+	id          string
 	sent, ended time.Time
 	reused      bool
 	status      int
