--- a/review/programs/largebody/main.go
+++ b/review/programs/largebody/main.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Command largebody shows what becomes of the requests at an instance while clients upload bodies
 // that the manifest allows. It ends a process that exceeds memory_mb, as the platform does.
 package main
--- a/review/programs/leaving/main.go
+++ b/review/programs/leaving/main.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Command leaving shows what becomes of the requests of clients that have sent many safe requests
 // on one connection and close it before the first answer.
 package main
--- a/review/programs/pipelined/main.go
+++ b/review/programs/pipelined/main.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Command pipelined shows what becomes of the requests of clients that send further safe requests
 // before the first has been answered, on open connections of an instance that gets SIGTERM.
 package main
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Package rig starts a small deployment for the scripts of the review: the daemon as separate
 // processes, and the project's stand-ins for the store and the backend servers. It plays the
 // platform, which starts and stops the processes.
