--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0
+# leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/banyandeald ] && [ -x target/review-2 ] || exit 2
+exec target/review-2 handover-size review/10
--- a/review/programs-2/cases.go
+++ b/review/programs-2/cases.go
@@ -267,3 +267,59 @@
 	r.summary(map[string]any{"answers": count, "peaks": peaks, "processes that ended": ended, "passed on from a kept connection, which closed without the whole answer": lost})
 	return lost > 3, nil
 }
+
+// runHandoverSize: an instance is cut off from all upstreams. At each instance clients send bodies
+// that are within the limits of the manifest.
+func runHandoverSize(r *rig) (bool, error) {
+	const (
+		cutLength = 10 * time.Second
+		interval  = 150 * time.Millisecond
+		bodyBytes = 10 << 20
+	)
+	if err := r.start(map[string]int{"bud-a": 2, "bud-b": 2}, 4, 6, answer(60*time.Millisecond, []byte("stored")), route{"/store/", "unsafe", 4, 2}); err != nil {
+		return false, err
+	}
+	cut, body := r.instances[0], bytes.Repeat([]byte("x"), bodyBytes)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var theirs, others tally
+	began := time.Now()
+	if r.trouble {
+		r.partition(cut)
+	}
+	for n := 0; time.Since(began) < cutLength; n++ {
+		now := time.Since(began)
+		counts := now > contact && now < cutLength-2*time.Second
+		for _, i := range r.instances {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				a := attempt{id: newID(), method: http.MethodPost, path: fmt.Sprint("/store/", n), body: body, deadline: 5 * time.Second}
+				res := do(i.address(callerPort), a)
+				r.record.line("client: %s to %s, %d bytes: status %d error %v body %q, runs %d", a.id, i.name, len(a.body), res.status, res.err, bytes.TrimSpace(res.body), r.runsOf(a.id))
+				mu.Lock()
+				defer mu.Unlock()
+				t := &others
+				if i == cut {
+					t = &theirs
+				}
+				if counts {
+					t.all++
+				}
+				if counts && res.err == nil && res.status == http.StatusOK {
+					t.served++
+				}
+			}()
+		}
+		time.Sleep(interval)
+	}
+	r.heal()
+	wg.Wait()
+	all := theirs.all + others.all
+	broken := theirs.share() < others.share()*2/3 && float64(theirs.all-theirs.served) > 10+float64(all)/50
+	r.summary(map[string]any{
+		"at the cut machine": fmt.Sprintf("%d of %d served", theirs.served, theirs.all),
+		"at the others":      fmt.Sprintf("%d of %d served", others.served, others.all),
+	})
+	return broken, nil
+}
