--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/banyandeald ] && [ -x target/review-2 ] || exit 2
-exec target/review-2 handover-size review/10
+exec target/review-2 look-ups review/10
--- a/review/programs-2/cases.go
+++ b/review/programs-2/cases.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/banyandeal/banyandeal/internal/standin/faultproxy"
 )
 
 // answer is an upstream's handler: it reads the request, works for a while and succeeds.
@@ -117,6 +120,9 @@
 	cut := r.instances[0]
 	began := time.Now()
 	var counted struct{ cutPlain, cutOpaque, otherPlain, otherOpaque tally }
+	// brokenOff counts the requests that an upstream had begun to run and whose client got no
+	// answer of it.
+	brokenOff := map[string]int{}
 	send := func(i *instance, n int, counts bool) {
 		defer wg.Done()
 		a := attempt{id: newID(), method: http.MethodGet, path: fmt.Sprint("/file/", n), deadline: 3 * time.Second}
@@ -128,7 +134,8 @@
 			a.header = "X-Office: P\xe9cs"
 		}
 		res := do(i.address(callerPort), a)
-		r.record.line("client: %s %s to %s, header beyond ASCII %v: status %d error %v body %q", a.id, a.method, i.name, opaque, res.status, res.err, bytes.TrimSpace(res.body))
+		ran := r.runsOf(a.id)
+		r.record.line("client: %s %s to %s, header beyond ASCII %v: status %d error %v runs %d body %q", a.id, a.method, i.name, opaque, res.status, res.err, ran, bytes.TrimSpace(res.body))
 		if !counts {
 			return
 		}
@@ -146,6 +153,8 @@
 		t.all++
 		if res.err == nil && res.status == 200 {
 			t.served++
+		} else if ran > 0 {
+			brokenOff[fmt.Sprintf("%s, status %d", a.method, res.status)]++
 		}
 	}
 	cutBegan := false
@@ -175,8 +184,9 @@
 	all := theirs.all + others.all
 	broken := theirs.share() < others.share()*2/3 && float64(theirs.all-theirs.served) > 10+float64(all)/50
 	r.summary(map[string]any{
-		"at the cut machine": fmt.Sprintf("%d of %d served; ASCII only %d of %d, the rest %d of %d", theirs.served, theirs.all, counted.cutPlain.served, counted.cutPlain.all, counted.cutOpaque.served, counted.cutOpaque.all),
-		"at the others":      fmt.Sprintf("%d of %d served; ASCII only %d of %d, the rest %d of %d", others.served, others.all, counted.otherPlain.served, counted.otherPlain.all, counted.otherOpaque.served, counted.otherOpaque.all),
+		"at the cut machine":              fmt.Sprintf("%d of %d served; ASCII only %d of %d, the rest %d of %d", theirs.served, theirs.all, counted.cutPlain.served, counted.cutPlain.all, counted.cutOpaque.served, counted.cutOpaque.all),
+		"run by an upstream, answer lost": brokenOff,
+		"at the others":                   fmt.Sprintf("%d of %d served; ASCII only %d of %d, the rest %d of %d", others.served, others.all, counted.otherPlain.served, counted.otherPlain.all, counted.otherOpaque.served, counted.otherOpaque.all),
 	})
 	return broken, nil
 }
@@ -268,58 +278,67 @@
 	return lost > 3, nil
 }
 
-// runHandoverSize: an instance is cut off from all upstreams. At each instance clients send bodies
-// that are within the limits of the manifest.
-func runHandoverSize(r *rig) (bool, error) {
+// goneAfter is how long after its end an instance may still be named in look-ups: contact_s and 3 s.
+const goneAfter = contact + 3*time.Second
+
+// runLookups: the instances of two regions of three, half of all, lose power and don't come back.
+func runLookups(r *rig) (bool, error) {
 	const (
-		cutLength = 10 * time.Second
-		interval  = 150 * time.Millisecond
-		bodyBytes = 10 << 20
+		length   = 13 * time.Second
+		interval = 100 * time.Millisecond
+		steady   = 4 * time.Second
 	)
-	if err := r.start(map[string]int{"bud-a": 2, "bud-b": 2}, 4, 6, answer(60*time.Millisecond, []byte("stored")), route{"/store/", "unsafe", 4, 2}); err != nil {
+	regionOf = map[string]string{"bud-a": "budapest", "bud-b": "budapest", "deb-a": "debrecen", "deb-b": "debrecen", "pec-a": "pecs", "pec-b": "pecs"}
+	r.configure(route{"/file/", "safe", 1.2, 2})
+	zones := slices.Sorted(maps.Keys(regionOf))
+	for _, zone := range zones {
+		if err := r.addUpstream(zone, 3, answer(10*time.Millisecond, []byte("file"))); err != nil {
+			return false, err
+		}
+	}
+	for _, zone := range append(zones, "bud-a", "bud-b") {
+		if err := r.addInstance(zone); err != nil {
+			return false, err
+		}
+	}
+	if err := r.awaitReady(); err != nil {
 		return false, err
 	}
-	cut, body := r.instances[0], bytes.Repeat([]byte("x"), bodyBytes)
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	var theirs, others tally
-	began := time.Now()
-	if r.trouble {
-		r.partition(cut)
+	time.Sleep(steady)
+	gone := map[string]bool{}
+	var running []*instance
+	for _, i := range r.instances {
+		if regionOf[i.zone] == "budapest" || !r.trouble {
+			running = append(running, i)
+			continue
+		}
+		i.peers.Set(faultproxy.Dark)
+		_ = i.cmd.Process.Kill()
+		gone[i.address(callerPort)] = true
+		r.record.line("%s loses power", i.name)
 	}
-	for n := 0; time.Since(began) < cutLength; n++ {
-		now := time.Since(began)
-		counts := now > contact && now < cutLength-2*time.Second
-		for _, i := range r.instances {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				a := attempt{id: newID(), method: http.MethodPost, path: fmt.Sprint("/store/", n), body: body, deadline: 5 * time.Second}
-				res := do(i.address(callerPort), a)
-				r.record.line("client: %s to %s, %d bytes: status %d error %v body %q, runs %d", a.id, i.name, len(a.body), res.status, res.err, bytes.TrimSpace(res.body), r.runsOf(a.id))
-				mu.Lock()
-				defer mu.Unlock()
-				t := &others
-				if i == cut {
-					t = &theirs
-				}
-				if counts {
-					t.all++
-				}
-				if counts && res.err == nil && res.status == http.StatusOK {
-					t.served++
+	began := time.Now()
+	late, all, newest := 0, 0, time.Duration(0)
+	for n := 0; time.Since(began) < length; n++ {
+		for k, zone := range zones {
+			i := running[(n+k)%len(running)]
+			named, err := i.lookUp(regionOf[zone], zone)
+			age := time.Since(began)
+			r.record.line("client of %s: look-up at %s, %.1f s after: %v, error %v", zone, i.name, age.Seconds(), named, err)
+			all++
+			namesGone := slices.ContainsFunc(named, func(address string) bool { return gone[address] })
+			if namesGone && slices.ContainsFunc(named, func(address string) bool { return !gone[address] }) {
+				newest = age
+				if age > goneAfter {
+					late++
 				}
-			}()
+			}
 		}
 		time.Sleep(interval)
 	}
-	r.heal()
-	wg.Wait()
-	all := theirs.all + others.all
-	broken := theirs.share() < others.share()*2/3 && float64(theirs.all-theirs.served) > 10+float64(all)/50
 	r.summary(map[string]any{
-		"at the cut machine": fmt.Sprintf("%d of %d served", theirs.served, theirs.all),
-		"at the others":      fmt.Sprintf("%d of %d served", others.served, others.all),
+		"look-ups": all, "that name a machine gone for over 7 s beside a running one": late,
+		"the newest that names one": fmt.Sprintf("%.1f s after its end", newest.Seconds()),
 	})
-	return broken, nil
+	return late > 3, nil
 }
--- a/review/programs-2/main.go
+++ b/review/programs-2/main.go
@@ -22,7 +22,7 @@
 	"opaque-header":   runOpaqueHeader,
 	"chunked":         runChunked,
 	"handover-memory": runHandoverMemory,
-	"handover-size":   runHandoverSize,
+	"look-ups":        runLookups,
 }
 
 func main() {
--- a/review/programs-2/rig.go
+++ b/review/programs-2/rig.go
@@ -174,7 +174,7 @@
 	n := len(r.instances) + 1
 	i := &instance{
 		name: fmt.Sprintf("front-%s-%d", zone, n), zone: zone,
-		ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250+1, n), exited: make(chan struct{}),
+		ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250+1, n),
 	}
 	peers, err := faultproxy.New(i.address(peerPort))
 	if err != nil {
@@ -189,21 +189,29 @@
 	if err := os.WriteFile(i.settings, []byte(r.settingsOf(i)), 0o600); err != nil {
 		return err
 	}
-	logFile, err := os.Create(filepath.Join(r.dir, i.name+".log"))
+	r.instances = append(r.instances, i)
+	return r.restart(i)
+}
+
+// restart starts the process of an instance.
+func (r *rig) restart(i *instance) error {
+	logFile, err := os.OpenFile(filepath.Join(r.dir, i.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
 	}
+	exited := make(chan struct{})
+	i.exited = exited
 	i.cmd = exec.Command(r.program, "platform")
 	i.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BANYANDEAL_SETTINGS=" + i.settings}
 	i.cmd.Stdout, i.cmd.Stderr = logFile, logFile
 	if err := i.cmd.Start(); err != nil {
 		return err
 	}
-	r.instances = append(r.instances, i)
+	cmd := i.cmd
 	go func() {
-		_ = i.cmd.Wait()
+		_ = cmd.Wait()
 		_ = logFile.Close()
-		close(i.exited)
+		close(exited)
 	}()
 	return nil
 }
@@ -263,6 +271,20 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// lookUp returns the addresses that the directory of an instance names.
+func (i *instance) lookUp(region, zone string) ([]string, error) {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get(fmt.Sprintf("http://%s/resolve?name=%s&region=%s&zone=%s", i.address(lookupPort), host, region, zone))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addrs"`
+	}
+	return answer.Addresses, json.NewDecoder(resp.Body).Decode(&answer)
+}
+
 // watchMemory kills an instance whose process exceeds memory_mb, as the platform does.
 func (r *rig) watchMemory(stop <-chan struct{}) {
 	for n := 0; ; n++ {
