--- a/review/programs-2/rig.go
+++ b/review/programs-2/rig.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/hex"
 	"encoding/json"
@@ -468,16 +467,21 @@
 
 // socketInode returns the inode of a connection on loopback, empty if it is not found.
 func socketInode(local, remote string) string {
+	wanted := []byte(" " + tableAddress(local) + " " + tableAddress(remote) + " ")
 	for range 3 {
 		table, err := os.ReadFile("/proc/net/tcp")
 		if err != nil {
 			return ""
 		}
-		for lines := bufio.NewScanner(bytes.NewReader(table)); lines.Scan(); {
-			fields := strings.Fields(lines.Text())
-			if len(fields) > 9 && fields[1] == tableAddress(local) && fields[2] == tableAddress(remote) {
-				return fields[9]
-			}
+		_, line, found := bytes.Cut(table, wanted)
+		if !found {
+			continue
+		}
+		line, _, _ = bytes.Cut(line, []byte("\n"))
+		// The state, the queues, the timer, retransmits, owner and timeout come before the inode.
+		const inodeField = 6
+		if fields := bytes.Fields(line); len(fields) > inodeField {
+			return string(fields[inodeField])
 		}
 	}
 	return ""
