feeds: TestStoreCallsAtStart reads its counts with their lock

Cause: the test read the map of counts without the lock with which the feeds' goroutines write it, so that the race detector failed it in 20 of 20 runs on x86-64 (and again in 1 of 1 before this change).

With the lock, 1 in about 50 runs still ended with SIGSEGV in the race detector of Go 1.26, while a timer of the synctest bubble started a function (4 of 200 runs). The test now sleeps in a goroutine instead of using time.AfterFunc, which waits as long: 0 of 400 runs, and 0 of 4 runs of the whole package.

--- a/internal/edge/feeds/start_test.go
+++ b/internal/edge/feeds/start_test.go
@@ -49,12 +49,23 @@
 	c.calls[call]++
 }
 
+// snapshot returns the calls counted so far.
+func (c *callCounts) snapshot() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.calls)
+}
+
 // Rows implements Source.
 func (s countedStore) Rows(ctx context.Context, table string) ([]platform.Row, platform.Position, error) {
 	s.counts.add("read " + table)
 	rows, position, err := s.cutSource.Rows(ctx, table)
 	if table == TableMembers && err == nil {
-		time.AfterFunc(inForceDelay, s.membersRead)
+		// The race detector of Go 1.26 may crash in functions that timers start in a synctest bubble.
+		go func() {
+			time.Sleep(inForceDelay)
+			s.membersRead()
+		}()
 	}
 	return rows, position, err
 }
@@ -101,11 +112,11 @@
 		c.maxWait, c.reads = time.Hour, newHistoryStore()
 		c.startUnknown(ctx, &all, counts)
 		time.Sleep(quiet)
-		calls := 0
-		for _, n := range counts.calls {
+		byTable, calls := counts.snapshot(), 0
+		for _, n := range byTable {
 			calls += n
 		}
-		t.Logf("%d calls of %d instances: %v", calls, size, counts.calls)
+		t.Logf("%d calls of %d instances: %v", calls, size, byTable)
 		require.LessOrEqual(t, float64(calls)/size, maxStartCalls)
 		for _, i := range c.instances {
 			for _, table := range []string{platform.TableOperator, platform.TableBackends, TableMembers, TableNotices} {
