edgetest: the stand-ins of the memory tests don't keep bodies

TestMemoryBesideLargeUploads kept each uploaded body at its backend servers, twice while it was read.

The bounds on the program's memory, the cases and the shares to be served are as before. The backend servers count the bytes of each body, and the test checks besides that as many whole bodies have arrived as callers were told.

--- a/internal/edge/edgetest/memory_test.go
+++ b/internal/edge/edgetest/memory_test.go
@@ -174,8 +174,9 @@
 	e := New(t)
 	e.MaxBodyBytes = largest
 	e.Configure(Route{Prefix: "/up/", Kind: "unsafe", Service: "s", TimeoutS: 20}, Route{Prefix: "/get/", Kind: "safe", Service: "s"})
+	var backends []*Backend
 	for n := range 4 {
-		e.Backend(Start{Name: fmt.Sprint("i-", n), Zone: "a1", Service: "s", Slots: 20, Work: 20 * time.Millisecond})
+		backends = append(backends, e.Backend(Start{Name: fmt.Sprint("i-", n), Zone: "a1", Service: "s", Slots: 20, Work: 20 * time.Millisecond, DropBodies: true}))
 	}
 	p := e.startLimited(t)
 	for _, c := range []struct {
@@ -214,9 +215,23 @@
 		if c.size <= 24_000 {
 			require.Zero(t, refused.Load()+other.Load())
 		}
+		require.GreaterOrEqual(t, wholeUploads(backends, int64(c.size)), whole.Load())
 	}
 }
 
+// wholeUploads returns how many bodies of a size the backend servers have received.
+func wholeUploads(backends []*Backend, size int64) int64 {
+	n := int64(0)
+	for _, b := range backends {
+		for _, a := range b.Arrivals() {
+			if a.BodySize == size {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // upload sends a body and returns the status of the response, 0 if there is none.
 func upload(p *process, id string, size int, chunked bool) int {
 	nc, err := net.Dial("tcp", p.Settings.Listen.Callers)
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -67,6 +67,8 @@
 // Arrival is one request that reached a backend server.
 type Arrival struct {
 	ID, Method, Target, Body, Deadline string
+	// BodySize is the length of the body in bytes, also if Start.DropBodies leaves Body empty.
+	BodySize int64
 	// From is the address that it came from.
 	From string
 	// Born is the incarnation that it has reached.
@@ -155,6 +157,8 @@
 	CutBody func(body string) string
 	// AnswersEarly is set if requests with a body are answered before the body is read.
 	AnswersEarly bool
+	// DropBodies is set if the bodies of requests are read without being kept.
+	DropBodies bool
 	// EndlessHealth is set if health checks are answered without end.
 	EndlessHealth bool
 	// QueueWait is how long a request waits before the act CrashFromQueue.
@@ -504,30 +508,47 @@
 			}
 			continue
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil || !b.handle(nc, br, r, string(body)) {
+		body, err := b.readBody(r)
+		if err != nil || !b.handle(nc, br, r, body) {
 			return
 		}
 	}
 }
 
+// requestBody is the body of a request. text is empty if bodies are not kept.
+type requestBody struct {
+	text string
+	size int64
+}
+
+// readBody reads the body of a request. Errors: those of the connection.
+func (b *Backend) readBody(r *http.Request) (requestBody, error) {
+	if b.start.DropBodies {
+		size, err := io.Copy(io.Discard, r.Body)
+		return requestBody{size: size}, err
+	}
+	body, err := io.ReadAll(r.Body)
+	return requestBody{text: string(body), size: int64(len(body))}, err
+}
+
 // answerEarly answers a request before it reads its body, and reports whether the connection
 // stays. The body of the arrival is what is read where the body is due.
 func (b *Backend) answerEarly(nc net.Conn, br *bufio.Reader, r *http.Request) bool {
-	if !b.handle(nc, br, r, "") {
+	if !b.handle(nc, br, r, requestBody{}) {
 		return false
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := b.readBody(r)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.arrivals[len(b.arrivals)-1].Body = string(body)
+	a := b.arrivals[len(b.arrivals)-1]
+	a.Body, a.BodySize = body.text, body.size
 	return err == nil
 }
 
 // handle treats one request and reports whether the connection stays.
-func (b *Backend) handle(nc net.Conn, br *bufio.Reader, r *http.Request, body string) bool {
+func (b *Backend) handle(nc net.Conn, br *bufio.Reader, r *http.Request, body requestBody) bool {
 	a := &Arrival{
-		ID: r.Header.Get("X-Banyandeal-Request-Id"), Method: r.Method, Target: r.RequestURI, Body: body,
+		ID: r.Header.Get("X-Banyandeal-Request-Id"), Method: r.Method, Target: r.RequestURI, Body: body.text, BodySize: body.size,
 		Deadline: r.Header.Get("X-Banyandeal-Deadline-Ms"), From: nc.RemoteAddr().String(), At: time.Now(), Gone: make(chan struct{}),
 	}
 	if expected := r.Header.Get("X-Banyandeal-Expect-Instance"); expected != "" && expected != b.Name {
