peers: regions that are lost together are found together, and findings are told

Cause: the root of a region watches one other region and looks at the next one only when all rows of that one are removed, so that each lost region adds its own silence, two failed connections and a removal. Besides, what an instance finds of a dead one was known to it alone until the row was removed, so that it was lost with it, and nobody else heard of it while the store was away. And a peer that had often responded without the tables was checked again only after up to 30 s once it did not respond at all.

Now: (1) a watched region that does not respond within 0.4 s lets its root check the regions behind it, all at once, and then all instances of those in a row that do not respond. (2) Lookups leave out a region as soon as no connection to any of its instances could be opened; rows are removed by the same evidence as before. (3) Findings are told: to the root of the own region, from there to one instance of each other region, and down the tree with the replies to reads, which return at once for them; by the root to those that read from nobody. They end with a sign of life, a new row, or when the finder takes them back. (4) The first failed connection starts the backoff anew.

--- a/internal/decide/peers/checks.go
+++ b/internal/decide/peers/checks.go
@@ -15,6 +15,11 @@
 		return checks
 	}
 	m.tokens--
+	return m.beginCheck(checks, p, now)
+}
+
+// beginCheck adds a check of a peer.
+func (m *Machine) beginCheck(checks []Check, p *peer, now time.Time) []Check {
 	p.checking, p.checkedAt = true, now
 	return append(checks, Check{Peer: p.Name, AwaitTables: p.awaitsTables})
 }
@@ -43,6 +48,11 @@
 	if parent, ok := reachable.Parent(m.self.Name); ok {
 		add(parent, silent(parent))
 	}
+	for _, name := range names {
+		if p := m.peers[name]; overdue(p, now) {
+			m.raiseAlarm(p, now)
+		}
+	}
 	if len(m.unreachable) == 0 && now.Sub(m.alarm) > contactWindow {
 		return names
 	}
@@ -56,7 +66,13 @@
 			names = append(names, name)
 		}
 	}
-	return append(names, m.alarmed(suspects)...)
+	return append(names, m.alarmed(suspects, now)...)
+}
+
+// overdue reports whether the response to the first check of a peer has not come as soon as it
+// should.
+func overdue(p *peer, now time.Time) bool {
+	return p.checking && p.unreachableSince.IsZero() && now.Sub(p.checkedAt) >= responsePatience
 }
 
 // rankUnreachable returns the names of the peers that cannot be reached, those with the
@@ -69,11 +85,14 @@
 
 // alarmed returns peers to check because others are silent or unreachable: those that watch each
 // other may have died together. Each is checked once for an alarm, the more at a time the
-// more are unreachable.
-func (m *Machine) alarmed(suspects map[string]bool) []string {
-	checking := 0
+// more are unreachable or don't respond.
+func (m *Machine) alarmed(suspects map[string]bool, now time.Time) []string {
+	checking, late := 0, len(m.unreachable)
 	var rest []string
 	for name, p := range m.peers {
+		if overdue(p, now) {
+			late++
+		}
 		switch {
 		case suspects[name]:
 		case p.checking:
@@ -82,7 +101,7 @@
 			rest = append(rest, name)
 		}
 	}
-	count := min(maxAlarmChecks, alarmChecks*(1+len(m.unreachable))) - checking
+	count := min(maxAlarmChecks, alarmChecks*(1+late)) - checking
 	if count <= 0 || len(rest) == 0 {
 		return nil
 	}
@@ -94,7 +113,7 @@
 // are unreachable and nobody has responded for a while. They show whether this instance
 // reaches any.
 func (m *Machine) controlChecks(now time.Time) []Check {
-	if now.Sub(m.lastReached) <= contactWindow/2 || now.Before(m.nextControl) || len(m.unreachable) == 0 && !m.watchedUnreachable() {
+	if now.Sub(m.lastReached) <= contactWindow/2 || now.Before(m.nextControl) || len(m.unreachable) == 0 && !m.regionUnresponsive(now) {
 		return nil
 	}
 	var reachable []*peer
--- a/internal/decide/peers/evidence_test.go
+++ b/internal/decide/peers/evidence_test.go
@@ -146,7 +146,7 @@
 		for _, c := range m.Step(now).Checks {
 			m.Failed(c.Peer, Unreachable, now) // refused at once
 		}
-		if !m.IsDead(victim.Name, now) {
+		if !m.IsGone(victim.Name) {
 			named = at
 		}
 	}
--- a/internal/decide/peers/lateral.go
+++ b/internal/decide/peers/lateral.go
@@ -30,10 +30,10 @@
 }
 
 // StoreResponded records whether the last call of this instance to the store succeeded.
-func (m *Machine) StoreResponded(succeeded bool) {
+func (m *Machine) StoreResponded(succeeded bool, now time.Time) {
 	m.lateral.storeFails = !succeeded
 	if succeeded {
-		m.lateral.from = Store
+		m.lateral.from, m.storeReached = Store, now
 	}
 }
 
--- a/internal/decide/peers/peers.go
+++ b/internal/decide/peers/peers.go
@@ -22,6 +22,9 @@
 	// ConnectTimeout is the time in which a check must open a connection. A lost packet
 	// that opens one is sent again after 1 s.
 	ConnectTimeout = 1100 * time.Millisecond
+	// responsePatience is how long a check may take before others are checked too. It is several
+	// times what a response takes between regions.
+	responsePatience = 400 * time.Millisecond
 	// minFailedConnects is the number of failed connections after which a peer may be dead.
 	// Beyond freeDoubts, each peer that gives a sign of life within doubtSpan after a
 	// connection timed out raises it for doubtMemory, because connections time out then for
@@ -130,6 +133,8 @@
 	// AwaitTables is set if the instance is known to respond, so that the check should
 	// wait until it has the tables.
 	AwaitTables bool
+	// Tell is what the check tells the instance; nil if nothing.
+	Tell *Findings
 }
 
 // Ready is what is to be done now.
@@ -147,10 +152,21 @@
 	// unreachable holds the peers to which a connection has failed since the last sign of
 	// life, so that a step at rest does not go through all peers.
 	unreachable map[string]*peer
-	// foreign holds the instances of other regions, watched the names of those that this
-	// instance watches while it is the root of its region.
-	foreign map[string]*peer
-	watched []string
+	// foreign holds the instances of other regions, regions those regions in the order in which
+	// this instance watches them while it is the root of its region. surveyAt is when all of
+	// them were to be checked last; zero while it is not the root.
+	foreign  map[string]*peer
+	regions  []*otherRegion
+	surveyAt time.Time
+	// told holds what other instances have told, tellings what was told to each region. gone and
+	// findings hold what has been found or told and still holds.
+	told     map[string]*told
+	tellings map[string]telling
+	gone     map[string]Finding
+	findings Findings
+	// returned holds the instances of other regions whose rows came back with an older copy of
+	// the store.
+	returned map[string]*peer
 	// ranked holds this instance and its peers in the order of the tree.
 	ranked []tree.Node
 	// full is the tree of all members. reachable is the tree of those to which no
@@ -164,8 +180,9 @@
 	storeLost bool
 	lateral   lateral
 	// lastContact is the time of the newest sign of life of any instance, lastReached that of
-	// the newest response to this one. nextControl is the earliest time of the next controls.
-	lastContact, lastReached, nextControl time.Time
+	// the newest response to this one, storeReached that of the newest response of the store.
+	// nextControl is the earliest time of the next controls.
+	lastContact, lastReached, storeReached, nextControl time.Time
 	// doubts counts the peers that responded after a failed connection, doubtedAt is the time
 	// of the newest.
 	doubts    int
@@ -192,6 +209,8 @@
 // peer is what is known of another instance.
 type peer struct {
 	Member
+	// home is the region of an instance of another region, nil for others.
+	home *otherRegion
 	// lastContact is the time of the newest sign of life.
 	lastContact time.Time
 	// excluded is set while the peer is not read from. It is read from again when it
@@ -227,7 +246,10 @@
 
 // New returns a Machine for the instance self that knows no peers.
 func New(self Member) *Machine {
-	m := &Machine{self: self, peers: map[string]*peer{}, foreign: map[string]*peer{}, evicted: map[string]eviction{}}
+	m := &Machine{
+		self: self, peers: map[string]*peer{}, foreign: map[string]*peer{}, evicted: map[string]eviction{},
+		told: map[string]*told{}, tellings: map[string]telling{},
+	}
 	m.rebuild()
 	return m
 }
@@ -249,6 +271,7 @@
 		}
 	}
 	m.rebuild()
+	m.updateFindings(now)
 }
 
 // update returns what is known of a peer after its row was read.
@@ -283,9 +306,15 @@
 			m.unreachable[name] = p
 		}
 	}
+	m.returned = map[string]*peer{}
+	for name, p := range m.foreign {
+		if p.returned {
+			m.returned[name] = p
+		}
+	}
 	m.ranked = tree.Rank(m.self.Region, nodes)
 	m.full, m.reachable = tree.FromRanked(m.ranked), nil
-	m.candidates, m.watched = m.chooseCandidates(), m.chooseWatched()
+	m.candidates, m.regions = m.chooseCandidates(), m.chooseRegions()
 	if len(m.candidates) == 0 {
 		m.storeLost = false
 	}
@@ -346,6 +375,11 @@
 		return
 	}
 	p.lastContact, p.returned = now, false
+	delete(m.gone, name)
+	delete(m.returned, name)
+	if p.home != nil {
+		p.home.contact(now)
+	}
 	if p.unresponsive {
 		p.unresponsive, m.reachable = false, nil
 	}
@@ -391,6 +425,7 @@
 		return
 	}
 	p.checking, p.awaitsTables = false, !hasTables
+	m.tellingReceived(p)
 	if !hasTables {
 		m.fail(p, now)
 		return
@@ -424,6 +459,7 @@
 	default:
 		m.Contact(name, now)
 		m.lastReached = now
+		m.tellingReceived(p)
 	}
 	if f == StoreLost && slices.Contains(m.candidates, name) {
 		m.storeLost = true
@@ -444,7 +480,8 @@
 	if !p.unreachableSince.IsZero() {
 		return
 	}
-	p.unreachableSince = now
+	// Failures of another kind do not delay the next check.
+	p.unreachableSince, p.failedChecks = now, 0
 	if p.Region == m.self.Region {
 		m.unreachable[p.Name], m.reachable = p, nil
 	}
@@ -535,12 +572,6 @@
 // Size returns the number of instances of the region, including this one.
 func (m *Machine) Size() int { return len(m.peers) + 1 }
 
-// IsDead reports whether a peer is held for dead, also while its row cannot be removed.
-func (m *Machine) IsDead(name string, now time.Time) bool {
-	p := m.lookup(name)
-	return p != nil && m.dead(p, now)
-}
-
 // Step returns what is to be done at the time now. It must be called regularly.
 func (m *Machine) Step(now time.Time) Ready {
 	if m.frozen(now) {
@@ -560,7 +591,9 @@
 			ready.Dead = append(ready.Dead, p.Member)
 		}
 	}
-	checks, dead := m.watchRegion(now)
+	checks, dead := m.watchRegions(now)
 	ready.Checks, ready.Dead = append(ready.Checks, checks...), append(ready.Dead, dead...)
+	m.updateFindings(now)
+	ready.Checks = append(ready.Checks, m.tellOthers(now)...)
 	return ready
 }
--- a/internal/decide/peers/peers_test.go
+++ b/internal/decide/peers/peers_test.go
@@ -45,8 +45,16 @@
 	cut map[[2]string]bool
 	// pending holds what is to happen, ordered by time.
 	pending []event
+	// changedAt is when rows were removed last.
+	changedAt time.Time
 	// evictions counts the removals of rows of living instances.
 	evictions int
+	// storeAway is set while no row can be read or removed. latency is set if checks of living
+	// instances take a while, and removals a last check.
+	storeAway, latency bool
+	// slow is how much longer a check takes than it should, checks counts them.
+	slow   time.Duration
+	checks int
 }
 
 type event struct {
@@ -81,17 +89,41 @@
 
 // newRegions returns several regions of so many instances together.
 func newRegions(t *testing.T, count, zones, regions int) *region {
-	r := &region{t: t, now: epoch, instances: map[string]*instance{}, rows: map[string]Member{}, removed: map[string]time.Time{}, cut: map[[2]string]bool{}}
+	r := emptyRegion(t)
 	for i := range count {
-		node := tree.Node{Name: fmt.Sprint("front-", i), Zone: fmt.Sprint("zone-", i%zones), Capacity: []float64{10, 10, 200}[i%3]}
-		member := Member{Node: node, Region: fmt.Sprint("region-", i%regions), Incarnation: 1, RowVersion: uint64(i + 1)}
-		r.rows[node.Name] = member
-		r.instances[node.Name] = &instance{name: node.Name, machine: New(member)}
+		r.add(fmt.Sprint("zone-", i%zones), regionName(i%regions))
 	}
 	r.spread()
 	return r
 }
 
+// newSizedRegions returns regions of the given numbers of instances, each in two zones.
+func newSizedRegions(t *testing.T, sizes []int) *region {
+	r := emptyRegion(t)
+	for n, size := range sizes {
+		for i := range size {
+			r.add(fmt.Sprint("zone-", n, "-", i%2), regionName(n))
+		}
+	}
+	r.spread()
+	return r
+}
+
+func emptyRegion(t *testing.T) *region {
+	return &region{t: t, now: epoch, instances: map[string]*instance{}, rows: map[string]Member{}, removed: map[string]time.Time{}, cut: map[[2]string]bool{}}
+}
+
+func regionName(n int) string { return fmt.Sprint("region-", n) }
+
+// add adds an instance.
+func (r *region) add(zone, region string) {
+	i := len(r.instances)
+	node := tree.Node{Name: fmt.Sprint("front-", i), Zone: zone, Capacity: []float64{10, 10, 200}[i%3]}
+	member := Member{Node: node, Region: region, Incarnation: 1, RowVersion: uint64(i + 1)}
+	r.rows[node.Name] = member
+	r.instances[node.Name] = &instance{name: node.Name, machine: New(member)}
+}
+
 // spread passes the members' table to all living instances.
 func (r *region) spread() {
 	members := slices.Collect(maps.Values(r.rows))
@@ -100,6 +132,14 @@
 	}
 }
 
+// spreadLater passes the table on after simSpread, once for all rows that change now.
+func (r *region) spreadLater() {
+	if !r.now.Equal(r.changedAt) {
+		r.changedAt = r.now
+		r.after(simSpread, r.spread)
+	}
+}
+
 // order returns the instances in the order of the tree.
 func (r *region) order() []string {
 	var nodes []tree.Node
@@ -146,6 +186,7 @@
 		for _, name := range slices.Sorted(maps.Keys(r.instances)) {
 			if i := r.instances[name]; !i.dead {
 				r.read(i)
+				r.listen(i)
 				if r.now.Sub(epoch)%simStep == 0 {
 					r.step(i)
 				}
@@ -165,6 +206,7 @@
 	}
 	i.busyUntil = r.now.Add(simPoll)
 	if source == Store {
+		i.machine.StoreResponded(!r.storeAway, r.now)
 		return
 	}
 	took := simDial
@@ -179,7 +221,8 @@
 	i.busyUntil = r.now.Add(took)
 	r.after(took, func() {
 		if r.reaches(i.name, source) {
-			i.machine.Responded(source, true, r.now)
+			r.responded(i, source)
+			i.machine.SourceConfirmed(r.now)
 			return
 		}
 		i.connected = false
@@ -187,33 +230,90 @@
 	})
 }
 
+// listen lets an instance receive the findings of its source, which responds at once when they
+// change.
+func (r *region) listen(i *instance) {
+	if i.source == Store || !i.connected || !r.reaches(i.name, i.source) {
+		return
+	}
+	if f := r.instances[i.source].machine.Findings(); f.Digest != i.machine.SourceDigest() {
+		i.machine.SourceTold(f, r.now)
+	}
+}
+
 // step steps the machine of an instance and does what it returns.
 func (r *region) step(i *instance) {
 	ready := i.machine.Step(r.now)
+	r.checks += len(ready.Checks)
 	for _, c := range ready.Checks {
 		if r.reaches(i.name, c.Peer) {
-			if to := r.instances[c.Peer]; to != nil {
-				to.machine.Contact(i.name, r.now)
-			}
-			i.machine.Responded(c.Peer, true, r.now)
+			r.respond(i, c)
 			continue
 		}
 		failure, took := r.connectFailure(c.Peer)
 		r.after(took, func() { i.machine.Failed(c.Peer, failure, r.now) })
 	}
 	for _, dead := range ready.Dead {
+		if r.latency && !r.reaches(i.name, dead.Name) {
+			r.after(ConnectTimeout, func() { r.evictBy(i, dead) })
+			continue
+		}
+		r.evict(dead)
+	}
+}
+
+// evictBy removes a row if the instance that found it dead still lives, and does not reach it by a
+// last check either.
+func (r *region) evictBy(i *instance, dead Member) {
+	switch {
+	case i.dead:
+	case r.reaches(i.name, dead.Name):
+		i.machine.Contact(dead.Name, r.now)
+	default:
 		r.evict(dead)
 	}
 }
 
+// respond lets a living instance respond to a check.
+func (r *region) respond(i *instance, c Check) {
+	to := r.instances[c.Peer]
+	if to != nil {
+		to.machine.Contact(i.name, r.now)
+		if c.Tell != nil {
+			to.machine.Told(i.name, *c.Tell, r.now)
+		}
+	}
+	if !r.latency || to == nil {
+		r.responded(i, c.Peer)
+		return
+	}
+	took := simFar
+	if to.machine.self.Region == i.machine.self.Region {
+		took = simNear
+	}
+	r.after(took+r.slow, func() { r.responded(i, c.Peer) })
+}
+
+// responded records the response of a living instance.
+func (r *region) responded(i *instance, name string) {
+	if r.storeAway {
+		i.machine.Failed(name, StoreLost, r.now)
+		return
+	}
+	i.machine.Responded(name, true, r.now)
+}
+
 // evict removes a row if it is at the version that was seen.
 func (r *region) evict(dead Member) {
+	if r.storeAway {
+		return
+	}
 	if row, ok := r.rows[dead.Name]; !ok || row.RowVersion != dead.RowVersion {
 		return
 	}
 	delete(r.rows, dead.Name)
 	r.removed[dead.Name] = r.now
-	r.after(simSpread, r.spread)
+	r.spreadLater()
 	if i := r.instances[dead.Name]; i == nil || !i.dead {
 		r.evictions++
 		r.after(2*simSpread+time.Second, func() {
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -116,7 +116,7 @@
 			d.sourceSelector.MembersKnown()
 		}
 	}
-	d.directory = directory.New(d.control, s, func(instance string) bool { return d.membership.IsDead(instance) }, r)
+	d.directory = directory.New(d.control, s, func(instance string) bool { return d.membership.IsGone(instance) }, r)
 	d.reach = reach.New(d.control.View, func() { d.decider.Forgive() }, r, boundedLog(log, m, maxPeerLines), m)
 	pool := egress.NewPool(platform.HeaderRequestID, n.Backends, d.reach)
 	d.pool = pool
@@ -144,7 +144,9 @@
 		Settings: s, Self: self, Members: func() []traffic.Member { return d.control.View().Members }, Stopping: d.directory.Stopping,
 		TablesRead:   func() time.Time { return d.sourceSelector.ConfigReadAt() },
 		Registration: d.registration, Checker: client, Leaders: d.places, Log: boundedLog(log, m, maxPeerLines),
+		FindingsChanged: func() { d.replica.Interrupt(platform.TableOperator) },
 	})
+	client.ShareFindings(d.membership)
 	d.sourceSelector = feeds.NewSourceSelector(d.store, client, d.membership, r, log)
 	verdicts := &verdictReporter{log: boundedLog(log, m, maxVerdictLines), metrics: m}
 	d.evidence = evidence.New(d.store, n.Backends.DialContext, d.isRoot, verdicts, r, log)
--- a/internal/edge/feeds/feeds_test.go
+++ b/internal/edge/feeds/feeds_test.go
@@ -179,7 +179,7 @@
 func (c *fakeChooser) StoreResponded(succeeded bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.machine.StoreResponded(succeeded)
+	c.machine.StoreResponded(succeeded, time.Now())
 }
 
 func (c *fakeChooser) ReaderResponded(name string) {
--- a/internal/edge/feeds/replica.go
+++ b/internal/edge/feeds/replica.go
@@ -67,8 +67,10 @@
 	// storeReadAt is when the newest response of the store arrived by which the table is
 	// known, here or at the instance that read it; zero before the first one.
 	storeReadAt time.Time
-	// changed is closed when the rows or current change.
-	changed chan struct{}
+	// changed is closed when the rows or current change, or calls are to return; interrupts counts
+	// the latter.
+	changed    chan struct{}
+	interrupts int
 }
 
 // NewReplica returns an empty Replica.
@@ -350,19 +352,35 @@
 	return rows, t.position, nil
 }
 
-// Changes waits at most wait for changes of a table after the given position. It
-// returns the changed rows, if any, and the position from which the next call must
+// Interrupt lets calls that wait for changes of a table return without any.
+func (r *Replica) Interrupt(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.table(name)
+	t.interrupts++
+	t.notify()
+}
+
+// interruptCount returns how often Interrupt was called for a table.
+func (r *Replica) interruptCount(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table(name).interrupts
+}
+
+// Changes waits at most wait for changes of a table after the given position, or until Interrupt
+// is called. It returns the changed rows, if any, and the position from which the next call must
 // continue. Errors: ErrNotReading, ErrStoreLost, platform.ErrCompacted and the error of
 // ctx.
 func (r *Replica) Changes(ctx context.Context, name string, after platform.Position, wait time.Duration) ([]platform.Row, platform.Position, error) {
-	end := time.Now().Add(wait)
+	end, interrupts := time.Now().Add(wait), r.interruptCount(name)
 	for {
 		if err := r.awaitTable(ctx, name, 0); err != nil {
 			return nil, platform.Position{}, err
 		}
 		rows, position, changed, err := r.changesSince(name, after)
 		left := time.Until(end)
-		if err != nil || len(rows) > 0 || left <= 0 {
+		if err != nil || len(rows) > 0 || left <= 0 || r.interruptCount(name) != interrupts {
 			return rows, position, err
 		}
 		if err := r.awaitChange(ctx, name, changed, left); err != nil {
--- a/internal/edge/membership/membership.go
+++ b/internal/edge/membership/membership.go
@@ -55,7 +55,7 @@
 // Checker checks whether another instance responds and has the tables; see
 // relay.Client.Check.
 type Checker interface {
-	Check(ctx context.Context, address string, wait time.Duration) error
+	Check(ctx context.Context, address string, wait time.Duration, tell *peers.Findings) error
 }
 
 // Leaders is told in which order the instances of the region lead.
@@ -79,7 +79,9 @@
 	Registration Registration
 	Checker      Checker
 	Leaders      Leaders
-	Log          zerolog.Logger
+	// FindingsChanged is called when the result of Findings has changed.
+	FindingsChanged func()
+	Log             zerolog.Logger
 }
 
 // Monitor implements feeds.Chooser. It is safe for concurrent use.
@@ -91,6 +93,8 @@
 	// members is the table that machine knows, byName holds its rows by name.
 	members []traffic.Member
 	byName  map[string]traffic.Member
+	// announced is the digest of the findings for which FindingsChanged was called last.
+	announced uint64
 	// order is the order that Leaders has. It is nil after a change of members.
 	order []string
 	// missingSince is the time since which the row of this instance is missing; zero
@@ -139,7 +143,7 @@
 func (m *Monitor) StoreResponded(succeeded bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.machine.StoreResponded(succeeded)
+	m.machine.StoreResponded(succeeded, time.Now())
 }
 
 // ReaderResponded implements feeds.Chooser.
@@ -198,14 +202,6 @@
 	return m.machine.Size()
 }
 
-// IsDead reports whether this instance holds another one for dead, also while its row
-// cannot be removed.
-func (m *Monitor) IsDead(instance string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.machine.IsDead(instance, time.Now())
-}
-
 // Run maintains the table until ctx is done or the shutdown of this instance begins.
 func (m *Monitor) Run(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval)
@@ -232,6 +228,7 @@
 	ready := m.machine.Step(now)
 	order, addresses := m.newOrder()
 	m.mu.Unlock()
+	m.announceFindings()
 	if order != nil {
 		m.Leaders.Members(order, addresses)
 	}
@@ -288,7 +285,7 @@
 	if c.AwaitTables {
 		wait = regainWait
 	}
-	err := m.Checker.Check(ctx, address, wait)
+	err := m.Checker.Check(ctx, address, wait, c.Tell)
 	if err == nil {
 		m.ReaderResponded(c.Peer)
 		return
@@ -309,7 +306,7 @@
 	m.mu.Lock()
 	row := m.byName[dead.Name]
 	m.mu.Unlock()
-	err := m.Checker.Check(ctx, row.Peer, 0)
+	err := m.Checker.Check(ctx, row.Peer, 0, nil)
 	failure := classify(err, peers.Unresponsive)
 	if err == nil || failure != peers.Unreachable && failure != peers.Refused {
 		m.mu.Lock()
--- a/internal/edge/membership/membership_test.go
+++ b/internal/edge/membership/membership_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/banyandeal/banyandeal/internal/decide/peers"
 	"github.com/banyandeal/banyandeal/internal/edge/relay"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
@@ -25,7 +26,7 @@
 }
 
 // Check implements Checker.
-func (w *world) Check(context.Context, string, time.Duration) error {
+func (w *world) Check(context.Context, string, time.Duration, *peers.Findings) error {
 	if w.cut.Load() {
 		time.Sleep(100 * time.Millisecond)
 		return &relay.UnreachableError{}
--- a/internal/edge/membership/step_test.go
+++ b/internal/edge/membership/step_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/banyandeal/banyandeal/internal/decide/peers"
 	"github.com/banyandeal/banyandeal/internal/edge/relay"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
@@ -31,7 +32,9 @@
 type respondingChecker struct{}
 
 // Check implements Checker.
-func (respondingChecker) Check(context.Context, string, time.Duration) error { return nil }
+func (respondingChecker) Check(context.Context, string, time.Duration, *peers.Findings) error {
+	return nil
+}
 
 // table returns a members' table of 8 regions of 3 zones each.
 func table(count int) []traffic.Member {
--- a/internal/edge/relay/client.go
+++ b/internal/edge/relay/client.go
@@ -22,6 +22,8 @@
 	self   string
 	dialer Dialer
 	packer *packer
+	// findings holds what instances tell each other; nil if they don't.
+	findings Findings
 	// dials combines the concurrent dials of one address.
 	dials singleflight.Group
 
@@ -134,7 +136,7 @@
 // wait until the instance has the tables. Errors: feeds.ErrNotReading and
 // feeds.ErrStoreLost if it responds without having them, *UnreachableError, and those of
 // a connection on which no response came.
-func (c *Client) Check(ctx context.Context, address string, wait time.Duration) error {
+func (c *Client) Check(ctx context.Context, address string, wait time.Duration, tell *peers.Findings) error {
 	s, err := dial(ctx, c.dialer, address, peers.ConnectTimeout)
 	if err != nil {
 		return &UnreachableError{Address: address, Cause: err}
@@ -143,6 +145,9 @@
 	s.tryAcquire()
 	defer s.release()
 	request := &relaypb.Ask{Instance: c.self, Check: true, WaitMs: uint32(wait.Milliseconds())}
+	if tell != nil {
+		request.Findings = encodeFindings(*tell)
+	}
 	reply, err := s.roundTrip(ctx, request, wait)
 	if err != nil {
 		return errors.Annotatef(err, "check the instance at %s", address)
@@ -192,6 +197,7 @@
 // platform.ErrCompacted, *UnreachableError, and those of the connection.
 func (r *remoteSource) request(ctx context.Context, request *relaypb.Ask, wait time.Duration) ([]platform.Row, platform.Position, error) {
 	request.Instance = r.client.self
+	r.client.follow(request)
 	s, err := r.client.acquire(ctx, r.address)
 	if err != nil {
 		return nil, platform.Position{}, err
@@ -205,6 +211,7 @@
 		}
 		return nil, platform.Position{}, errors.Annotatef(err, "send a request to the reader at %s", r.address)
 	}
+	r.client.followed(request, reply)
 	if err := statusError(reply.Status); err != nil {
 		return nil, platform.Position{}, err
 	}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -74,7 +74,7 @@
 type Server struct {
 	replica  *feeds.Replica
 	assigner Assigner
-	packer   *packer
+	client   *Client
 	// onContact is called with the name of the sender of each request.
 	onContact func(instance string)
 	// taker takes requests that other instances hand over; nil if this instance takes none.
@@ -86,7 +86,7 @@
 // with the name of the sender of each request. t takes the requests that are handed over; it
 // may be nil.
 func NewServer(r *feeds.Replica, c *Client, a Assigner, t Taker, onContact func(instance string)) *Server {
-	return &Server{replica: r, packer: c.packer, assigner: a, taker: t, onContact: onContact}
+	return &Server{replica: r, client: c, assigner: a, taker: t, onContact: onContact}
 }
 
 // Serve accepts sessions until the listener is closed.
@@ -128,6 +128,7 @@
 	}
 	received := time.Now()
 	s.onContact(request.Instance)
+	s.takeFindings(request)
 	reply := &relaypb.Reply{}
 	switch {
 	case request.Handover != nil:
@@ -192,12 +193,16 @@
 	if request.Full {
 		rows, position, err = s.replica.Rows(ctx, request.Table)
 	} else {
-		after := platform.Position{Era: request.AfterEra, Version: request.After}
-		rows, position, err = s.replica.Changes(ctx, request.Table, after, requestedWait(request))
+		after, wait := platform.Position{Era: request.AfterEra, Version: request.After}, requestedWait(request)
+		if s.newFindings(request) != nil {
+			wait = 0
+		}
+		rows, position, err = s.replica.Changes(ctx, request.Table, after, wait)
 	}
+	reply.Findings = s.newFindings(request)
 	reply.Era, reply.Version, reply.Status = position.Era, position.Version, status(err)
 	for _, row := range rows {
-		message, err := s.packer.encode(row)
+		message, err := s.client.packer.encode(row)
 		if err != nil {
 			reply.Rows, reply.Status = nil, relaypb.Status_UNAVAILABLE
 			return
--- a/internal/edge/relay/stale_session_test.go
+++ b/internal/edge/relay/stale_session_test.go
@@ -90,7 +90,7 @@
 	}
 	require.NoError(t, ask())
 	stale.Store(true)
-	require.NoError(t, c.Check(t.Context(), address, 0), "the leader can be reached")
+	require.NoError(t, c.Check(t.Context(), address, 0, nil), "the leader can be reached")
 	for range 5 {
 		if ask() == nil {
 			return
