edge: no answer promises that a request has not run after a run of it

By its own 421 the instance itself ran them twice, and took the server for replaced for good, so that its requests were refused.

Cause: each filter decided about the status of its answer by itself. dispatch passed any complete answer on; handover looked at 503 only; any 421 counted as one of another server.

Now every answer passes one filter, refusal, behind the access log, which knows from the attempts and handovers whether the request may have run, and answers 502 without Retry-After and without the stamp in place of 408, 421, 429, 503 then. dispatch takes such an answer without X-Banyandeal-Not-Run for a failed run: idempotent requests may be sent again, others may not. A 421 that has the stamp of a run or the ID of the expected server is not one of another server. Rests, limits and leaving that such answers state bind as before.

The product's own interface tells the outcome (done) beside the status; TestOwnRefusalCountsAsRun shows it, and passed before.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -121,6 +121,22 @@
 	}
 }
 
+// TestOwnRefusalCountsAsRun guards against a status by which a backend server fails a request that
+// it has run, and that is taken for a refusal, so that the request runs again. Callers go by the
+// outcome, which is done.
+func TestOwnRefusalCountsAsRun(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		s := startRawServer(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
+			return writeRaw(c, fmt.Sprintf("HTTP/1.1 %d Failed\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", status))
+		})
+		reply := s.client(t, Config{}).Do(testContext(t), &Request{Method: http.MethodPost, Path: "/", Body: []byte("loan")})
+		require.Equal(t, outcome.Done, reply.Outcome)
+		require.Equal(t, status, reply.Status)
+		require.False(t, reply.Shed)
+		require.Equal(t, 1, s.requestCount())
+	}
+}
+
 // TestDroppedRequestIsNotResent guards against a request that runs twice because
 // the client sends it again after the server has closed its connection.
 func TestDroppedRequestIsNotResent(t *testing.T) {
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/filter/identify"
 	"github.com/banyandeal/banyandeal/internal/edge/filter/match"
 	"github.com/banyandeal/banyandeal/internal/edge/filter/quarantine"
+	"github.com/banyandeal/banyandeal/internal/edge/filter/refusal"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/handover"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
@@ -153,7 +154,7 @@
 	guard := d.evidence.Guard()
 	d.handovers = relay.NewClient(s.Instance, n.Peers)
 	handler := gateway.New(d.control,
-		accesslog.New(log, m), identify.Filter{}, match.Filter{ConfigReadAt: d.sourceSelector.ConfigReadAt}, quarantine.Filter{Guard: guard}, expire.Filter{},
+		accesslog.New(log, m), refusal.Filter{}, identify.Filter{}, match.Filter{ConfigReadAt: d.sourceSelector.ConfigReadAt}, quarantine.Filter{Guard: guard}, expire.Filter{},
 		handover.NewFilter(s, d.reach, d.handovers, m),
 		dispatch.New(pool, decider, d.places, guard, dispatch.Hooks{OnIsolated: verdicts.isolated, TableReadAt: d.operatorReadAt, Isolated: d.reach.Isolated}))
 	d.budget = newBudget(s, boundedLog(log, m, maxMemoryLines), m)
--- a/internal/edge/edgetest/backend.go
+++ b/internal/edge/edgetest/backend.go
@@ -31,6 +31,15 @@
 	Fail = registered.Fail
 	// Unstamped runs the request and responds without the server stamp.
 	Unstamped = registered.Unstamped
+	// Own503, Own429, Own408 and Own421 run the request and respond with that status, which
+	// callers take for a promise that it has not run. BareOwn503 and BareOwn429 do so without the
+	// stamp.
+	Own503     = registered.Own503
+	Own429     = registered.Own429
+	Own408     = registered.Own408
+	Own421     = registered.Own421
+	BareOwn503 = registered.BareOwn503
+	BareOwn429 = registered.BareOwn429
 	// ExtraFirst sends a response to another request before the response.
 	ExtraFirst = registered.ExtraFirst
 	// ExtraAfter sends a second response after the response.
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	decide "github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/decide/rest"
 	"github.com/banyandeal/banyandeal/internal/edge/egress"
+	"github.com/banyandeal/banyandeal/internal/edge/filter/refusal"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
@@ -231,7 +232,7 @@
 	request.Allowed = func() bool { return f.decider.usable(choice.Backend) }
 	request.OnWrite = func(alive time.Time) { f.guard.Written(tracked, alive) }
 	resp, err := f.pool.Do(ctx, choice.Backend, request)
-	end, result := f.classify(ctx, resp, err)
+	end, result := f.classify(ctx, choice.Backend, resp, err)
 	result.Took = time.Since(started)
 	f.recordEvidence(ctx, tracked, choice.Backend, result.Outcome, &end)
 	f.decider.recordEnd(state, choice, result, end.mayHaveRun)
@@ -314,11 +315,11 @@
 
 // classify returns what the end of an attempt means for the request, and the
 // result that updates the estimates of the backend server.
-func (f *Filter) classify(ctx context.Context, resp *egress.BackendResponse, err error) (attemptEnd, affinity.Result) {
+func (f *Filter) classify(ctx context.Context, b *traffic.Backend, resp *egress.BackendResponse, err error) (attemptEnd, affinity.Result) {
 	if err != nil {
 		return f.classifyError(ctx, err)
 	}
-	v := platform.ParseResponseInfo(resp.Status, resp.Header)
+	v := platform.ParseResponseInfo(resp.Status, resp.Header, b.ID)
 	result := affinity.Result{RTT: resp.DialTime, Transfer: resp.TransferTime}
 	if v.HasLoad {
 		result.Load = &affinity.Load{Running: v.Running, Waiting: v.Waiting, Slots: v.Slots}
@@ -336,6 +337,9 @@
 		return attemptEnd{reason: reasonMisdirected}, affinity.Unreachable
 	case v.NotRun:
 		return attemptEnd{reason: "shed"}, affinity.Shed
+	case refusal.PromisesNotRun(resp.Status):
+		// Without that statement it is a failure of the backend server itself, after a run.
+		return attemptEnd{mayHaveRun: true, reason: "false_refusal"}, affinity.Failed
 	case resp.Status < http.StatusInternalServerError && v.Stamped:
 		return attemptEnd{mayHaveRun: true, response: callerResponse(resp), reason: "answered"}, affinity.Answered
 	case resp.Status >= http.StatusMultipleChoices && resp.Status < http.StatusInternalServerError:
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -79,6 +79,22 @@
 	Rejected *Rejection
 }
 
+// Runs returns the number of backend servers and instances that may have run the request.
+func (o *Outcome) Runs() int {
+	n := 0
+	for _, a := range o.Attempts {
+		if a.MayHaveRun {
+			n++
+		}
+	}
+	for _, h := range o.Handovers {
+		if h.MayHaveRun {
+			n++
+		}
+	}
+	return n
+}
+
 // Attempt is one attempt to send the request to a backend server.
 type Attempt struct {
 	// Choice is the chosen backend server and the estimates behind the choice.
--- a/internal/edge/handover/filter.go
+++ b/internal/edge/handover/filter.go
@@ -85,7 +85,7 @@
 	if handed := f.handOver(ctx, ex); handed != nil {
 		return handed
 	}
-	if runs(ex) > 0 {
+	if ex.Outcome.Runs() > 0 {
 		return mayHaveRun(ctx, ex)
 	}
 	if resp != nil {
@@ -112,26 +112,10 @@
 
 // mayRepeat reports whether the request may be sent to a further backend server.
 func mayRepeat(ex *gateway.Exchange) bool {
-	n := runs(ex)
+	n := ex.Outcome.Runs()
 	return n == 0 || ex.Route.Kind.Idempotent() && n < ex.Route.MaxAttempts
 }
 
-// runs returns the number of backend servers and instances that may have run a request.
-func runs(ex *gateway.Exchange) int {
-	n := 0
-	for _, a := range ex.Outcome.Attempts {
-		if a.MayHaveRun {
-			n++
-		}
-	}
-	for _, h := range ex.Outcome.Handovers {
-		if h.MayHaveRun {
-			n++
-		}
-	}
-	return n
-}
-
 // handOver hands a request over until another instance has replied. It returns nil if none
 // takes it. None takes a body of more than maxTakenBytes.
 func (f *Filter) handOver(ctx context.Context, ex *gateway.Exchange) *ingress.Response {
@@ -150,7 +134,7 @@
 		switch {
 		case result == decide.Replied:
 			ex.Outcome.Reason = reply.Reason
-			return response(ex, reply)
+			return &ingress.Response{Status: int(reply.Status), Header: decodeHeader(reply.Headers), Body: reply.Body}
 		case !mayRepeat(ex):
 			return mayHaveRun(ctx, ex)
 		}
@@ -219,7 +203,7 @@
 	platform.SetTimeout(h, time.Until(ex.CallerDeadline))
 	r := &relaypb.Handover{
 		Method: ex.Method, Target: ex.Target, Host: ex.Host, Headers: encodeHeader(h), Body: ex.Body,
-		Runs: uint32(runs(ex)),
+		Runs: uint32(ex.Outcome.Runs()),
 	}
 	if ex.View.Config != nil {
 		r.ConfigVersion = ex.View.Config.Version
@@ -227,15 +211,6 @@
 	return r
 }
 
-// response returns the response to the caller of a request that another instance has handled.
-func response(ex *gateway.Exchange, reply *relaypb.HandoverReply) *ingress.Response {
-	status := int(reply.Status)
-	if status == http.StatusServiceUnavailable && runs(ex) > 0 {
-		return gateway.ErrorResponse(http.StatusBadGateway, "the backend servers failed; the request may have run")
-	}
-	return &ingress.Response{Status: status, Header: decodeHeader(reply.Headers), Body: reply.Body}
-}
-
 // encodeHeader converts headers to messages, in the order of their names.
 func encodeHeader(h http.Header) []*relaypb.Header {
 	var all []*relaypb.Header
--- a/internal/edge/handover/taker.go
+++ b/internal/edge/handover/taker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -72,8 +71,7 @@
 	resp, outcome := t.gateway.ServeObserved(ctx, request)
 	return &relaypb.HandoverReply{
 		Status: uint32(resp.Status), Headers: encodeHeader(resp.Header), Body: resp.Body,
-		MayHaveRun: slices.ContainsFunc(outcome.Attempts, func(a gateway.Attempt) bool { return a.MayHaveRun }),
-		Reason:     outcome.Reason,
+		MayHaveRun: outcome.Runs() > 0, Reason: outcome.Reason,
 	}
 }
 
--- a/internal/simulation/day.go
+++ b/internal/simulation/day.go
@@ -228,6 +228,9 @@
 	func(rng *rand.Rand) Entry {
 		return Entry{Kind: "platform_compact", X: length(rng, 0.5, 4), ForS: length(rng, 1, 5)}
 	},
+	func(rng *rand.Rand) Entry {
+		return Entry{Kind: "srv_grey", How: pick(rng, "500", "503", "429", "408", "421"), Share: pick(rng, 0.3, 1), ForS: length(rng, 3, 10)}
+	},
 	func(rng *rand.Rand) Entry { return Entry{Kind: "poison", How: "deadly", ForS: length(rng, 4, 10)} },
 }
 
--- a/internal/simulation/troubles.go
+++ b/internal/simulation/troubles.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/banyandeal/banyandeal/internal/standin/registered"
 	"github.com/banyandeal/banyandeal/internal/standin/simnet"
 	"github.com/banyandeal/banyandeal/internal/standin/store"
 )
@@ -20,7 +21,7 @@
 	"config_change": (*Estate).changeConfig, "config_storm": (*Estate).stormConfig, "big_config": (*Estate).growConfig,
 	"evacuate": (*Estate).evacuate, "platform_down": (*Estate).storeDown, "platform_lost": (*Estate).storeLosesAnswers,
 	"platform_compact": (*Estate).storeDropsHistory, "poison": (*Estate).sendCrashing,
-	"limit": (*Estate).limitBackends,
+	"limit": (*Estate).limitBackends, "srv_grey": (*Estate).failRuns,
 }
 
 // planned holds the kinds that are planned work.
@@ -33,6 +34,7 @@
 var hows = map[string]string{
 	"node_kill": "power reader leader", "node_cut": "all servers reset refuse reader leader", "node_freeze": "reader leader",
 	"config_change": "route", "evacuate": "warm", "platform_down": "silent busy nodes older reader leader", "poison": "deadly",
+	"srv_grey": "500 503 429 408 421",
 }
 
 // Times of planned work.
@@ -253,6 +255,36 @@
 	time.Sleep(down)
 }
 
+// failures maps the words of srv_grey to how backend servers fail requests that they have run.
+var failures = map[string]registered.Act{
+	"500": registered.Fail, "503": registered.Own503, "429": registered.Own429, "408": registered.Own408, "421": registered.Own421,
+}
+
+// failRuns lets backend servers fail one of four requests that they run, by the status that how
+// names.
+func (e *Estate) failRuns(t Entry) {
+	act, ok := failures[t.How]
+	if !ok {
+		act = registered.Fail
+	}
+	chosen := e.chosenBackends(t, 0.3)
+	for _, b := range chosen {
+		n := 0
+		// The backend server calls the function under its own lock.
+		b.SetAct(func(*registered.Arrival) registered.Act {
+			n++
+			if n%4 == 0 {
+				return act
+			}
+			return registered.Run
+		})
+	}
+	time.Sleep(t.length())
+	for _, b := range chosen {
+		b.SetAct(func(*registered.Arrival) registered.Act { return registered.Run })
+	}
+}
+
 // limitBackends lets backend servers state a limit of x requests a second for a while.
 func (e *Estate) limitBackends(t Entry) {
 	chosen := e.chosenBackends(t, 0.3)
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -39,6 +39,15 @@
 	Fail
 	// Unstamped runs it and answers without the stamp.
 	Unstamped
+	// Own503, Own429, Own408 and Own421 run it and answer with a status that would promise that
+	// it has not run, without a statement of that. BareOwn503 and BareOwn429 do so without the
+	// stamp.
+	Own503
+	Own429
+	Own408
+	Own421
+	BareOwn503
+	BareOwn429
 	// ExtraFirst answers another request's id first.
 	ExtraFirst
 	// ExtraAfter sends a second answer behind the first.
@@ -64,6 +73,12 @@
 	EndlessChunks
 )
 
+// ownStatus maps acts to the statuses of their responses.
+var ownStatus = map[Act]int{
+	Own503: http.StatusServiceUnavailable, Own429: http.StatusTooManyRequests, Own408: http.StatusRequestTimeout,
+	Own421: http.StatusMisdirectedRequest, BareOwn503: http.StatusServiceUnavailable, BareOwn429: http.StatusTooManyRequests,
+}
+
 // Arrival is one request that reached a backend server.
 type Arrival struct {
 	ID, Method, Target, Body, Deadline string
@@ -669,6 +684,10 @@
 		whole(500, a.ID, stamp, text)
 	case Unstamped:
 		whole(200, a.ID, "", text)
+	case Own503, Own429, Own408, Own421:
+		whole(ownStatus[act], a.ID, stamp, text)
+	case BareOwn503, BareOwn429:
+		whole(ownStatus[act], a.ID, "", text)
 	case ExtraFirst:
 		whole(200, "another", stamp, "answer to another")
 		whole(200, a.ID, stamp, text)
