relay: what callers choose is in bytes, so that any request can be handed over

Cause: method, target, host and headers of a handed over request, and the objects in requests for placements, were protobuf strings, which must be UTF-8. Such a request could not be encoded or read; the stream broke, and the other instance counted as unreachable. HTTP allows the bytes 0x80 to 0xff in header values, and the direct way passes them on.

They are bytes fields now, which have the same form on the wire, so that old and new builds understand each other in what was possible before.

--- a/internal/edge/handover/filter.go
+++ b/internal/edge/handover/filter.go
@@ -202,7 +202,7 @@
 	h := ex.Header.Clone()
 	platform.SetTimeout(h, time.Until(ex.CallerDeadline))
 	r := &relaypb.Handover{
-		Method: ex.Method, Target: ex.Target, Host: ex.Host, Headers: encodeHeader(h), Body: ex.Body,
+		Method: []byte(ex.Method), Target: []byte(ex.Target), Host: []byte(ex.Host), Headers: encodeHeader(h), Body: ex.Body,
 		Runs: uint32(ex.Outcome.Runs()),
 	}
 	if ex.View.Config != nil {
@@ -216,7 +216,7 @@
 	var all []*relaypb.Header
 	for _, name := range slices.Sorted(maps.Keys(h)) {
 		for _, v := range h[name] {
-			all = append(all, &relaypb.Header{Name: name, Value: v})
+			all = append(all, &relaypb.Header{Name: []byte(name), Value: []byte(v)})
 		}
 	}
 	return all
@@ -226,7 +226,8 @@
 func decodeHeader(all []*relaypb.Header) http.Header {
 	h := http.Header{}
 	for _, x := range all {
-		h[x.Name] = append(h[x.Name], x.Value)
+		name := string(x.Name)
+		h[name] = append(h[name], string(x.Value))
 	}
 	return h
 }
--- a/internal/edge/relay/places.go
+++ b/internal/edge/relay/places.go
@@ -31,7 +31,7 @@
 		return
 	}
 	entries, ok := s.assigner.Assign(admission.PlacementRequest{
-		Key:         assign.Key{Service: request.Key.GetService(), Prefix: request.Key.GetPrefix(), Object: request.Key.GetObject()},
+		Key:         assign.Key{Service: request.Key.GetService(), Prefix: request.Key.GetPrefix(), Object: string(request.Key.GetObject())},
 		HomeRegions: request.HomeRegions,
 	}, request.After)
 	if !ok {
@@ -58,7 +58,7 @@
 		request.Place.Handover = EncodePlaces(handover)
 	}
 	if r.Key != (assign.Key{}) {
-		request.Place.Key = &relaypb.ObjectKey{Service: r.Key.Service, Prefix: r.Key.Prefix, Object: r.Key.Object}
+		request.Place.Key = &relaypb.ObjectKey{Service: r.Key.Service, Prefix: r.Key.Prefix, Object: []byte(r.Key.Object)}
 	}
 	reply, err := s.roundTrip(ctx, request, timeout)
 	if err != nil {
@@ -94,7 +94,7 @@
 			out.Backends = append(out.Backends, e.Backend)
 		}
 		groups[g].Places = append(groups[g].Places, &relaypb.Place{
-			Object: e.Key.Object, Backend: index, Version: e.Version, Bound: e.Bound,
+			Object: []byte(e.Key.Object), Backend: index, Version: e.Version, Bound: e.Bound,
 		})
 	}
 	return out
@@ -110,7 +110,7 @@
 				return nil, errors.NotValidf("backend index %d of %d (the sender may run another version): the placements are", x.Backend, len(p.Backends))
 			}
 			entries = append(entries, assign.Entry{
-				Key:     assign.Key{Service: g.Service, Prefix: g.Prefix, Object: x.Object},
+				Key:     assign.Key{Service: g.Service, Prefix: g.Prefix, Object: string(x.Object)},
 				Backend: p.Backends[x.Backend], Bound: x.Bound, Version: x.Version,
 			})
 		}
