peers: findings of a source that does not precede this instance are not passed on

Two instances that read from each other for lack of another source (lateral) would have told each other the same finding again and again, beyond the time at which its finder took it back. Found by reading; TestLateralFindingsAreNotPassedOn. Lookups of the instance itself still go by them.

--- a/internal/decide/peers/findings.go
+++ b/internal/decide/peers/findings.go
@@ -137,15 +137,22 @@
 	if len(m.findings.List) == 0 && len(m.told) == 0 && len(m.unreachable) == 0 && len(m.returned) == 0 && !m.regionUnresponsive(now) {
 		return
 	}
+	maps.DeleteFunc(m.told, func(_ string, t *told) bool { return now.Sub(t.at) > toldMemory })
 	m.gone = m.ownFindings(now)
 	for teller, t := range m.told {
-		if now.Sub(t.at) > toldMemory {
-			delete(m.told, teller)
-			continue
+		if teller != parent {
+			m.addTold(m.gone, teller, t, now)
 		}
-		m.addTold(m.gone, teller, t, now)
+	}
+	fromSource := m.told[parent]
+	if fromSource != nil && !m.Lateral() {
+		m.addTold(m.gone, parent, fromSource, now)
 	}
 	m.findings = newFindings(m.gone)
+	if fromSource != nil && m.Lateral() {
+		// Instances that read from each other would keep a finding alive for good.
+		m.addTold(m.gone, parent, fromSource, now)
+	}
 }
 
 // ownFindings returns what this instance has found itself.
--- a/internal/decide/peers/losses_test.go
+++ b/internal/decide/peers/losses_test.go
@@ -258,6 +258,25 @@
 	}
 }
 
+// TestLateralFindingsAreNotPassedOn guards against instances that read from each other for lack of
+// another source, and that keep alive what the other one told them.
+func TestLateralFindingsAreNotPassedOn(t *testing.T) {
+	r := newRegion(t, 4, 1)
+	order := r.order()
+	m := r.instances[order[0]].machine
+	finding := m.lookup(order[3]).finding()
+	told := newFindings(map[string]Finding{finding.Name: finding})
+	now := epoch.Add(time.Minute)
+	m.StoreResponded(false, now)
+	m.Responded(order[1], true, now)
+	require.True(t, m.Lateral())
+	m.SourceTold(told, now)
+	require.True(t, m.IsGone(finding.Name))
+	require.Empty(t, m.Findings().List)
+	m.Told(order[2], told, now)
+	require.Equal(t, told, m.Findings())
+}
+
 // orderOf returns the instances of a region in the order of the tree.
 func (r *region) orderOf(region string) []string {
 	var names []string
--- a/internal/decide/peers/peers.go
+++ b/internal/decide/peers/peers.go
@@ -1,6 +1,7 @@
 // Package peers decides, from what one entry instance has itself seen of the other
-// instances of its region, from which of them it reads the tables of the store, which it
-// checks, and which are dead.
+// instances, from which of its region it reads the tables of the store, which it checks, and
+// which are dead, so that their rows are removed. Which of them lookups leave out it decides by
+// what others have found, too.
 //
 // Evidence about a peer belongs to the instance that saw it. It depends neither on the
 // role of the instance nor on that of the peer, so that a change of role loses none.
--- a/internal/edge/edgetest/handover_bytes_test.go
+++ b/internal/edge/edgetest/handover_bytes_test.go
@@ -27,8 +27,10 @@
 		every.WriteByte(byte(c))
 	}
 	for name, add := range map[string]func(text string) string{
-		"ASCII":  func(text string) string { return text },
-		"header": func(text string) string { return strings.Replace(text, "\r\n", "\r\nX-Office: P\xe9cs "+every.String()+"\r\n", 1) },
+		"ASCII": func(text string) string { return text },
+		"header": func(text string) string {
+			return strings.Replace(text, "\r\n", "\r\nX-Office: P\xe9cs "+every.String()+"\r\n", 1)
+		},
 		"cookie": func(text string) string { return strings.Replace(text, "Key=", "Key=\xff\xfe", 1) },
 		"target": func(text string) string { return strings.Replace(text, "/x ", "/x?q=\xe9 ", 1) },
 	} {
--- a/internal/edge/relay/client.go
+++ b/internal/edge/relay/client.go
@@ -133,9 +133,9 @@
 }
 
 // Check opens a connection to the instance with the given peer address and waits at most
-// wait until the instance has the tables. Errors: feeds.ErrNotReading and
-// feeds.ErrStoreLost if it responds without having them, *UnreachableError, and those of
-// a connection on which no response came.
+// wait until the instance has the tables. tell, if not nil, is what it tells the instance.
+// Errors: feeds.ErrNotReading and feeds.ErrStoreLost if it responds without having them,
+// *UnreachableError, and those of a connection on which no response came.
 func (c *Client) Check(ctx context.Context, address string, wait time.Duration, tell *peers.Findings) error {
 	s, err := dial(ctx, c.dialer, address, peers.ConnectTimeout)
 	if err != nil {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -84,7 +84,7 @@
 // NewServer returns a server of the tables in r, which c has read or read from the store,
 // and of the placements of a. It calls onContact, which must be safe for concurrent use,
 // with the name of the sender of each request. t takes the requests that are handed over; it
-// may be nil.
+// may be nil. Findings are shared if c shares them.
 func NewServer(r *feeds.Replica, c *Client, a Assigner, t Taker, onContact func(instance string)) *Server {
 	return &Server{replica: r, client: c, assigner: a, taker: t, onContact: onContact}
 }
