memory: a body of unknown length fits wherever the same body with a length does

Cause: such a body grew in a buffer that doubled, so that old and new were held at once, and had to leave as much as it took: more than 32 MiB never fitted, and that counted as too large.

It is read into pieces of 256 KiB now and stays in pieces up to the backend server. It must leave the share of bodies whose length is known, as before; 413 remains for what an idle instance could not hold.

--- a/internal/decide/quarantine/notice.go
+++ b/internal/decide/quarantine/notice.go
@@ -17,16 +17,18 @@
 type Fingerprint uint64
 
 // FingerprintOf returns the fingerprint of a request. It covers the method, the path
-// with the query, the body, and scope, which is the service or whatever else
+// with the query, the body in pieces, and scope, which is the service or whatever else
 // distinguishes requests that are equal otherwise.
-func FingerprintOf(scope, method, path string, body []byte) Fingerprint {
+func FingerprintOf(scope, method, path string, body ...[]byte) Fingerprint {
 	d := xxhash.New()
 	for _, text := range []string{scope, method, path} {
 		// Writing to an xxhash digest never fails.
 		_, _ = d.WriteString(text)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(body)
+	for _, piece := range body {
+		_, _ = d.Write(piece)
+	}
 	return Fingerprint(d.Sum64())
 }
 
--- a/internal/edge/edgetest/memory_test.go
+++ b/internal/edge/edgetest/memory_test.go
@@ -182,7 +182,7 @@
 	for _, c := range []struct {
 		callers, size int
 		chunked       bool
-	}{{1, largest, false}, {2, largest, false}, {64, largest, false}, {16, 16 << 20, false}, {16, 16 << 20, true}, {64, 1 << 20, false}, {64, 24_000, true}} {
+	}{{1, largest, false}, {2, largest, false}, {64, largest, false}, {16, 16 << 20, false}, {16, 16 << 20, true}, {2, largest, true}, {64, 1 << 20, false}, {64, 24_000, true}} {
 		watch := watchMemory(p.cmd.Process.Pid)
 		var whole, refused, other, sent, served atomic.Int64
 		var uploads sync.WaitGroup
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -69,7 +69,7 @@
 	// Header holds the other headers, without Content-Length.
 	Header http.Header
 	// Body is the request body.
-	Body []byte
+	Body memory.Body
 	// Memory is the account that holds the bodies of the request; nil if they have no bound
 	// together.
 	Memory *memory.Account
@@ -451,29 +451,36 @@
 func writeRequest(w io.Writer, r *Request) (int, error) {
 	head, body := encodeRequest(r)
 	n, err := w.Write(head)
-	if err != nil || len(body) == 0 {
-		return n, err
+	for _, piece := range body {
+		if err != nil {
+			return n, err
+		}
+		var m int
+		m, err = w.Write(piece)
+		n += m
 	}
-	m, err := w.Write(body)
-	return n + m, err
+	return n, err
 }
 
 // encodeRequest returns the request in HTTP/1.1 format. A large body is not copied behind the
 // head but returned by itself.
-func encodeRequest(r *Request) (head, body []byte) {
+func encodeRequest(r *Request) (head []byte, body memory.Body) {
 	var b bytes.Buffer
-	b.Grow(512 + min(len(r.Body), maxCopiedBody))
+	length := r.Body.Len()
+	b.Grow(512 + min(length, maxCopiedBody))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	// Writes to a bytes.Buffer do not fail.
 	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || methodAllowsBody(r.Method) {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	if length > 0 || methodAllowsBody(r.Method) {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", length)
 	}
 	b.WriteString("\r\n")
-	if len(r.Body) > maxCopiedBody {
+	if length > maxCopiedBody {
 		return b.Bytes(), r.Body
 	}
-	b.Write(r.Body)
+	for _, piece := range r.Body {
+		b.Write(piece)
+	}
 	return b.Bytes(), nil
 }
 
--- a/internal/edge/filter/identify/identify.go
+++ b/internal/edge/filter/identify/identify.go
@@ -35,6 +35,6 @@
 	ex.CallerDeadline = ex.Received.Add(wait)
 	ex.Object = platform.ObjectKey(ex.Header)
 	scope := strings.ToLower(ex.Host) + "\x00" + platform.CallerIdentity(ex.Header)
-	ex.Fingerprint = quarantine.FingerprintOf(scope, ex.Method, ex.Target, ex.Body)
+	ex.Fingerprint = quarantine.FingerprintOf(scope, ex.Method, ex.Target, ex.Body...)
 	return next(ctx, ex)
 }
--- a/internal/edge/filter/identify/identify_test.go
+++ b/internal/edge/filter/identify/identify_test.go
@@ -11,6 +11,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/quarantine"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
+	"github.com/banyandeal/banyandeal/internal/edge/memory"
 )
 
 func fingerprint(id, host, path, object, credentials, body string) quarantine.Fingerprint {
@@ -19,7 +20,7 @@
 		h.Set("Authorization", credentials)
 	}
 	ex := &gateway.Exchange{Request: &ingress.Request{
-		Method: http.MethodPost, Target: path, Host: host, Header: h, Body: []byte(body), Received: time.Now(),
+		Method: http.MethodPost, Target: path, Host: host, Header: h, Body: memory.Body{[]byte(body)}, Received: time.Now(),
 	}}
 	Filter{}.Serve(context.Background(), ex, func(context.Context, *gateway.Exchange) *ingress.Response { return nil })
 	return ex.Fingerprint
--- a/internal/edge/handover/filter.go
+++ b/internal/edge/handover/filter.go
@@ -119,7 +119,7 @@
 // handOver hands a request over until another instance has replied. It returns nil if none
 // takes it. None takes a body of more than maxTakenBytes.
 func (f *Filter) handOver(ctx context.Context, ex *gateway.Exchange) *ingress.Response {
-	if len(ex.Body) > maxTakenBytes {
+	if ex.Body.Len() > maxTakenBytes {
 		f.metrics.Add("handovers_too_large", 1)
 		return nil
 	}
@@ -202,7 +202,7 @@
 	h := ex.Header.Clone()
 	platform.SetTimeout(h, time.Until(ex.CallerDeadline))
 	r := &relaypb.Handover{
-		Method: []byte(ex.Method), Target: []byte(ex.Target), Host: []byte(ex.Host), Headers: encodeHeader(h), Body: ex.Body,
+		Method: []byte(ex.Method), Target: []byte(ex.Target), Host: []byte(ex.Host), Headers: encodeHeader(h), Body: ex.Body.Bytes(),
 		Runs: uint32(ex.Outcome.Runs()),
 	}
 	if ex.View.Config != nil {
--- a/internal/edge/handover/filter_test.go
+++ b/internal/edge/handover/filter_test.go
@@ -12,6 +12,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/control"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
+	"github.com/banyandeal/banyandeal/internal/edge/memory"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
 	"github.com/banyandeal/banyandeal/internal/edge/relay"
 	"github.com/banyandeal/banyandeal/internal/edge/relay/relaypb"
@@ -80,7 +81,7 @@
 		})
 		f := NewFilter(&traffic.Settings{Instance: "self", Region: "a", RegionOf: map[string]string{"a1": "a"}}, isolated{}, take, metrics.New())
 		ex := &gateway.Exchange{
-			Request: &ingress.Request{Header: http.Header{}, Body: make([]byte, size)}, ID: "1", CallerDeadline: time.Now().Add(time.Second),
+			Request: &ingress.Request{Header: http.Header{}, Body: memory.Body{make([]byte, size)}}, ID: "1", CallerDeadline: time.Now().Add(time.Second),
 			Route: &traffic.Route{Kind: traffic.NonIdempotent, MaxAttempts: 2},
 			View:  &control.View{Members: []traffic.Member{{Name: "other", Zone: "a1"}}},
 		}
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -29,7 +29,7 @@
 	// Header holds the request headers.
 	Header http.Header
 	// Body is the request body, nil if there is none.
-	Body []byte
+	Body memory.Body
 	// Memory is the account that holds Body and what is read for the response. It is closed
 	// once that is written. nil if nothing bounds them.
 	Memory *memory.Account
--- a/internal/edge/ingress/request.go
+++ b/internal/edge/ingress/request.go
@@ -101,7 +101,7 @@
 }
 
 // readBody reads the body of a request.
-func (r *requestReader) readBody(req *http.Request, limits traffic.Limits, account *memory.Account) ([]byte, *Rejection) {
+func (r *requestReader) readBody(req *http.Request, limits traffic.Limits, account *memory.Account) (memory.Body, *Rejection) {
 	switch {
 	case req.ContentLength > limits.BodyBytes:
 		return nil, tooLarge(http.StatusRequestEntityTooLarge, limits)
@@ -110,7 +110,7 @@
 	}
 	body := &bodyReader{requestReader: r, req: req, idle: limits.IdleTimeout}
 	r.limited.N = limits.BodyBytes*2 + bufferBytes
-	bytes, err := memory.ReadAll(account, body, req.ContentLength, limits.BodyBytes)
+	held, err := memory.ReadBody(account, body, req.ContentLength, limits.BodyBytes)
 	var full *memory.Error
 	switch {
 	case err == memory.ErrTooLong:
@@ -122,7 +122,7 @@
 	case err != nil:
 		return nil, unreadable(http.StatusBadRequest)
 	}
-	return bytes, nil
+	return held, nil
 }
 
 // bodyReader reads a body. Its first read, which comes once there is room for the body, asks the
--- a/internal/edge/memory/memory.go
+++ b/internal/edge/memory/memory.go
@@ -133,7 +133,7 @@
 		room, left = n, b.limit-b.used
 	}
 	if a.closed || room > left {
-		return &Error{Wanted: n, Used: b.used, TooLarge: room > b.large}
+		return &Error{Wanted: n, Used: b.used, TooLarge: a.held+room > b.large}
 	}
 	a.held = total
 	b.used += n
--- a/internal/edge/memory/memory_test.go
+++ b/internal/edge/memory/memory_test.go
@@ -108,3 +108,44 @@
 	require.True(t, errors.As(err, &full))
 	require.LessOrEqual(t, b.Used(), b.large)
 }
+
+// TestBodyOfUnknownLengthFits guards against a body in chunks that is refused for good although
+// the same body with a length fits, because it was copied as it grew.
+func TestBodyOfUnknownLengthFits(t *testing.T) {
+	for _, size := range []int{0, 1, firstBytes, firstBytes + 1, 40 << 20, 64 << 20} {
+		b := NewBudget(processBytes, nil)
+		a := b.Account()
+		body, err := ReadBody(a, iotest.DataErrReader(io.LimitReader(endless{}, int64(size))), -1, 64<<20)
+		require.NoError(t, err)
+		require.Equal(t, size, body.Len())
+		require.Len(t, body.Bytes(), size)
+		require.LessOrEqual(t, b.Used(), int64(size+pieceBytes))
+		a.Close()
+		require.Zero(t, b.Used())
+	}
+}
+
+// TestBodyInPiecesEndsTruly guards against a body that broke off and counts as whole, and against
+// bytes that stay taken after an error.
+func TestBodyInPiecesEndsTruly(t *testing.T) {
+	for _, size := range []int{0, 10, firstBytes, 1 << 20} {
+		for _, cause := range []error{io.ErrUnexpectedEOF, io.ErrClosedPipe} {
+			b := NewBudget(processBytes, nil)
+			_, err := ReadBody(b.Account(), io.MultiReader(bytes.NewReader(make([]byte, size)), iotest.ErrReader(cause)), -1, 2<<20)
+			require.Equal(t, cause, err)
+			require.Zero(t, b.Used())
+		}
+	}
+	b := NewBudget(processBytes, nil)
+	_, err := ReadBody(b.Account(), endless{}, -1, 3<<20)
+	require.Equal(t, ErrTooLong, err)
+	require.Zero(t, b.Used())
+	// What an idle instance cannot hold is too large for good, what others hold is not.
+	var full *Error
+	_, err = ReadBody(b.Account(), endless{}, -1, processBytes)
+	require.True(t, errors.As(err, &full) && full.TooLarge)
+	other := b.Account()
+	require.NoError(t, other.Take(b.large-1<<20))
+	_, err = ReadBody(b.Account(), endless{}, -1, 64<<20)
+	require.True(t, errors.As(err, &full) && !full.TooLarge)
+}
