--- a/internal/edge/edgetest/refusal_test.go
+++ b/internal/edge/edgetest/refusal_test.go
@@ -101,3 +101,27 @@
 		})
 	}
 }
+
+// TestOwnRefusalStillSaysLeaving guards against a backend server that goes on getting requests
+// though an answer that callers must not see has said that it leaves.
+func TestOwnRefusalStillSaysLeaving(t *testing.T) {
+	t.Parallel()
+	for _, act := range []Act{Own503, Own429, Own421} {
+		e, i, backends := startShop(t)
+		leaving := backends[0]
+		leaving.SetAct(always(act))
+		leaving.SayLeaving()
+		send := func(n int) { e.Do(i, CallerRequest{Method: http.MethodPost, Path: "/write/x", Object: fmt.Sprint(n), DeadlineMs: 2000}) }
+		before := len(leaving.Arrivals())
+		for n := 0; len(leaving.Arrivals()) == before; n++ {
+			require.Less(t, n, 100, "no request reaches it")
+			send(n)
+		}
+		time.Sleep(500 * time.Millisecond)
+		before = len(leaving.Arrivals())
+		for n := range 40 {
+			send(n)
+		}
+		require.Len(t, leaving.Arrivals(), before)
+	}
+}
