--- a/internal/edge/edgetest/refusal_test.go
+++ b/internal/edge/edgetest/refusal_test.go
@@ -111,7 +111,9 @@
 		leaving := backends[0]
 		leaving.SetAct(always(act))
 		leaving.SayLeaving()
-		send := func(n int) { e.Do(i, CallerRequest{Method: http.MethodPost, Path: "/write/x", Object: fmt.Sprint(n), DeadlineMs: 2000}) }
+		send := func(n int) {
+			e.Do(i, CallerRequest{Method: http.MethodPost, Path: "/write/x", Object: fmt.Sprint(n), DeadlineMs: 2000})
+		}
 		before := len(leaving.Arrivals())
 		for n := 0; len(leaving.Arrivals()) == before; n++ {
 			require.Less(t, n, 100, "no request reaches it")
