--- a/review/programs-3/client.go
+++ b/review/programs-3/client.go
@@ -20,9 +20,7 @@
 	status               int
 	leaving              string
 	stamp                string
-	// kept is set if the connection may carry further requests.
-	kept bool
-	err  error
+	err                  error
 }
 
 // clients sends requests, each over a connection of its own.
--- a/review/programs-3/main.go
+++ b/review/programs-3/main.go
@@ -30,7 +30,6 @@
 	"cold":    cold,
 	"leaving": leaving,
 	"regress": regress,
-	"held":    held,
 }
 
 func main() {
--- a/review/programs-3/upstream.go
+++ b/review/programs-3/upstream.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -46,8 +45,6 @@
 	// crashesCold is how many requests within a second crash it while it is cold; 0 if none do.
 	// It is then back, cold again, after downTime.
 	crashesCold int
-	// bundle is the prefix of the paths that are answered with bundleBytes; empty if there is none.
-	bundle string
 
 	mu        sync.Mutex
 	address   string
@@ -275,9 +272,6 @@
 		extra = "Server-Leaving: 1\r\n"
 	}
 	body := "answer to " + id
-	if u.bundle != "" && strings.HasPrefix(r.RequestURI, u.bundle) {
-		body += strings.Repeat(".", bundleBytes-len(body))
-	}
 	fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nX-Banyandeal-Request-Id: %s\r\nX-Banyandeal-Server-Stamp: %s.%s\r\nX-Banyandeal-Server-Load: %d,0,%d\r\nKeep-Alive: timeout=10\r\n%sContent-Length: %d\r\n\r\n%s",
 		id, u.id, id, min(busy, u.slots), u.slots, extra, len(body), body)
 	return true
