--- a/review/programs-3/main.go
+++ b/review/programs-3/main.go
@@ -30,6 +30,7 @@
 	"cold":    cold,
 	"leaving": leaving,
 	"regress": regress,
+	"removed": removed,
 }
 
 func main() {
