--- a/review/programs-3/main.go
+++ b/review/programs-3/main.go
@@ -27,10 +27,11 @@
 // cases maps the names of the cases to what plays them. A case returns how the rule was broken, or
 // an empty text.
 var cases = map[string]func(w *world) (broken string, err error){
-	"cold":    cold,
-	"leaving": leaving,
-	"regress": regress,
-	"removed": removed,
+	"cold":      cold,
+	"leaving":   leaving,
+	"regress":   regress,
+	"removed":   removed,
+	"suspended": suspended,
 }
 
 func main() {
--- a/review/programs-3/removed.go
+++ b/review/programs-3/removed.go
@@ -44,6 +44,19 @@
 	byRow map[string]*faultproxy.Proxy
 }
 
+// useProxies puts all instances that start from now on behind proxies.
+func (w *world) useProxies() *peerProxies {
+	p := &peerProxies{byRow: map[string]*faultproxy.Proxy{}}
+	w.store.Rewrite(p.rewrite)
+	return p
+}
+
+func (p *peerProxies) close() {
+	for _, proxy := range p.byRow {
+		proxy.Close()
+	}
+}
+
 func (p *peerProxies) rewrite(r store.Row) store.Row {
 	if r.Table != "members" || r.Deleted {
 		return r
@@ -92,19 +105,9 @@
 // removed is the case of machines of a region that are removed one after the other, each shortly
 // before it would have removed the row of the first one.
 func removed(w *world) (string, error) {
-	const (
-		limit   = 7 * time.Second
-		allowed = 3
-		length  = 10 * time.Second
-		every   = 100 * time.Millisecond
-	)
-	proxies := &peerProxies{byRow: map[string]*faultproxy.Proxy{}}
-	w.store.Rewrite(proxies.rewrite)
-	defer func() {
-		for _, p := range proxies.byRow {
-			p.Close()
-		}
-	}()
+	const length = 10 * time.Second
+	proxies := w.useProxies()
+	defer proxies.close()
 	w.store.configure(1, []string{"scoring"}, []route{{prefix: "/look/", kind: "safe", service: "scoring", timeout: 1200 * time.Millisecond, attempts: 2}})
 	if _, err := w.addUpstream(&upstream{id: "i-1", zone: "deb-a", service: "scoring", slots: 3, work: 20 * time.Millisecond}); err != nil {
 		return "", err
@@ -123,6 +126,13 @@
 			gone[next.instance] = w.remove(proxies, next.instance)
 		}
 	}
+	return w.judgeLookups(w.watchLookups("deb-a", gone, length), gone)
+}
+
+// watchLookups asks each instance that is not gone, again and again for a while, for the addresses
+// for clients of a zone.
+func (w *world) watchLookups(zone string, gone map[*instance]time.Time, length time.Duration) []lookup {
+	const every = 100 * time.Millisecond
 	var mu sync.Mutex
 	var answers []lookup
 	var wg sync.WaitGroup
@@ -135,7 +145,7 @@
 		go func() {
 			defer wg.Done()
 			for ; time.Now().Before(end); time.Sleep(every) {
-				names, err := resolve(i, "deb-a")
+				names, err := resolve(i, zone)
 				if err != nil {
 					continue
 				}
@@ -147,6 +157,15 @@
 		}()
 	}
 	wg.Wait()
+	return answers
+}
+
+// judgeLookups returns how the answers of instances in touch broke the rule.
+func (w *world) judgeLookups(answers []lookup, gone map[*instance]time.Time) (string, error) {
+	const (
+		limit   = 7 * time.Second
+		allowed = 3
+	)
 	late, latest := 0, 0.0
 	for _, a := range answers {
 		for i, at := range gone {
