--- a/internal/decide/peers/checks.go
+++ b/internal/decide/peers/checks.go
@@ -21,6 +21,7 @@
 // beginCheck adds a check of a peer.
 func (m *Machine) beginCheck(checks []Check, p *peer, now time.Time) []Check {
 	p.checking, p.checkedAt = true, now
+	p.suspect(now)
 	return append(checks, Check{Peer: p.Name, AwaitTables: p.awaitsTables})
 }
 
@@ -48,8 +49,10 @@
 	if parent, ok := reachable.Parent(m.self.Name); ok {
 		add(parent, silent(parent))
 	}
+	m.overdue = nil
 	for _, name := range names {
 		if p := m.peers[name]; overdue(p, now) {
+			m.overdue = append(m.overdue, name)
 			m.raiseAlarm(p, now)
 		}
 	}
--- a/internal/decide/peers/dead.go
+++ b/internal/decide/peers/dead.go
@@ -43,9 +43,18 @@
 	if p.returned {
 		return true
 	}
-	if p.unreachableSince.IsZero() || p.failedConnects < m.requiredFailures(now) || m.mayBeCutOff(now) {
+	if p.outdated(now) {
+		return false
+	}
+	if p.unreachableSince.IsZero() || m.mayBeCutOff(now) {
 		return m.dead(p, now)
 	}
+	if m.corroborated(p, now) {
+		return true
+	}
+	if p.failedConnects < m.requiredFailures(now) {
+		return false
+	}
 	return now.Sub(p.unreachableSince) >= m.afterReturns(p, deadAfter)
 }
 
--- a/internal/decide/peers/losses_test.go
+++ b/internal/decide/peers/losses_test.go
@@ -265,7 +265,7 @@
 	order := r.order()
 	m := r.instances[order[0]].machine
 	finding := m.lookup(order[3]).finding()
-	told := newFindings(map[string]Finding{finding.Name: finding})
+	told := newFindings(map[string]Finding{finding.Name: finding}, nil, epoch)
 	now := epoch.Add(time.Minute)
 	m.StoreResponded(false, now)
 	m.Responded(order[1], true, now)
--- a/internal/decide/peers/peers.go
+++ b/internal/decide/peers/peers.go
@@ -163,8 +163,16 @@
 	// findings hold what has been found or told and still holds.
 	told     map[string]*told
 	tellings map[string]telling
+	// toldBy is the source that told last.
+	toldBy   string
 	gone     map[string]Finding
 	findings Findings
+	// suspected holds the suspicions that others have told and that still hold, overdue the
+	// neighbours that have not responded to a check as soon as they should.
+	suspected suspicions
+	overdue   []string
+	// leftOut holds the peers that this instance itself has found lookups must leave out.
+	leftOut map[string]*peer
 	// returned holds the instances of other regions whose rows came back with an older copy of
 	// the store.
 	returned map[string]*peer
@@ -231,13 +239,18 @@
 	// last one was refused.
 	unreachableSince time.Time
 	failedConnects   int
-	refused          bool
+	// suspectedSince is when the first check without a response since the last sign of life
+	// began; zero if there is none.
+	suspectedSince time.Time
+	refused        bool
 	// checking is set while a check is in progress. checkedAt is the time of the last one,
 	// nextCheck the earliest time of the next one, and failedChecks the number of failed
 	// ones in a row.
 	checking             bool
 	checkedAt, nextCheck time.Time
 	failedChecks         int
+	// leftOutSince is when this instance found that lookups must leave the peer out.
+	leftOutSince time.Time
 	// returned is set if the row of a dead peer came back with an older copy of the store,
 	// and there has been no sign of life since.
 	returned bool
@@ -249,7 +262,7 @@
 func New(self Member) *Machine {
 	m := &Machine{
 		self: self, peers: map[string]*peer{}, foreign: map[string]*peer{}, evicted: map[string]eviction{},
-		told: map[string]*told{}, tellings: map[string]telling{},
+		told: map[string]*told{}, tellings: map[string]telling{}, leftOut: map[string]*peer{},
 	}
 	m.rebuild()
 	return m
@@ -375,7 +388,7 @@
 	if p == nil {
 		return
 	}
-	p.lastContact, p.returned = now, false
+	p.lastContact, p.returned, p.suspectedSince = now, false, time.Time{}
 	delete(m.gone, name)
 	delete(m.returned, name)
 	if p.home != nil {
@@ -477,7 +490,13 @@
 	if m.frozen(now) {
 		return
 	}
+	if p.outdated(now) {
+		p.unreachableSince, p.failedConnects, p.suspectedSince = time.Time{}, 0, time.Time{}
+	}
+	// An instance that stood still takes connections, one that is gone no longer does.
+	p.unresponsive = false
 	p.failedConnects++
+	p.suspect(now)
 	if !p.unreachableSince.IsZero() {
 		return
 	}
@@ -502,6 +521,7 @@
 func (m *Machine) connectionTaken(p *peer, now time.Time) {
 	m.lastReached = now
 	p.unresponsive, p.unreachableSince, p.failedConnects = true, time.Time{}, 0
+	p.suspectedSince = time.Time{}
 	m.forgetUnreachable(p.Name)
 }
 
@@ -514,7 +534,7 @@
 func (m *Machine) forgetFailures() {
 	for _, all := range []map[string]*peer{m.peers, m.foreign} {
 		for _, p := range all {
-			p.unreachableSince, p.failedConnects = time.Time{}, 0
+			p.unreachableSince, p.failedConnects, p.suspectedSince = time.Time{}, 0, time.Time{}
 		}
 	}
 	clear(m.unreachable)
@@ -595,6 +615,7 @@
 	checks, dead := m.watchRegions(now)
 	ready.Checks, ready.Dead = append(ready.Checks, checks...), append(ready.Dead, dead...)
 	m.updateFindings(now)
+	ready.Checks = append(ready.Checks, m.followUp(now)...)
 	ready.Checks = append(ready.Checks, m.tellOthers(now)...)
 	return ready
 }
--- a/internal/decide/peers/region.go
+++ b/internal/decide/peers/region.go
@@ -12,8 +12,17 @@
 	// regionSilence is the time without a sign of life of any instance of a watched region after
 	// which one of them is checked.
 	regionSilence = 1500 * time.Millisecond
+	// watcherSilence is the time without a sign of life of the region that watches this one after
+	// which that one is checked in turn. It is longer than the time between two of its checks.
+	watcherSilence = 2300 * time.Millisecond
+	// takeOverAfter is how long that region may then be silent before this one watches it as well.
+	// Who watches it has found it by then, if it lives.
+	takeOverAfter = 1600 * time.Millisecond
 	// maxRegionChecks bounds the checks in progress of instances of regions that do not respond.
 	maxRegionChecks = 800
+	// regionGrace is how long a region that responds again has to find its dead, before others name
+	// them again that they have found.
+	regionGrace = 3 * time.Second
 )
 
 // otherRegion is what is known of another region as a whole.
@@ -25,6 +34,8 @@
 	order []string
 	// lastContact is the time of the newest sign of life of any of its instances.
 	lastContact time.Time
+	// respondsSince is when it last gave a sign of life after none for a while.
+	respondsSince time.Time
 	// probedAt is when the first check began since then; zero if none has. probes counts those
 	// checks, nextProbe is the earliest time of the next ones.
 	probedAt, nextProbe time.Time
@@ -43,9 +54,25 @@
 
 // contact records a sign of life of an instance of the region.
 func (r *otherRegion) contact(now time.Time) {
+	if r.respondsSince.IsZero() || r.unresponsive(now) {
+		r.respondsSince = now
+	}
 	r.lastContact, r.probedAt, r.nextProbe, r.probes = now, time.Time{}, time.Time{}, 0
 }
 
+// outdated reports whether what was seen of an instance of another region no longer counts, because
+// the region has responded again since, and finds its dead itself.
+func (p *peer) outdated(now time.Time) bool {
+	return p.home != nil && p.home.findsDead(p.unreachableSince, now)
+}
+
+// findsDead reports whether the region has responded again since a time, and for long enough to have
+// found its dead itself by now.
+func (r *otherRegion) findsDead(since, now time.Time) bool {
+	responds := now.Sub(r.lastContact) <= watcherSilence
+	return responds && r.respondsSince.After(since) && now.Sub(r.respondsSince) >= regionGrace
+}
+
 // unresponsive reports whether the region has not responded to a check for a while.
 func (r *otherRegion) unresponsive(now time.Time) bool {
 	return !r.probedAt.IsZero() && now.Sub(r.probedAt) >= responsePatience
@@ -86,17 +113,47 @@
 }
 
 // watched returns the regions that this instance watches while it is the root of its region: the
-// next one, and each one behind regions that do not respond.
+// next one, and each one behind regions that do not respond. Those that watch this one, and do not
+// respond for long, are watched too, since who watched them may be lost with them.
 func (m *Machine) watched(now time.Time) []*otherRegion {
-	if !m.IsRoot() {
+	if !m.leads(now) {
 		return nil
 	}
-	for n, r := range m.regions {
-		if !r.unresponsive(now) {
-			return m.regions[:n+1]
+	next := 0
+	for next < len(m.regions) && m.regions[next].unresponsive(now) {
+		next++
+	}
+	watched := m.regions[:min(next+1, len(m.regions))]
+	for n := len(m.regions) - 1; n > next; n-- {
+		r := m.regions[n]
+		if !r.unresponsive(now) || now.Sub(r.probedAt) < takeOverAfter || m.foundByOthers(r) {
+			break
 		}
+		watched = append(watched[:len(watched):len(watched)], r)
 	}
-	return m.regions
+	return watched
+}
+
+// foundByOthers reports whether others have told that all instances of a region are gone.
+func (m *Machine) foundByOthers(r *otherRegion) bool {
+	return !slices.ContainsFunc(r.ranked(), func(name string) bool { return !m.IsGone(name) || m.leftOut[name] != nil })
+}
+
+// watcher returns the region that watches this one.
+func (m *Machine) watcher() *otherRegion { return m.regions[len(m.regions)-1] }
+
+// leads reports whether this instance is the root of its region, or will be once those before it
+// that may be gone are found dead.
+func (m *Machine) leads(now time.Time) bool {
+	for _, name := range m.Order() {
+		if name == m.self.Name {
+			return true
+		}
+		if !m.isSuspect(m.peers[name], now) {
+			return false
+		}
+	}
+	return false
 }
 
 // watchRegions returns the checks of other regions that are due, and the instances of watched
@@ -109,11 +166,12 @@
 	}
 	m.planSurvey(watched, now)
 	inProgress := m.checksInProgress(watched, now)
-	for n, r := range m.regions {
+	for _, r := range m.regions {
+		isWatched, silence := slices.Contains(watched, r), now.Sub(r.lastContact)
 		switch {
-		case n < len(watched) && r.unresponsive(now):
+		case isWatched && r.unresponsive(now):
 			checks = m.checkAll(checks, r, maxRegionChecks-inProgress, now)
-		case n < len(watched) && now.Sub(r.lastContact) > regionSilence, r.lastContact.Before(m.surveyAt):
+		case isWatched && silence > regionSilence, r == m.watcher() && silence > watcherSilence && !m.foundByOthers(r), r.lastContact.Before(m.surveyAt):
 			checks = m.probe(checks, r, now)
 		}
 	}
@@ -199,6 +257,19 @@
 	return r.unresponsive(now) && !slices.ContainsFunc(r.ranked(), func(name string) bool { return m.foreign[name].unreachableSince.IsZero() })
 }
 
+// lostOf returns the instances of a region that lookups must leave out: all of them if none can be
+// reached, or those that have been unreachable for long if no other one responds, since nobody of
+// their region finds them then.
+func (m *Machine) lostOf(r *otherRegion, now time.Time) []string {
+	if m.lostRegion(r, now) {
+		return r.ranked()
+	}
+	if !r.unresponsive(now) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(r.ranked()), func(name string) bool { return !m.unreachableForLong(m.foreign[name], now) })
+}
+
 // deadRegion returns the instances of a region whose rows are to be removed, once all of them
 // are dead. As long as one can be reached, it is for the region itself to find its dead. A
 // region that was cut off and has written its rows again is left alone.
--- a/internal/edge/membership/findings.go
+++ b/internal/edge/membership/findings.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/banyandeal/banyandeal/internal/decide/peers"
 )
 
@@ -25,7 +27,7 @@
 	m.mu.Lock()
 	m.machine.Told(instance, f, time.Now())
 	m.mu.Unlock()
-	m.Log.Info().Str("event", "findings_told").Str("by", instance).Int("gone", len(f.List)).Uint64("digest", f.Digest).Msg("")
+	m.Log.Info().Str("event", "findings_told").Str("by", instance).Int("gone", len(f.List)).Int("suspected", len(f.Suspected)).Uint64("digest", f.Digest).Msg("")
 	m.announceFindings()
 }
 
@@ -66,11 +68,21 @@
 		names = append(names, one.Name)
 	}
 	m.Log.Info().Str("event", "findings").Int("gone", len(f.List)).Uint64("digest", f.Digest).Strs("instances", names).
-		Msg("lookups leave out these instances")
+		Array("suspected", loggedSuspicions(f.Suspected)).Msg("lookups leave out these instances; the suspected ones are checked")
 	if m.FindingsChanged != nil {
 		m.FindingsChanged()
 	}
 }
 
+// loggedSuspicions writes suspicions, with their age and observers, into a log line.
+type loggedSuspicions []peers.Suspicion
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (list loggedSuspicions) MarshalZerologArray(a *zerolog.Array) {
+	for _, s := range list[:min(len(list), maxLoggedFindings)] {
+		a.Dict(zerolog.Dict().Str("instance", s.Name).Int64("age_ms", s.Age.Milliseconds()).Strs("observers", s.Observers))
+	}
+}
+
 // maxLoggedFindings bounds the instances that a log line names.
 const maxLoggedFindings = 20
--- a/internal/edge/relay/findings.go
+++ b/internal/edge/relay/findings.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/banyandeal/banyandeal/internal/decide/peers"
 	"github.com/banyandeal/banyandeal/internal/edge/relay/relaypb"
 	"github.com/banyandeal/banyandeal/platform"
@@ -66,15 +68,34 @@
 func encodeFindings(f peers.Findings) *relaypb.Findings {
 	message := &relaypb.Findings{Digest: f.Digest}
 	for _, one := range f.List {
-		message.List = append(message.List, &relaypb.Finding{Name: one.Name, Incarnation: one.Incarnation, RowVersion: one.RowVersion})
+		message.List = append(message.List, encodeFinding(one))
+	}
+	for _, s := range f.Suspected {
+		message.Suspected = append(message.Suspected, &relaypb.Suspicion{
+			Suspect: encodeFinding(s.Finding), AgeMs: uint32(s.Age.Milliseconds()), Observers: s.Observers,
+		})
 	}
 	return message
 }
 
+func encodeFinding(f peers.Finding) *relaypb.Finding {
+	return &relaypb.Finding{Name: f.Name, Incarnation: f.Incarnation, RowVersion: f.RowVersion}
+}
+
 func decodeFindings(message *relaypb.Findings) peers.Findings {
 	f := peers.Findings{Digest: message.Digest}
 	for _, one := range message.List {
-		f.List = append(f.List, peers.Finding{Name: one.Name, Incarnation: one.Incarnation, RowVersion: one.RowVersion})
+		f.List = append(f.List, decodeFinding(one))
+	}
+	for _, s := range message.Suspected {
+		f.Suspected = append(f.Suspected, peers.Suspicion{
+			Finding: decodeFinding(s.Suspect), Age: time.Duration(s.AgeMs) * time.Millisecond, Observers: s.Observers,
+		})
 	}
 	return f
 }
+
+// decodeFinding accepts nil, for which it returns a finding that names nobody.
+func decodeFinding(message *relaypb.Finding) peers.Finding {
+	return peers.Finding{Name: message.GetName(), Incarnation: message.GetIncarnation(), RowVersion: message.GetRowVersion()}
+}
--- a/internal/edge/relay/findings_test.go
+++ b/internal/edge/relay/findings_test.go
@@ -56,7 +56,12 @@
 // and once.
 func TestFindingsReachFollowers(t *testing.T) {
 	const longWait = 5 * time.Second
-	gone := peers.Findings{List: []peers.Finding{{Name: "gone", Incarnation: 3, RowVersion: 4}}, Digest: 9}
+	suspect := peers.Finding{Name: "suspect", Incarnation: 5, RowVersion: 6}
+	gone := peers.Findings{
+		List:      []peers.Finding{{Name: "gone", Incarnation: 3, RowVersion: 4}},
+		Suspected: []peers.Suspicion{{Finding: suspect, Age: 1200 * time.Millisecond, Observers: []string{"other"}}},
+		Digest:    9,
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
