--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -19,6 +19,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/decide/pace"
 	"github.com/banyandeal/banyandeal/internal/decide/rest"
+	"github.com/banyandeal/banyandeal/internal/decide/restart"
 	"github.com/banyandeal/banyandeal/internal/decide/retry"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
@@ -251,6 +252,8 @@
 	limits *limit.Table
 	// rests holds which backend servers have asked this instance for rest or leave.
 	rests *rest.Table
+	// restarts holds which backend servers may have started again before the store tells.
+	restarts *restart.Table
 	// pacer holds the grants of this instance for backend servers that are cold or have
 	// a limit.
 	pacer *pace.Pacer
@@ -264,7 +267,7 @@
 	return &Machine{
 		cfg: cfg, balancer: balancer, placements: assign.New(), lastPlacementRequest: map[assign.Key]time.Time{},
 		budgets: map[string]*retry.Budget{}, routes: map[routeKey]*routeState{}, shortestRun: map[string]shortestRun{},
-		limits: limit.New(cfg.Instance), rests: rest.New(), pacer: pace.New(cfg.Region, cfg.Instance),
+		limits: limit.New(cfg.Instance), rests: rest.New(), restarts: restart.New(), pacer: pace.New(cfg.Region, cfg.Instance),
 	}
 }
 
@@ -312,6 +315,7 @@
 	m.balancer.Retain(exists)
 	m.limits.Retain(exists, now)
 	m.rests.Retain(func(b limit.Backend) bool { return incarnations[b] }, now)
+	m.restarts.Retain(func(b limit.Backend) bool { return incarnations[b] })
 	m.pacer.Retain(func(key string) bool {
 		_, id, _ := strings.Cut(key, " ")
 		return exists(id)
--- a/internal/decide/admission/choose.go
+++ b/internal/decide/admission/choose.go
@@ -11,9 +11,9 @@
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
 
-// choose returns the backend server for a request. Two kinds get it only if no other may:
-// one whose limit has ended a moment ago and to which the object has not returned, and one
-// that has asked for rest and may be tried.
+// choose returns the backend server for a request. Three kinds get it only if no other may:
+// one whose limit has ended a moment ago and to which the object has not returned, one whose
+// connection has broken a moment ago, and one that has asked for rest and may be tried.
 func (m *Machine) choose(req *RequestState, query affinity.Query, now time.Time) (affinity.Choice, bool) {
 	available := func(b *traffic.Backend) bool {
 		return m.rests.State(identityOf(b), now).Available() && m.allows(req, b, now)
@@ -21,6 +21,11 @@
 	passes := []func(*traffic.Backend) bool{
 		func(b *traffic.Backend) bool { return m.returned(req, b, now) && available(b) },
 	}
+	if !m.restarts.Empty() {
+		usual := passes[0]
+		settled := func(b *traffic.Backend) bool { return !m.restarts.Unsettled(identityOf(b)) && usual(b) }
+		passes = slices.Insert(passes, 0, settled)
+	}
 	if req.Isolation != nil {
 		// Grants differ between instances, which are to choose the same backend server.
 		unpaced := func(b *traffic.Backend) bool { return !m.isPaced(req.Service, b, now) && available(b) }
--- a/internal/decide/admission/pacing.go
+++ b/internal/decide/admission/pacing.go
@@ -10,6 +10,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/hrw"
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/decide/pace"
+	"github.com/banyandeal/banyandeal/internal/decide/restart"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 )
 
@@ -64,13 +65,26 @@
 }
 
 // isCold reports whether the rate of requests to a backend server is limited because it is
-// cold.
-func isCold(s *traffic.Service, b *traffic.Backend, now time.Time) bool {
-	return s.ColdRate > 0 && now.Before(b.ColdUntil)
+// cold, or may be after a start of which the store has not told.
+func (m *Machine) isCold(s *traffic.Service, b *traffic.Backend, now time.Time) bool {
+	if s.ColdRate == 0 {
+		return false
+	}
+	if now.Before(b.ColdUntil) {
+		return true
+	}
+	_, restarted := m.restarts.Cold(identityOf(b), now)
+	return restarted
 }
 
+// Restarts returns which backend servers may have started again before the store tells.
+func (m *Machine) Restarts() *restart.Table { return m.restarts }
+
 // coldSince returns since when this instance may have known that a backend server is cold.
 func (m *Machine) coldSince(s *traffic.Service, b *traffic.Backend, now time.Time) time.Time {
+	if since, restarted := m.restarts.Cold(identityOf(b), now); restarted && !now.Before(b.ColdUntil) {
+		return since
+	}
 	if began := b.ColdUntil.Add(-s.ColdStart); began.After(m.began) && began.Before(now) {
 		return began
 	}
@@ -80,7 +94,7 @@
 // allows reports whether this instance may send a request to a backend server now, as far
 // as the rates of all instances together are concerned.
 func (m *Machine) allows(req *RequestState, b *traffic.Backend, now time.Time) bool {
-	if isCold(req.Service, b, now) && !m.hasGrant(coldKey(b), m.coldRate(req.Service), b, m.coldSince(req.Service, b, now), now) {
+	if m.isCold(req.Service, b, now) && !m.hasGrant(coldKey(b), m.coldRate(req.Service), b, m.coldSince(req.Service, b, now), now) {
 		return false
 	}
 	if m.limits.Empty() {
@@ -108,12 +122,12 @@
 
 // isPaced reports whether requests to a backend server need grants.
 func (m *Machine) isPaced(s *traffic.Service, b *traffic.Backend, now time.Time) bool {
-	return isCold(s, b, now) || m.limits.State(identityOf(b), now).Limited
+	return m.isCold(s, b, now) || m.limits.State(identityOf(b), now).Limited
 }
 
 // takeGrants uses the grants for a request that is sent to a backend server.
 func (m *Machine) takeGrants(s *traffic.Service, b *traffic.Backend, now time.Time) {
-	if isCold(s, b, now) {
+	if m.isCold(s, b, now) {
 		m.pacer.Take(coldKey(b))
 	}
 	if m.limits.State(identityOf(b), now).Limited {
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -41,6 +41,7 @@
 	"github.com/banyandeal/banyandeal/internal/edge/quota"
 	"github.com/banyandeal/banyandeal/internal/edge/reach"
 	"github.com/banyandeal/banyandeal/internal/edge/relay"
+	"github.com/banyandeal/banyandeal/internal/edge/restarts"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 	"github.com/banyandeal/banyandeal/internal/random"
 	"github.com/banyandeal/banyandeal/platform"
@@ -96,6 +97,7 @@
 	pool           *egress.Pool
 	budget         *memory.Budget
 	reach          *reach.Watch
+	restarts       *restarts.Checker
 	// handovers holds sessions of their own: those of the feeds close with a change of source.
 	handovers   *relay.Client
 	quotas      *quota.Keeper
@@ -122,7 +124,8 @@
 	}
 	d.directory = directory.New(d.control, s, func(instance string) bool { return d.membership.IsGone(instance) }, r)
 	d.reach = reach.New(d.control.View, func() { d.decider.Forgive() }, r, boundedLog(log, m, maxPeerLines), m)
-	pool := egress.NewPool(platform.HeaderRequestID, n.Backends, d.reach)
+	d.restarts = &restarts.Checker{View: d.control.View, Table: func() restarts.Table { return d.decider }, StoreReadAt: d.operatorReadAt}
+	pool := egress.NewPool(platform.HeaderRequestID, n.Backends, connectionObserver{d.reach, d.restarts})
 	d.pool = pool
 	d.registerGauges(pool)
 	client := relay.NewClient(s.Instance, n.Peers)
@@ -167,6 +170,15 @@
 	return d
 }
 
+// connectionObserver implements egress.Observer.
+type connectionObserver struct {
+	*reach.Watch
+	restarts *restarts.Checker
+}
+
+// Broken implements egress.Observer.
+func (o connectionObserver) Broken(b *traffic.Backend) { o.restarts.Broken(b) }
+
 // boundedLog returns a log that writes at most the given number of lines per second and
 // counts the others.
 func boundedLog(log zerolog.Logger, m *metrics.Metrics, lines uint32) zerolog.Logger {
@@ -282,6 +294,7 @@
 	go d.sweep(ctx)
 	go d.expireRests(ctx)
 	go d.reach.Run(ctx, d.pool)
+	go d.restarts.Run(ctx, d.pool)
 	go d.places.Run(ctx)
 	go d.evidence.Run(ctx)
 	go d.limitSharer.Run(ctx)
--- a/internal/edge/daemon/limits.go
+++ b/internal/edge/daemon/limits.go
@@ -9,6 +9,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/admission"
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/decide/rest"
+	"github.com/banyandeal/banyandeal/internal/decide/restart"
 	"github.com/banyandeal/banyandeal/internal/edge/metrics"
 )
 
@@ -38,6 +39,16 @@
 		Bool("replaced", c.State.Replaced).Dur("since", time.Since(c.Since)).Dur("last_told", time.Since(c.LastTold)).Msg("")
 }
 
+// RestartChecked implements dispatch.Observer.
+func (r *limitReporter) RestartChecked(c restart.Change) {
+	r.metrics.Add("restart_checks", 1)
+	if c.Cold {
+		r.metrics.Add("cold_learnt", 1)
+	}
+	r.log.Info().Str("event", "restart_checked").Str("backend", c.Backend.ID).Bool("cold", c.Cold).Dur("left", c.Left).
+		Dur("since", time.Since(c.Since)).Msg("")
+}
+
 // LimitChanged implements dispatch.Observer.
 func (r *limitReporter) LimitChanged(c limit.Change, instances int) {
 	what := limitChangeName(c)
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -174,6 +174,9 @@
 	Failed(b *traffic.Backend, err error)
 	// Lost reports that a request ended without a response on a new connection.
 	Lost(b *traffic.Backend)
+	// Broken reports that a connection to a backend server was refused, was closed by it while idle,
+	// or ended without a response, as all do when its process ends.
+	Broken(b *traffic.Backend)
 	// Responded reports that a response arrived. isNew is set if it is the first one of its
 	// connection.
 	Responded(isNew bool)
@@ -249,7 +252,7 @@
 	var dialTime time.Duration
 	var c *conn
 	if !r.NewConnection {
-		c = p.takeIdle(key)
+		c = p.takeIdle(b, key)
 	}
 	if c == nil && p.observer.Isolated() {
 		return nil, &Error{NotDialed: true, Cause: errIsolated}
@@ -295,12 +298,18 @@
 	if err != nil && ctx.Err() == nil {
 		p.observer.Failed(b, err)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		p.observer.Broken(b)
+	}
 	return nc, err
 }
 
 // observe tells the observer how a round trip on c ended. A connection that carried others may
 // end when it is used again, and one whose caller left shows nothing.
 func (p *Pool) observe(ctx context.Context, b *traffic.Backend, c *conn, err error) {
+	if ctx.Err() == nil && isBreak(err) {
+		p.observer.Broken(b)
+	}
 	switch {
 	case err == nil:
 		p.observer.Responded(!c.used)
@@ -309,19 +318,38 @@
 	}
 }
 
-// Probe sends a health check to a backend server on a new connection. The observer is told how
-// it ended; any response shows that the backend server is reached.
-func (p *Pool) Probe(ctx context.Context, b *traffic.Backend, path string) {
+// isBreak reports whether an attempt failed because its connection ended.
+func isBreak(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// Health sends a health check to a backend server on a new connection and returns its response.
+// Errors are those of the connection and *Error. The observer is not told.
+func (p *Pool) Health(ctx context.Context, b *traffic.Backend, path string) (*BackendResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	nc, err := p.dial(ctx, b)
+	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
+	defer cancelDial()
+	nc, err := p.dialer.DialContext(dialCtx, "tcp", b.Address)
 	if err != nil {
-		return
+		return nil, errors.Trace(err)
 	}
 	c := newConn(nc)
 	defer c.close()
 	defer context.AfterFunc(ctx, c.close)()
-	_, _, err = p.roundTrip(c, &Request{Method: http.MethodGet, Target: path, Host: b.Address, probe: true})
+	resp, _, err := p.roundTrip(c, &Request{Method: http.MethodGet, Target: path, Host: b.Address, probe: true})
+	return resp, err
+}
+
+// Probe sends a health check to a backend server on a new connection. The observer is told how
+// it ended; any response shows that the backend server is reached.
+func (p *Pool) Probe(ctx context.Context, b *traffic.Backend, path string) {
+	_, err := p.Health(ctx, b, path)
 	switch {
 	case err == nil:
 		p.observer.Responded(true)
@@ -511,7 +539,7 @@
 
 // takeIdle removes an idle connection that is still open from the pool and
 // returns it, or nil if there is none.
-func (p *Pool) takeIdle(key string) *conn {
+func (p *Pool) takeIdle(b *traffic.Backend, key string) *conn {
 	now := time.Now()
 	for {
 		p.mu.Lock()
@@ -523,10 +551,14 @@
 		c := list[len(list)-1]
 		p.idle[key] = list[:len(list)-1]
 		p.mu.Unlock()
-		if now.Before(c.expiresAt) && isOpenAndIdle(c.net) {
+		open := isOpenAndIdle(c.net)
+		if open && now.Before(c.expiresAt) {
 			p.count(func(s *Stats) { s.Reused++ })
 			return c
 		}
+		if !open {
+			p.observer.Broken(b)
+		}
 		c.close()
 	}
 }
--- a/internal/edge/egress/withdraw_test.go
+++ b/internal/edge/egress/withdraw_test.go
@@ -75,5 +75,6 @@
 func (unobserved) Ended(int64)                    {}
 func (unobserved) Failed(*traffic.Backend, error) {}
 func (unobserved) Lost(*traffic.Backend)          {}
+func (unobserved) Broken(*traffic.Backend)        {}
 func (unobserved) Responded(bool)                 {}
 func (unobserved) Isolated() bool                 { return false }
--- a/internal/edge/filter/dispatch/decider.go
+++ b/internal/edge/filter/dispatch/decider.go
@@ -9,6 +9,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/assign"
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/decide/rest"
+	"github.com/banyandeal/banyandeal/internal/decide/restart"
 	"github.com/banyandeal/banyandeal/internal/edge/control"
 	"github.com/banyandeal/banyandeal/internal/edge/gateway"
 	"github.com/banyandeal/banyandeal/internal/edge/ingress"
@@ -40,6 +41,9 @@
 	// RestChanged reports the beginning or the end of a rest, or that a backend server
 	// leaves.
 	RestChanged(c rest.Change)
+	// RestartChecked reports what a health check has told of a backend server whose connection
+	// broke.
+	RestartChecked(c restart.Change)
 }
 
 // NewDecider returns a Decider without load observations or placements. clockZero returns
@@ -179,6 +183,26 @@
 	}
 }
 
+// brokenAfter reports whether a connection to a backend server has broken after a time, so that it may
+// have started again since it was chosen.
+func (d *Decider) brokenAfter(b *traffic.Backend, at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Restarts().BrokenAfter(identityOf(b), at)
+}
+
+// Restarts calls f with the table of the backend servers that may have started again before the
+// store tells, and then reports its changes.
+func (d *Decider) Restarts(f func(t *restart.Table, now time.Time)) {
+	d.mu.Lock()
+	f(d.machine.Restarts(), time.Now())
+	changes := d.machine.Restarts().TakeChanges()
+	d.mu.Unlock()
+	for _, c := range changes {
+		d.observer.RestartChecked(c)
+	}
+}
+
 // ExpireRests ends the rests of backend servers that are over.
 func (d *Decider) ExpireRests() {
 	d.withRests(func(t *rest.Table, now time.Time) { t.Expire(now) })
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -231,8 +231,11 @@
 	request := f.request(ex, choice.Backend)
 	// A new connection shows that the backend server is up when it gets a suspect.
 	request.NewConnection = permit.Isolated()
-	// The zone may have been evacuated, or the backend server have left, during the connect.
-	request.Allowed = func() bool { return f.decider.usable(choice.Backend) }
+	// The zone may have been evacuated, or the backend server have left, during the connect, and an
+	// idle connection may have shown that it has started again.
+	request.Allowed = func() bool {
+		return f.decider.usable(choice.Backend) && !f.decider.brokenAfter(choice.Backend, started)
+	}
 	request.OnWrite = func(alive time.Time) { f.guard.Written(tracked, alive) }
 	resp, err := f.pool.Do(ctx, choice.Backend, request)
 	end, result := f.classify(ctx, choice.Backend, resp, err)
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -95,6 +95,8 @@
 	From string
 	// Born is the incarnation that it has reached.
 	Born int64
+	// Cold is set if the backend server was cold then.
+	Cold bool
 	// Ran is set unless the request was refused.
 	Ran bool
 	// RetryAfter is the rest that the response asks for, as text; empty if none. Leaving is
@@ -123,6 +125,8 @@
 	mu       sync.Mutex
 	listener net.Listener
 	born     int64
+	// coldUntil is the end of the time in which it is cold after a start.
+	coldUntil time.Time
 	// open holds the connections that are open, the oldest first.
 	open    []net.Conn
 	stopped bool
@@ -172,6 +176,8 @@
 	// when it ends, and OnRestart before it reports that it is back; while OnRestart
 	// fails it stays away. Both may be nil.
 	Down time.Duration
+	// ColdTime is how long it is cold after each start but the first.
+	ColdTime time.Duration
 	// Body, if set, returns the body of the response to a request; the default names its id.
 	Body func(a *Arrival) string
 	// CutBody, if set, returns what CutAnswer sends of a body before it breaks off; the default
@@ -351,11 +357,19 @@
 		return
 	}
 	b.listener, b.born, b.crashed = l, time.Now().UnixMilli(), false
+	b.coldUntil = time.Now().Add(b.start.ColdTime)
 	b.seq.Store(0)
-	go b.Report("ready", 0)
+	go b.Report("ready", b.start.ColdTime.Seconds())
 	go b.serve(l)
 }
 
+// coldLeft returns how long the backend server stays cold.
+func (b *Backend) coldLeft() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(0, time.Until(b.coldUntil))
+}
+
 // listenAgain opens the listener and calls OnRestart.
 func (b *Backend) listenAgain() (net.Listener, error) {
 	l, err := b.start.Listen("tcp", b.start.Address)
@@ -591,11 +605,11 @@
 		if b.start.EndlessHealth {
 			return answerWithoutEnd(nc, "HTTP/1.1 200 OK\r\n", EndlessAnswer)
 		}
-		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nX-Banyandeal-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", b.Name)
+		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nX-Banyandeal-Instance-Id: %s\r\nX-Banyandeal-Cold-Ms: %d\r\nContent-Length: 0\r\n\r\n", b.Name, b.coldLeft().Milliseconds())
 		return true
 	}
 	b.mu.Lock()
-	a.Born = b.born
+	a.Born, a.Cold = b.born, a.At.Before(b.coldUntil)
 	act, work := b.act(a), b.work
 	if b.start.Act != nil {
 		if special := b.start.Act(a); special != Run {
