peers: checks in one order, and what was left out is checked after a freeze

A suspect or a left out peer was checked in the order of a map, so that a budget of checks fell differently in equal runs; what is due is sorted now, restart checks too. A peer that was left out stayed so for up to 30 s after its observer had stood still and forgotten its failures: TestLeftOutPeerIsCheckedAfterOwnFreeze failed before.

--- a/internal/decide/peers/peers.go
+++ b/internal/decide/peers/peers.go
@@ -530,13 +530,17 @@
 	return !m.lastStep.IsZero() && now.Sub(m.lastStep) > maxStepGap
 }
 
-// forgetFailures forgets the failed connections to all peers.
+// forgetFailures forgets the failed connections to all peers. Those that were left out are checked
+// at once.
 func (m *Machine) forgetFailures() {
 	for _, all := range []map[string]*peer{m.peers, m.foreign} {
 		for _, p := range all {
 			p.unreachableSince, p.failedConnects, p.suspectedSince = time.Time{}, 0, time.Time{}
 		}
 	}
+	for _, p := range m.leftOut {
+		p.failedChecks, p.nextCheck = 0, time.Time{}
+	}
 	clear(m.unreachable)
 	m.reachable = nil
 }
--- a/internal/decide/peers/series_test.go
+++ b/internal/decide/peers/series_test.go
@@ -203,3 +203,31 @@
 func TestLossesInSeriesKeepTheMargin(t *testing.T) {
 	eachSeries(t, 200, func(t *testing.T, s *seriesRun) { require.LessOrEqual(t, s.newest, lossBound) })
 }
+
+// TestLeftOutPeerIsCheckedAfterOwnFreeze guards against a living peer that stays left out for good:
+// the instance that left it out has forgotten its failed connections in a freeze of its own, and it
+// is no neighbour in the tree.
+func TestLeftOutPeerIsCheckedAfterOwnFreeze(t *testing.T) {
+	members := many(30)
+	m := New(members[0])
+	m.Members(members, epoch)
+	order := slices.DeleteFunc(slices.Clone(m.full.Order()), func(name string) bool { return name == members[0].Name })
+	victim, friend := order[len(order)-1], order[0]
+	step := func(at time.Duration) Ready {
+		m.Responded(friend, true, epoch.Add(at))
+		return m.Step(epoch.Add(at))
+	}
+	for at := 3 * time.Second; at < 6*time.Second; at += simStep {
+		m.Failed(victim, Unreachable, epoch.Add(at))
+		step(at)
+	}
+	m.Failed(victim, Unreachable, epoch.Add(6*time.Second))
+	require.True(t, m.IsGone(victim))
+	checked := false
+	for at := 9 * time.Second; at < 12*time.Second; at += simStep {
+		for _, c := range step(at).Checks {
+			checked = checked || c.Peer == victim && c.Tell == nil
+		}
+	}
+	require.True(t, checked)
+}
--- a/internal/decide/peers/suspicions.go
+++ b/internal/decide/peers/suspicions.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -146,10 +147,13 @@
 // followUp returns the checks of suspects whose suspicion has come to no result: those of its
 // region each instance checks, those of others first the ones that read the store for their region.
 func (m *Machine) followUp(now time.Time) []Check {
+	if len(m.suspected) == 0 && len(m.leftOut) == 0 {
+		return nil
+	}
 	var checks []Check
 	foreignPatience, mayCheck := m.foreignPatience()
-	for f, s := range m.suspected {
-		p, patience := m.lookup(f.Name), followUpAfter
+	for _, f := range slices.SortedFunc(maps.Keys(m.suspected), compareFindings) {
+		p, patience, s := m.lookup(f.Name), followUpAfter, m.suspected[f]
 		if p != nil && p.home != nil {
 			patience = foreignPatience
 		}
@@ -159,14 +163,24 @@
 			checks = m.startCheck(checks, p, now)
 		}
 	}
-	for _, p := range m.leftOut {
-		if p.home != nil && !p.home.unresponsive(now) {
+	for _, name := range slices.Sorted(maps.Keys(m.leftOut)) {
+		if p := m.leftOut[name]; !m.checksAnyway(p, now) {
 			checks = m.startCheck(checks, p, now)
 		}
 	}
 	return checks
 }
 
+// checksAnyway reports whether this instance checks a peer that it has left out for another reason,
+// so that it learns when it is back: because it is unreachable in the own region, or its region is
+// watched and does not respond.
+func (m *Machine) checksAnyway(p *peer, now time.Time) bool {
+	if p.home == nil {
+		return !p.unreachableSince.IsZero()
+	}
+	return p.home.unresponsive(now)
+}
+
 // foreignPatience returns how old the suspicion of an instance of another region must be before
 // this one checks it, and whether it does so at all.
 func (m *Machine) foreignPatience() (time.Duration, bool) {
--- a/internal/decide/restart/restart.go
+++ b/internal/decide/restart/restart.go
@@ -7,6 +7,8 @@
 package restart
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
@@ -126,6 +128,7 @@
 		e.checking = true
 		due = append(due, b)
 	}
+	slices.SortFunc(due, func(a, b limit.Backend) int { return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born)) })
 	return due
 }
 
