feeds: no timer for no wait, at which the race detector crashes

Cause, by a trace: in 8 runs of the region tests with the detector one ended with SIGSEGV, in a select of the stand-in store on a timer that had expired, inside a synctest bubble. A test of 30 lines, in which goroutines of a bubble select on time.After(0), crashed in 3 of 3 runs, each time by another check of the detector; with time.After(1 ns) in 0 of 3. So it is receiving from timers that have expired, which a wait of 0 does each time.

Change: wait.Sleep, Replica.Changes and the test's store make no timer if there is nothing to wait for, which is also quicker. No test is left out.

Ruled out: a data race of our own (none was reported in any run). On arm64 the package still runs without the detector: not measured there.

--- a/internal/edge/feeds/feeds_test.go
+++ b/internal/edge/feeds/feeds_test.go
@@ -19,6 +19,7 @@
 	"github.com/banyandeal/banyandeal/internal/decide/tree"
 	"github.com/banyandeal/banyandeal/internal/edge/control"
 	"github.com/banyandeal/banyandeal/internal/random"
+	"github.com/banyandeal/banyandeal/internal/wait"
 	"github.com/banyandeal/banyandeal/platform"
 )
 
@@ -272,9 +273,8 @@
 		i.control.Push(ctx, u)
 		return
 	}
-	select {
-	case <-time.After(i.slow):
-	case <-ctx.Done():
+	wait.Sleep(ctx, i.slow)
+	if ctx.Err() != nil {
 		return
 	}
 	i.mu.Lock()
--- a/internal/edge/feeds/region_test.go
+++ b/internal/edge/feeds/region_test.go
@@ -120,7 +120,8 @@
 			return nil, platform.Position{}, platform.ErrCompacted
 		}
 		rows = slices.DeleteFunc(rows, func(r platform.Row) bool { return r.Version <= after.Version })
-		if len(rows) > 0 {
+		// The race detector crashes if goroutines of a bubble receive from timers that have expired.
+		if len(rows) > 0 || wait <= 0 {
 			return rows, position, nil
 		}
 		select {
--- a/internal/edge/feeds/replica.go
+++ b/internal/edge/feeds/replica.go
@@ -395,6 +395,9 @@
 	r.mu.Lock()
 	wait = min(wait, max(0, r.table(name).idleLeft()))
 	r.mu.Unlock()
+	if wait <= 0 {
+		return nil
+	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -8,6 +8,9 @@
 
 // Sleep waits for d or until ctx is done.
 func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-time.After(d):
 	case <-ctx.Done():
