restart: without the store, backend servers in use tell themselves that they are cold

Cause: since a broken connection told of a start. An instance without an open connection sees none, and one that becomes cold while it runs breaks none.

Change: what is known of a backend server has an age. While the operator's table can be read from nowhere, those in use are checked each 0.4 s, never more often than they get requests; a request to one of which no check has told for 0.6 s waits for one, 0.15 s at the most. One found cold gets requests by grants of the time from 1 s later on, since what it got before counts within the same second. With the store there nothing changes.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -252,7 +252,7 @@
 	limits *limit.Table
 	// rests holds which backend servers have asked this instance for rest or leave.
 	rests *rest.Table
-	// restarts holds which backend servers may have started again before the store tells.
+	// restarts holds which backend servers may have become cold before the store tells.
 	restarts *restart.Table
 	// pacer holds the grants of this instance for backend servers that are cold or have
 	// a limit.
--- a/internal/decide/admission/pacing.go
+++ b/internal/decide/admission/pacing.go
@@ -77,7 +77,7 @@
 	return restarted
 }
 
-// Restarts returns which backend servers may have started again before the store tells.
+// Restarts returns which backend servers may have become cold before the store tells.
 func (m *Machine) Restarts() *restart.Table { return m.restarts }
 
 // coldSince returns since when this instance may have known that a backend server is cold.
--- a/internal/decide/admission/restart_test.go
+++ b/internal/decide/admission/restart_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/banyandeal/banyandeal/internal/decide/affinity"
+	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/decide/restart"
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
 	"github.com/banyandeal/banyandeal/internal/limitcheck"
@@ -24,10 +25,13 @@
 	checkTime = 70 * time.Millisecond
 )
 
-// restarted is a backend server that starts again, cold, while the store is away.
+// restarted is a backend server that starts again, cold, while the store is away, or becomes cold
+// again while it runs.
 type restarted struct {
 	*shop
-	id        string
+	id string
+	// runsOn is set if it breaks no connection.
+	runsOn    bool
 	downAt    time.Time
 	upAt      time.Time
 	coldUntil time.Time
@@ -48,11 +52,11 @@
 		if reason != "" {
 			return
 		}
-		arrived = choice.Backend.ID != r.id || r.attempt(n, choice.Backend, now)
+		arrived = choice.Backend.ID != r.id || r.confirm(n, choice.Backend, now) && r.attempt(n, choice.Backend, now)
 		outcome := affinity.Result{Took: 20 * time.Millisecond}
 		switch {
 		case arrived:
-		case now.Before(r.upAt):
+		case r.isDown(now):
 			outcome = affinity.Result{Outcome: affinity.Unreachable}
 		default:
 			outcome = affinity.Result{Outcome: affinity.Abandoned}
@@ -61,14 +65,28 @@
 	}
 }
 
+// isDown reports whether the backend server refuses connections.
+func (r *restarted) isDown(now time.Time) bool {
+	return !r.runsOn && now.After(r.downAt) && now.Before(r.upAt)
+}
+
+// confirm lets an instance check the backend server before a request, if it must, and reports whether
+// the request may still be sent.
+func (r *restarted) confirm(instance int, b *traffic.Backend, now time.Time) bool {
+	table := r.machines[instance].Restarts()
+	if table.Use(identityOf(b), now) {
+		r.checkOne(table, identityOf(b), now)
+	}
+	return !table.ChangedAfter(identityOf(b), now, now.Add(checkTime))
+}
+
 // attempt sends a request of an instance to the backend server and reports whether it arrives. The
 // instance learns of the restart by an idle connection that has ended, or by one that is refused.
 func (r *restarted) attempt(instance int, b *traffic.Backend, now time.Time) bool {
 	last, connected := r.lastSent[instance]
 	r.lastSent[instance] = now
-	isDown := now.After(r.downAt) && now.Before(r.upAt)
-	hasBroken := connected && last.Before(r.downAt) && now.After(r.upAt) && now.Sub(last) < idleTime
-	if isDown || hasBroken {
+	hasBroken := !r.runsOn && connected && last.Before(r.downAt) && now.After(r.upAt) && now.Sub(last) < idleTime
+	if r.isDown(now) || hasBroken {
 		r.machines[instance].Restarts().Broken(identityOf(b), now)
 		return false
 	}
@@ -81,23 +99,29 @@
 // check lets the instances check what is due.
 func (r *restarted) check(now time.Time) {
 	for _, m := range r.machines {
+		m.Restarts().StoreRead(start, true, now)
 		for _, b := range m.Restarts().Due(now) {
-			result := restart.Result{}
-			if !now.Before(r.upAt) {
-				result = restart.Result{Told: true, ColdLeft: r.coldUntil.Sub(now)}
-			}
-			m.Restarts().Checked(b, result, now, now.Add(checkTime))
+			r.checkOne(m.Restarts(), b, now)
 		}
 	}
 }
 
+// checkOne lets an instance check the backend server.
+func (r *restarted) checkOne(t *restart.Table, b limit.Backend, now time.Time) {
+	result := restart.Result{Told: !r.isDown(now)}
+	if !now.Before(r.upAt) {
+		result.ColdLeft = r.coldUntil.Sub(now)
+	}
+	t.Checked(b, result, now, now.Add(checkTime))
+}
+
 // worstSecond returns the largest number of requests within a second at a backend server that
-// starts again while the store is away.
-func worstSecond(instances int, down time.Duration) int {
+// starts again while the store is away, or becomes cold again while it runs.
+func worstSecond(instances int, down time.Duration, runsOn bool) int {
 	s := newShop(instances, 4)
 	s.snapshot.Services["shop"].ColdRate = coldRate
 	const warmUp = 10 * time.Second
-	r := &restarted{shop: s, id: s.snapshot.Backends["shop"][0].ID, downAt: start.Add(warmUp), upAt: start.Add(warmUp + down), lastSent: map[int]time.Time{}}
+	r := &restarted{shop: s, runsOn: runsOn, id: s.snapshot.Backends["shop"][0].ID, downAt: start.Add(warmUp), upAt: start.Add(warmUp + down), lastSent: map[int]time.Time{}}
 	r.coldUntil = r.upAt.Add(3 * time.Second)
 	nextCheck := start
 	for now := start; now.Before(r.coldUntil); now = now.Add(time.Duration(s.rng.ExpFloat64() / (4 * restartRate) * float64(time.Second))) {
@@ -114,14 +138,18 @@
 	for _, n := range instances {
 		for _, down := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second} {
 			t.Run(fmt.Sprint(n, " instances, gone for ", down), func(t *testing.T) {
-				worst := worstSecond(n, down)
-				t.Logf("worst second: %d", worst)
-				require.LessOrEqual(t, float64(worst), coldRate*1.5+5)
+				checkWorstSecond(t, worstSecond(n, down, false))
 			})
 		}
 	}
 }
 
+// checkWorstSecond checks the bound on requests to a cold backend server within a second.
+func checkWorstSecond(t *testing.T, worst int) {
+	t.Logf("worst second: %d", worst)
+	require.LessOrEqual(t, float64(worst), coldRate*1.5+5)
+}
+
 // TestRestartedBackendIsPaced guards against a backend server that starts again, cold, while the
 // store is away, and gets its full share from instances whose connections broke (rule FAILBACK).
 func TestRestartedBackendIsPaced(t *testing.T) { eachRestart(t, 1, 2, 6, 24, 77) }
@@ -129,3 +157,11 @@
 // TestRestartedBackendIsPacedByAll guards against the same by so many instances that most of them
 // have no connection that could break.
 func TestRestartedBackendIsPacedByAll(t *testing.T) { eachRestart(t, 300) }
+
+// TestBackendThatBecomesColdAgainIsPaced guards against a backend server that becomes cold while it
+// runs and breaks no connection, so that nobody learns of it while the store is away.
+func TestBackendThatBecomesColdAgainIsPaced(t *testing.T) {
+	for _, n := range []int{1, 2, 6, 24, 77, 300} {
+		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) { checkWorstSecond(t, worstSecond(n, 0, true)) })
+	}
+}
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -124,7 +124,10 @@
 	}
 	d.directory = directory.New(d.control, s, func(instance string) bool { return d.membership.IsGone(instance) }, r)
 	d.reach = reach.New(d.control.View, func() { d.decider.Forgive() }, r, boundedLog(log, m, maxPeerLines), m)
-	d.restarts = &restarts.Checker{View: d.control.View, Table: func() restarts.Table { return d.decider }, StoreReadAt: d.operatorReadAt}
+	d.restarts = &restarts.Checker{
+		View: d.control.View, Table: func() restarts.Table { return d.decider }, Prober: func() restarts.Prober { return d.pool },
+		StoreReadAt: d.operatorReadAt, StoreLost: func() bool { return !d.replica.IsCurrent(platform.TableOperator) },
+	}
 	pool := egress.NewPool(platform.HeaderRequestID, n.Backends, connectionObserver{d.reach, d.restarts})
 	d.pool = pool
 	d.registerGauges(pool)
@@ -163,7 +166,7 @@
 	handler := gateway.New(d.control,
 		accesslog.New(log, m), refusal.Filter{}, identify.Filter{}, match.Filter{ConfigReadAt: d.sourceSelector.ConfigReadAt}, d.accountFilter(), quarantine.Filter{Guard: guard}, expire.Filter{},
 		quota.Filter{Keeper: d.quotas}, handover.NewFilter(s, d.reach, d.handovers, m),
-		dispatch.New(pool, decider, d.places, guard, dispatch.Hooks{OnIsolated: verdicts.isolated, TableReadAt: d.operatorReadAt, Isolated: d.reach.Isolated}))
+		dispatch.New(pool, decider, d.places, guard, dispatch.Hooks{Confirm: d.restarts.Confirm, OnIsolated: verdicts.isolated, TableReadAt: d.operatorReadAt, Isolated: d.reach.Isolated}))
 	d.budget = newBudget(s, boundedLog(log, m, maxMemoryLines), m)
 	d.taker = handover.NewTaker(handler, d.reach, d.control.View, d.directory.Stopping, d.budget, m)
 	d.ingress = ingress.New(handler, d.reject, d.limits, d.budget, maxCallerConns)
@@ -294,7 +297,7 @@
 	go d.sweep(ctx)
 	go d.expireRests(ctx)
 	go d.reach.Run(ctx, d.pool)
-	go d.restarts.Run(ctx, d.pool)
+	go d.restarts.Run(ctx)
 	go d.places.Run(ctx)
 	go d.evidence.Run(ctx)
 	go d.limitSharer.Run(ctx)
--- a/internal/edge/filter/dispatch/decider.go
+++ b/internal/edge/filter/dispatch/decider.go
@@ -42,7 +42,7 @@
 	// leaves.
 	RestChanged(c rest.Change)
 	// RestartChecked reports what a health check has told of a backend server whose connection
-	// broke.
+	// broke, or that one has become cold, or is no longer, while the store cannot be read.
 	RestartChecked(c restart.Change)
 }
 
@@ -183,16 +183,16 @@
 	}
 }
 
-// brokenAfter reports whether a connection to a backend server has broken after a time, so that it may
-// have started again since it was chosen.
-func (d *Decider) brokenAfter(b *traffic.Backend, at time.Time) bool {
+// changedAfter reports whether a backend server may have become cold since it was chosen at a time:
+// because a connection to it has broken, or because it was found cold.
+func (d *Decider) changedAfter(b *traffic.Backend, at time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.Restarts().BrokenAfter(identityOf(b), at)
+	return d.machine.Restarts().ChangedAfter(identityOf(b), at, time.Now())
 }
 
-// Restarts calls f with the table of the backend servers that may have started again before the
-// store tells, and then reports its changes.
+// Restarts calls f with the table of the backend servers that may have become cold before the store
+// tells, and then reports its changes.
 func (d *Decider) Restarts(f func(t *restart.Table, now time.Time)) {
 	d.mu.Lock()
 	f(d.machine.Restarts(), time.Now())
--- a/internal/edge/filter/dispatch/dispatch.go
+++ b/internal/edge/filter/dispatch/dispatch.go
@@ -34,8 +34,11 @@
 	hooks      Hooks
 }
 
-// Hooks connects the filter to what its log needs. All of them may be nil.
+// Hooks connects the filter to other parts. All of them may be nil.
 type Hooks struct {
+	// Confirm is called before a request is sent to a backend server, and may wait for a moment
+	// until it is known whether that is cold.
+	Confirm func(ctx context.Context, b *traffic.Backend)
 	// OnIsolated is told of suspects that are sent in isolation.
 	OnIsolated OnIsolated
 	// TableReadAt returns when the store's response arrived by which the operator's table is
@@ -48,6 +51,13 @@
 // isolated reports whether this instance reaches no backend server.
 func (h Hooks) isolated() bool { return h.Isolated != nil && h.Isolated() }
 
+// confirm calls Confirm, unless no check would reach the backend server.
+func (h Hooks) confirm(ctx context.Context, b *traffic.Backend) {
+	if h.Confirm != nil && !h.isolated() {
+		h.Confirm(ctx, b)
+	}
+}
+
 // tableAge returns the age of the operator's table, -1 if it is unknown.
 func (h Hooks) tableAge() time.Duration {
 	if h.TableReadAt == nil {
@@ -226,15 +236,17 @@
 
 // send makes one attempt and records its end, except in the log.
 func (f *Filter) send(ctx context.Context, ex *gateway.Exchange, state *admission.RequestState, choice affinity.Choice, permit *quarantine.Permit) attemptEnd {
+	chosen := time.Now()
+	f.hooks.confirm(ctx, choice.Backend)
 	tracked := permit.Start(egress.ConnectionKey(choice.Backend))
 	started, tableAge := time.Now(), f.hooks.tableAge()
 	request := f.request(ex, choice.Backend)
 	// A new connection shows that the backend server is up when it gets a suspect.
 	request.NewConnection = permit.Isolated()
-	// The zone may have been evacuated, or the backend server have left, during the connect, and an
-	// idle connection may have shown that it has started again.
+	// The zone may have been evacuated, or the backend server have left, during the connect. An idle
+	// connection may have shown that it has started again, or a check that it is cold.
 	request.Allowed = func() bool {
-		return f.decider.usable(choice.Backend) && !f.decider.brokenAfter(choice.Backend, started)
+		return f.decider.usable(choice.Backend) && !f.decider.changedAfter(choice.Backend, chosen)
 	}
 	request.OnWrite = func(alive time.Time) { f.guard.Written(tracked, alive) }
 	resp, err := f.pool.Do(ctx, choice.Backend, request)
--- a/internal/edge/restarts/restarts.go
+++ b/internal/edge/restarts/restarts.go
@@ -1,11 +1,15 @@
-// Package restarts checks backend servers whose connections have broken: one that has started
-// again may be cold, which the store tells late, or not at all while it is away.
+// Package restarts checks backend servers that may be cold without the store telling so: those whose
+// connections have broken, which may have started again, and those in use while the store cannot be
+// read.
 package restarts
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/banyandeal/banyandeal/internal/decide/limit"
 	"github.com/banyandeal/banyandeal/internal/decide/restart"
 	"github.com/banyandeal/banyandeal/internal/edge/control"
@@ -14,8 +18,12 @@
 	"github.com/banyandeal/banyandeal/platform"
 )
 
-// interval is the time between two looks at what is due.
-const interval = 50 * time.Millisecond
+const (
+	// interval is the time between two looks at what is due.
+	interval = 50 * time.Millisecond
+	// maxConfirmTime is how long a request waits for a check. It goes by what is known then.
+	maxConfirmTime = 150 * time.Millisecond
+)
 
 // Table gives access to the backend servers that may have started again.
 type Table interface {
@@ -30,11 +38,19 @@
 
 // Checker checks backend servers. It is safe for concurrent use.
 type Checker struct {
-	// View returns the current view, Table the table. StoreReadAt returns when the store's
-	// response arrived by which the operator's table is known.
+	// View returns the current view, Table the table, Prober what sends checks. StoreReadAt returns
+	// when the store's response arrived by which the operator's table is known, StoreLost reports
+	// whether that can be read from nowhere now.
 	View        func() *control.View
 	Table       func() Table
+	Prober      func() Prober
 	StoreReadAt func() time.Time
+	StoreLost   func() bool
+
+	// lost is what StoreLost reported last.
+	lost atomic.Bool
+	// checks joins the checks of one backend server that overlap.
+	checks singleflight.Group
 }
 
 // Broken records that a connection to a backend server was refused, or ended without a response.
@@ -57,7 +73,7 @@
 }
 
 // Run checks what is due until ctx is done.
-func (c *Checker) Run(ctx context.Context, p Prober) {
+func (c *Checker) Run(ctx context.Context) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -67,20 +83,39 @@
 		case <-ticker.C:
 		}
 		for _, b := range c.due() {
-			go c.check(ctx, p, b)
+			c.check(b)
 		}
 	}
 }
 
+// Confirm is called before a request is sent to a backend server. While the store cannot be read, it
+// waits for a check that tells whether the backend server is cold, unless one has told recently.
+func (c *Checker) Confirm(ctx context.Context, b *traffic.Backend) {
+	if s := c.service(b); !c.lost.Load() || s == nil || s.ColdRate == 0 {
+		return
+	}
+	checkFirst := false
+	c.Table().Restarts(func(t *restart.Table, now time.Time) { checkFirst = t.Use(identityOf(b), now) })
+	if !checkFirst {
+		return
+	}
+	timeout := time.NewTimer(maxConfirmTime)
+	defer timeout.Stop()
+	select {
+	case <-c.check(b):
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
 // due returns the backend servers to check now. One that is not in the view any more is reported
 // as not told.
 func (c *Checker) due() []*traffic.Backend {
 	var due []limit.Backend
+	lost := c.StoreLost()
+	c.lost.Store(lost)
 	c.Table().Restarts(func(t *restart.Table, now time.Time) {
-		if t.Empty() {
-			return
-		}
-		t.StoreRead(c.StoreReadAt(), now)
+		t.StoreRead(c.StoreReadAt(), lost, now)
 		due = t.Due(now)
 	})
 	if len(due) == 0 {
@@ -103,15 +138,19 @@
 	return backends
 }
 
-// check checks one backend server.
-func (c *Checker) check(ctx context.Context, p Prober, b *traffic.Backend) {
-	began, result := time.Now(), restart.Result{}
-	if s := c.service(b); s != nil {
-		if resp, err := p.Health(ctx, b, s.HealthPath); err == nil {
-			result.ColdLeft, result.Told = platform.ColdLeft(resp.Status, resp.Header, b.ID)
+// check begins a check of a backend server, unless one is in progress, and returns what receives once
+// its result has been recorded.
+func (c *Checker) check(b *traffic.Backend) <-chan singleflight.Result {
+	return c.checks.DoChan(egress.ConnectionKey(b), func() (any, error) {
+		began, result := time.Now(), restart.Result{}
+		if s := c.service(b); s != nil {
+			if resp, err := c.Prober().Health(context.Background(), b, s.HealthPath); err == nil {
+				result.ColdLeft, result.Told = platform.ColdLeft(resp.Status, resp.Header, b.ID)
+			}
 		}
-	}
-	c.record(identityOf(b), result, began)
+		c.record(identityOf(b), result, began)
+		return nil, nil
+	})
 }
 
 func (c *Checker) record(b limit.Backend, r restart.Result, began time.Time) {
--- a/internal/standin/registered/backend.go
+++ b/internal/standin/registered/backend.go
@@ -363,6 +363,14 @@
 	go b.serve(l)
 }
 
+// BecomeCold lets the backend server be cold for a time without starting again.
+func (b *Backend) BecomeCold(d time.Duration) {
+	b.mu.Lock()
+	b.coldUntil = time.Now().Add(d)
+	b.mu.Unlock()
+	go b.Report("ready", d.Seconds())
+}
+
 // coldLeft returns how long the backend server stays cold.
 func (b *Backend) coldLeft() time.Duration {
 	b.mu.Lock()
