control: an evacuation held after an older copy ends by a read, not by time

Cause, by its log: an older copy of the store lacks the evacuation, which is held for 5 s so that the operator can write it again. The instance is cut off, and then all its whole reads are behind and rejected. The hold ended by time although no read had told whether the row is there (hold_ended at 24.4 s, the last accepted response from 19.3 s).

Change: a hold ends once the operator's table is known by a response of the store that is later than the 5 s.

TestHeldEvacuationOutlastsReadsThatAreBehind fails without the change.

--- a/internal/edge/control/control.go
+++ b/internal/edge/control/control.go
@@ -25,6 +25,9 @@
 	current atomic.Pointer[View]
 	log     zerolog.Logger
 	ends    EndObserver
+	// operatorReadAt returns when the store's response arrived by which the operator's table is
+	// known.
+	operatorReadAt func() time.Time
 	// OnInForce is called with the time from the arrival of an update until it is in force.
 	// It may be nil, must be set before Run and must not block.
 	OnInForce func(k Kind, delay time.Duration)
@@ -40,9 +43,10 @@
 }
 
 // New returns a Control whose view is empty. ends is told of backend servers that end
-// unannounced.
-func New(ends EndObserver, log zerolog.Logger) *Control {
-	c := &Control{updates: make(chan Update, 16), ends: ends, log: log}
+// unannounced. operatorReadAt returns when the store's response arrived by which the operator's
+// table is known.
+func New(ends EndObserver, operatorReadAt func() time.Time, log zerolog.Logger) *Control {
+	c := &Control{updates: make(chan Update, 16), ends: ends, operatorReadAt: operatorReadAt, log: log}
 	c.current.Store(newState().view())
 	return c
 }
@@ -70,7 +74,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			missing, evacuations := s.expireMissing(now), s.expireEvacuations(now)
+			missing, evacuations := s.expireMissing(now), s.expireEvacuations(c.operatorReadAt())
 			c.publish(s, missing || evacuations)
 			c.logEvacuations(s.takeEvacuationChanges(), Origin{})
 		case u := <-c.updates:
--- a/internal/edge/control/evacuation_test.go
+++ b/internal/edge/control/evacuation_test.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/banyandeal/banyandeal/internal/edge/traffic"
@@ -29,6 +32,27 @@
 	require.Empty(t, s.evacuated)
 }
 
+// TestHeldEvacuationOutlastsReadsThatAreBehind guards against an evacuation that the operator has
+// written again and that ends with its hold, because the reads of the instance have failed or were
+// behind all the time (rule EVAC).
+func TestHeldEvacuationOutlastsReadsThatAreBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var readAt atomic.Pointer[time.Time]
+		now := time.Now()
+		readAt.Store(&now)
+		c := New(nil, func() time.Time { return *readAt.Load() }, zerolog.Nop())
+		go c.Run(t.Context())
+		c.Push(t.Context(), Update{Kind: KindOperator, Full: true, Evacuated: map[string]bool{"z": true}})
+		c.Push(t.Context(), Update{Kind: KindOperator, Full: true, NewEra: true})
+		time.Sleep(10 * evacuationHold)
+		require.True(t, c.View().Evacuated["z"])
+		later := time.Now()
+		readAt.Store(&later)
+		time.Sleep(2 * missingCheckInterval)
+		require.False(t, c.View().Evacuated["z"], "it was read later and is missing")
+	})
+}
+
 // TestSecondWholeReadBringsNothingBack guards against a backend server that leaves and gets
 // requests again by the second whole read of a store that came back from an older copy, since
 // only the first one was compared with what was known before (rule DRAIN).
--- a/internal/edge/control/log_test.go
+++ b/internal/edge/control/log_test.go
@@ -14,7 +14,7 @@
 // one that does not tell from what.
 func TestEvacuationLineTellsWhy(t *testing.T) {
 	var out bytes.Buffer
-	c := New(nil, zerolog.New(&out))
+	c := New(nil, time.Now, zerolog.New(&out))
 	ctx, cancel := context.WithCancel(context.Background())
 	origin := Origin{Source: "reader", Era: 2, Version: 7, StoreReadAt: time.Now(), Arrived: time.Now()}
 	ended := make(chan struct{})
--- a/internal/edge/control/state.go
+++ b/internal/edge/control/state.go
@@ -73,7 +73,7 @@
 	reregistrationWindow = 2200 * time.Millisecond
 	// minOutage is the shortest store outage during which entries can expire.
 	minOutage = time.Second
-	// evacuationHold is how long an evacuation stays in effect that is missing in a
+	// evacuationHold is how long an evacuation stays in effect at least that is missing in a
 	// store which came back from an older copy, so that the operator can write it again.
 	evacuationHold = 5 * time.Second
 	// maxRemoved bounds the removed backend servers that are remembered.
@@ -100,7 +100,7 @@
 	// copy of the store does not bring them back.
 	removed map[string]*traffic.Backend
 	// heldEvacuations holds the evacuated availability zones that are missing since a
-	// new era of the store, with the time until which they stay evacuated.
+	// new era of the store. They stay evacuated until the table is read later than the given time.
 	heldEvacuations map[string]time.Time
 	// storeLost is set while the feed of backend servers cannot reach the store.
 	storeLost bool
@@ -123,8 +123,8 @@
 	causeRow evacuationCause = "row"
 	// causeWholeRead is a read of the whole table, with or without the row.
 	causeWholeRead evacuationCause = "whole_read"
-	// causeHoldEnded means that the row was missing for evacuationHold after the store had
-	// come back from an older copy.
+	// causeHoldEnded means that the row was missing evacuationHold after the store had come
+	// back from an older copy.
 	causeHoldEnded evacuationCause = "hold_ended"
 )
 
@@ -202,12 +202,13 @@
 	}
 }
 
-// expireEvacuations ends the evacuations that were held for long enough and reports
-// whether there were any.
-func (s *state) expireEvacuations(now time.Time) bool {
+// expireEvacuations ends the evacuations that are still missing in the operator's table as the
+// store held it at a time, which is later than their hold, and reports whether there were any.
+// While reads fail, or are behind, nobody can tell what the operator has written again.
+func (s *state) expireEvacuations(readAt time.Time) bool {
 	changed := false
 	for zone, until := range s.heldEvacuations {
-		if !now.Before(until) {
+		if !readAt.Before(until) {
 			delete(s.heldEvacuations, zone)
 			s.setEvacuated(zone, false, causeHoldEnded)
 			changed = true
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -115,7 +115,7 @@
 func New(s *traffic.Settings, log zerolog.Logger, m *metrics.Metrics, n Network, r *random.Source) *Daemon {
 	d := &Daemon{settings: s, log: log, metrics: m, network: n, store: platform.NewStoreWithTransport("http://"+s.Store.Address, n.Store)}
 	d.store.CountCalls(func(op platform.Operation, table string) { m.Add("store_calls_"+string(op)+"_"+table, 1) })
-	d.control = control.New(endObserver{d}, log)
+	d.control = control.New(endObserver{d}, d.operatorReadAt, log)
 	d.control.OnInForce = func(k control.Kind, delay time.Duration) {
 		m.Observe("update_delay_seconds_"+k.String(), delay.Seconds())
 		if k == control.KindMembers {
--- a/internal/edge/directory/directory_test.go
+++ b/internal/edge/directory/directory_test.go
@@ -19,7 +19,7 @@
 func newDirectory(tb testing.TB, homes []string, inA1, inB1, inB2 int, isDead func(string) bool) *Directory {
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(cancel)
-	c := control.New(nil, zerolog.Nop())
+	c := control.New(nil, time.Now, zerolog.Nop())
 	go c.Run(ctx)
 	config := &traffic.Config{Version: 1, Hosts: map[string][]*traffic.Route{"shop.example": {{Prefix: "/read/", HomeRegions: homes}}}}
 	config.Index()
--- a/internal/edge/feeds/region_test.go
+++ b/internal/edge/feeds/region_test.go
@@ -216,7 +216,8 @@
 	}
 	r.maxWait, r.reads = time.Hour, r.history
 	for _, i := range r.instances {
-		i.control = control.New(noEnds{}, zerolog.Nop())
+		readAt := func() time.Time { return i.replica.StoreReadAt(platform.TableOperator) }
+		i.control = control.New(noEnds{}, readAt, zerolog.Nop())
 		go i.control.Run(t.Context())
 	}
 	r.start(t)
