peers: say in the package's comment what others tell

Since suspicions of others decide whom an instance checks, so that only the removal of rows rests on own evidence alone. The comment still said that all does. No code changes.

--- a/internal/decide/peers/peers.go
+++ b/internal/decide/peers/peers.go
@@ -1,10 +1,10 @@
 // Package peers decides, from what one entry instance has itself seen of the other
-// instances, from which of its region it reads the tables of the store, which it checks, and
-// which are dead, so that their rows are removed. Which of them lookups leave out it decides by
-// what others have found, too.
+// instances, from which of its region it reads the tables of the store, and which are dead, so that
+// their rows are removed. Which of them lookups leave out, and which it checks, it decides by what
+// others have found or suspect, too.
 //
-// Evidence about a peer belongs to the instance that saw it. It depends neither on the
-// role of the instance nor on that of the peer, so that a change of role loses none.
+// Rows are removed by own evidence alone. It depends neither on the role of the instance nor on that
+// of the peer, so that a change of role loses none.
 //
 // Machine is a pure state machine and not safe for concurrent use.
 package peers
