--- a/internal/decide/peers/series_test.go
+++ b/internal/decide/peers/series_test.go
@@ -231,3 +231,31 @@
 	}
 	require.True(t, checked)
 }
+
+// TestSuspectsAreCheckedInOneOrder guards against checks that follow the order of a map, so that equal
+// runs differ: each instance of a region was told of the same suspects and checks them together.
+func TestSuspectsAreCheckedInOneOrder(t *testing.T) {
+	members := many(30)
+	due := func() (names []string) {
+		m := New(members[0])
+		m.Members(members, epoch)
+		var told Findings
+		for _, suspect := range members[10:22] {
+			f := m.lookup(suspect.Name).finding()
+			told.Suspected = append(told.Suspected, Suspicion{Finding: f, Age: followUpAfter})
+		}
+		m.Told(members[1].Name, told, epoch.Add(contactWindow+time.Second))
+		for _, c := range m.Step(epoch.Add(contactWindow + time.Second)).Checks {
+			if told.suspects(m.lookup(c.Peer).finding()) {
+				names = append(names, c.Peer)
+			}
+		}
+		return names
+	}
+	first := due()
+	require.Greater(t, len(first), 6)
+	require.True(t, slices.IsSorted(first))
+	for range 10 {
+		require.Equal(t, first, due())
+	}
+}
