--- a/internal/decide/admission/restart_test.go
+++ b/internal/decide/admission/restart_test.go
@@ -115,16 +115,16 @@
 	t.Checked(b, result, now, now.Add(checkTime))
 }
 
-// worstSecond returns the largest number of requests within a second at a backend server that
-// starts again while the store is away, or becomes cold again while it runs.
-func worstSecond(instances int, down time.Duration, runsOn bool) int {
-	s := newShop(instances, 4)
+// worstSecond returns the largest number of requests within a second at one of so many backend servers,
+// which starts again while the store is away, or becomes cold again while it runs.
+func worstSecond(instances, backends int, down time.Duration, runsOn bool) int {
+	s := newShop(instances, backends)
 	s.snapshot.Services["shop"].ColdRate = coldRate
 	const warmUp = 10 * time.Second
 	r := &restarted{shop: s, runsOn: runsOn, id: s.snapshot.Backends["shop"][0].ID, downAt: start.Add(warmUp), upAt: start.Add(warmUp + down), lastSent: map[int]time.Time{}}
 	r.coldUntil = r.upAt.Add(3 * time.Second)
 	nextCheck := start
-	for now := start; now.Before(r.coldUntil); now = now.Add(time.Duration(s.rng.ExpFloat64() / (4 * restartRate) * float64(time.Second))) {
+	for now := start; now.Before(r.coldUntil); now = now.Add(time.Duration(s.rng.ExpFloat64() / (float64(backends) * restartRate) * float64(time.Second))) {
 		for ; !nextCheck.After(now); nextCheck = nextCheck.Add(50 * time.Millisecond) {
 			r.check(nextCheck)
 		}
@@ -133,12 +133,12 @@
 	return limitcheck.Most(r.arrivals, time.Second)
 }
 
-// eachRestart checks the bound on requests to a restarted backend server.
-func eachRestart(t *testing.T, instances ...int) {
+// eachRestart checks the bound on requests to a restarted backend server among so many.
+func eachRestart(t *testing.T, backends int, instances ...int) {
 	for _, n := range instances {
 		for _, down := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second} {
 			t.Run(fmt.Sprint(n, " instances, gone for ", down), func(t *testing.T) {
-				checkWorstSecond(t, worstSecond(n, down, false))
+				checkWorstSecond(t, worstSecond(n, backends, down, false))
 			})
 		}
 	}
@@ -152,16 +152,20 @@
 
 // TestRestartedBackendIsPaced guards against a backend server that starts again, cold, while the
 // store is away, and gets its full share from instances whose connections broke (rule FAILBACK).
-func TestRestartedBackendIsPaced(t *testing.T) { eachRestart(t, 1, 2, 6, 24, 77) }
+func TestRestartedBackendIsPaced(t *testing.T) { eachRestart(t, 4, 1, 2, 6, 24, 77) }
 
 // TestRestartedBackendIsPacedByAll guards against the same by so many instances that most of them
 // have no connection that could break.
-func TestRestartedBackendIsPacedByAll(t *testing.T) { eachRestart(t, 300) }
+func TestRestartedBackendIsPacedByAll(t *testing.T) { eachRestart(t, 4, 300) }
+
+// TestOnlyBackendIsPacedAfterRestart guards against a backend server that gets all requests at its
+// return, because there is no other one.
+func TestOnlyBackendIsPacedAfterRestart(t *testing.T) { eachRestart(t, 1, 1, 2, 6, 24, 77, 300) }
 
 // TestBackendThatBecomesColdAgainIsPaced guards against a backend server that becomes cold while it
 // runs and breaks no connection, so that nobody learns of it while the store is away.
 func TestBackendThatBecomesColdAgainIsPaced(t *testing.T) {
 	for _, n := range []int{1, 2, 6, 24, 77, 300} {
-		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) { checkWorstSecond(t, worstSecond(n, 0, true)) })
+		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) { checkWorstSecond(t, worstSecond(n, 4, 0, true)) })
 	}
 }
